The whole path, thin: records, platform, watch, daemon, engine, caller

Cause: an empty repository; the users ask for the whole path first. Change: platform, engine and plain-service stand-ins, the daemon with callers', operators' and peer ports, records in two schema versions, bluebellctl, and a quickstart that runs all of it. Limits are the baseline: each daemon uses its share of every target's limit. Not done yet: credits, cells, resume tokens, hedges, quarantine, fencing.

--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,102 @@
+//! Which daemons of the cell are alive, by heartbeats.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    clock::BootTime,
+    wire::{DaemonName, Heartbeat, MemberId},
+};
+
+/// What is known of one other daemon.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its current run.
+    pub id: MemberId,
+    /// Its peer port.
+    pub address: SocketAddr,
+    /// When it was last heard.
+    pub heard_at: BootTime,
+    /// What it last said.
+    pub heartbeat: Heartbeat,
+}
+
+/// How long a member has been silent, in words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Health {
+    /// Heard of lately.
+    Alive,
+    /// Silent for a while; its credits still count.
+    Suspect,
+    /// Silent for twice as long.
+    Dead,
+}
+
+/// The other daemons this one has heard of.
+///
+/// Invariant: a member's incarnation never falls.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    members: BTreeMap<DaemonName, Member>,
+    suspect_after: Duration,
+}
+
+impl Membership {
+    /// Starts with no members. `suspect_after` is the silence after which a
+    /// member is suspect; after twice that it is dead.
+    #[must_use]
+    pub fn new(suspect_after: Duration) -> Self {
+        Self {
+            members: BTreeMap::new(),
+            suspect_after,
+        }
+    }
+
+    /// Takes a heartbeat. Returns false for one of an older incarnation.
+    pub fn hear(
+        &mut self,
+        id: &MemberId,
+        address: SocketAddr,
+        heartbeat: Heartbeat,
+        now: BootTime,
+    ) -> bool {
+        let known = self.members.get(&id.name);
+        if known.is_some_and(|m| m.id.incarnation > id.incarnation) {
+            return false;
+        }
+        let member = Member {
+            id: id.clone(),
+            address,
+            heard_at: now,
+            heartbeat,
+        };
+        self.members.insert(id.name.clone(), member);
+        true
+    }
+
+    /// Health of a member at `now`.
+    #[must_use]
+    pub fn health(&self, member: &Member, now: BootTime) -> Health {
+        let silence = now.saturating_sub(member.heard_at);
+        if silence < self.suspect_after {
+            Health::Alive
+        } else if silence < self.suspect_after * 2 {
+            Health::Suspect
+        } else {
+            Health::Dead
+        }
+    }
+
+    /// Members that are not dead at `now`.
+    pub fn live(&self, now: BootTime) -> impl Iterator<Item = &Member> {
+        let members = self.members.values();
+        members.filter(move |m| self.health(m, now) != Health::Dead)
+    }
+
+    /// Forgets members that have been dead for `keep`.
+    pub fn prune(&mut self, now: BootTime, keep: Duration) {
+        let last = self.suspect_after * 2 + keep;
+        self.members
+            .retain(|_, m| now.saturating_sub(m.heard_at) < last);
+    }
+}
--- /dev/null
+++ b/src/records/check.rs
@@ -0,0 +1,102 @@
+//! Checks of documents before use: every fault at once, with its field's path.
+
+use std::fmt;
+
+use schemars::{JsonSchema, schema_for};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::{Record, RecordKey, Snapshot};
+
+/// One thing that is wrong with a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fault {
+    /// JSON pointer to the field.
+    pub path: Box<str>,
+    /// What is wrong.
+    pub reason: Box<str>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
+/// Checks `value` against the JSON Schema of `T`; paths start with `at`.
+///
+/// # Errors
+/// All faults, in the order of the document.
+pub fn check_shape<T: JsonSchema>(value: &Value, at: &str) -> Result<(), Vec<Fault>> {
+    let schema = schema_for!(T).into();
+    let validator = match jsonschema::validator_for(&schema) {
+        Ok(validator) => validator,
+        Err(e) => return Err(vec![fault(at, &e.to_string())]),
+    };
+    let faults: Vec<Fault> = validator
+        .iter_errors(value)
+        .map(|e| fault(&format!("{at}{}", e.instance_path()), &e.to_string()))
+        .collect();
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(faults)
+    }
+}
+
+fn fault(path: &str, reason: &str) -> Fault {
+    Fault {
+        path: path.into(),
+        reason: reason.into(),
+    }
+}
+
+/// Checks that what `record` names exists in `snapshot`.
+#[must_use]
+pub fn check_references(record: &Record, snapshot: &Snapshot) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    match record {
+        Record::Service(service) => {
+            if let Some(model) = &service.model
+                && !snapshot.models.contains_key(model)
+            {
+                faults.push(fault("/spec/model", &format!("no model named {model:?}")));
+            }
+            if service.capacity.cold_limit > service.capacity.limit {
+                faults.push(fault("/spec/capacity/cold_limit", "larger than limit"));
+            }
+        }
+        Record::RoutingIntent(intent) => {
+            if !snapshot.services.contains_key(&intent.service) {
+                let reason = format!("no service named {:?}", intent.service);
+                faults.push(fault("/spec/service", &reason));
+            }
+            for (i, zone) in intent.prefer_zones.iter().enumerate() {
+                if !snapshot.zones.contains_key(zone) {
+                    let path = format!("/spec/prefer_zones/{i}");
+                    let reason = format!("no availability zone named {zone:?}");
+                    faults.push(fault(&path, &reason));
+                }
+            }
+        }
+        Record::Model(_) | Record::Customer(_) | Record::AvailabilityZone(_) => {}
+    }
+    faults
+}
+
+/// Names of the records that would dangle if `key` went away.
+#[must_use]
+pub fn referrers(key: &RecordKey, snapshot: &Snapshot) -> Vec<Box<str>> {
+    let services = snapshot
+        .services
+        .iter()
+        .filter(|(_, s)| key.kind == super::Kind::Model && s.model.as_deref() == Some(&*key.name));
+    let intents = snapshot.intents.iter().filter(|(_, i)| match key.kind {
+        super::Kind::Service => i.service == key.name,
+        super::Kind::AvailabilityZone => i.prefer_zones.contains(&key.name),
+        _ => false,
+    });
+    let services = services.map(|(name, _)| format!("Service/{name}").into());
+    let intents = intents.map(|(name, _)| format!("RoutingIntent/{name}").into());
+    services.chain(intents).collect()
+}
--- /dev/null
+++ b/src/standin/history.rs
@@ -0,0 +1,48 @@
+//! Event histories: one JSON object a line, for the checkers in `tests/`.
+
+use std::{
+    fs::{File, OpenOptions},
+    io::Write,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::StandinError;
+use crate::clock;
+
+/// Appends events to a file, or nowhere.
+#[derive(Clone, Default)]
+pub(crate) struct History(Option<Arc<Mutex<File>>>);
+
+impl History {
+    /// Opens the file to append to.
+    pub fn open(path: Option<&Path>) -> Result<Self, StandinError> {
+        let Some(path) = path else {
+            return Ok(Self(None));
+        };
+        let opened = OpenOptions::new().create(true).append(true).open(path);
+        let file = opened.map_err(|source| StandinError::Io {
+            step: "open_history",
+            peer: path.display().to_string().into(),
+            source,
+        })?;
+        Ok(Self(Some(Arc::new(Mutex::new(file)))))
+    }
+
+    /// Appends one event, with the time since boot in milliseconds.
+    pub fn note(&self, event: &str, detail: &impl Serialize) {
+        let Some(file) = &self.0 else { return };
+        let mut line = json!({"at_ms": clock::millis(clock::now()), "event": event});
+        if let (Some(line), Ok(Value::Object(detail))) =
+            (line.as_object_mut(), serde_json::to_value(detail))
+        {
+            line.extend(detail);
+        }
+        let text = format!("{line}\n");
+        let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = file.write_all(text.as_bytes());
+    }
+}
--- /dev/null
+++ b/src/supervisor.rs
@@ -0,0 +1,57 @@
+//! Supervisor: restarts tasks that fail, with backoff, until told to stop.
+
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock;
+
+/// First and longest pause before a restart.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// A task that ran this long starts again without growing backoff.
+const HEALTHY_AFTER: Duration = Duration::from_secs(10);
+
+/// Spawns `start` under supervision. It runs again whenever it ends or panics,
+/// until `stop`, which also ends it in mid-run.
+pub(crate) fn supervise<F, Fut>(
+    name: &'static str,
+    stop: CancellationToken,
+    mut start: F,
+) -> JoinHandle<()>
+where
+    F: FnMut() -> Fut + Send + 'static,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(async move {
+        let mut pause = BACKOFF.0;
+        loop {
+            let began = clock::now();
+            let mut task = tokio::spawn(start());
+            let ended = tokio::select! {
+                ended = &mut task => ended,
+                () = stop.cancelled() => {
+                    task.abort();
+                    return;
+                }
+            };
+            if clock::now().saturating_sub(began) > HEALTHY_AFTER {
+                pause = BACKOFF.0;
+            }
+            let reason = match ended {
+                Ok(()) => "ended".to_owned(),
+                Err(e) => e.to_string(),
+            };
+            metrics::counter!("bluebell_task_restarts", "task" => name).increment(1);
+            log::debug!(
+                "event=task_restart task={name} reason={reason:?} pause_ms={}",
+                pause.as_millis()
+            );
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = stop.cancelled() => return,
+            }
+            pause = (pause * 2).min(BACKOFF.1);
+        }
+    })
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,176 @@
+//! Messages that daemons send one another, encoded with `postcard`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::platform::Revision;
+
+/// Name of a daemon's instance.
+pub type DaemonName = Box<str>;
+/// Start of a process: a restarted daemon is another member.
+pub type Incarnation = u64;
+/// Name of a target's instance.
+pub type TargetName = Box<str>;
+/// Start of an engine, as it reports it.
+pub type BootId = Box<str>;
+/// One run of a request on one engine.
+pub type GenerationId = Box<str>;
+
+/// One run of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MemberId {
+    /// Instance name.
+    pub name: DaemonName,
+    /// Start of the process, in nanoseconds since the epoch.
+    pub incarnation: Incarnation,
+}
+
+/// One datagram: who sent it, and what it says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Packet {
+    /// Sender.
+    pub from: MemberId,
+    /// Rises with each datagram of one sender; an old one is dropped.
+    pub sequence: u64,
+    /// What it says.
+    pub message: Datagram,
+}
+
+/// What datagrams say.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Sent to each member of the cell once a heartbeat period.
+    Heartbeat(Heartbeat),
+    /// A holder tells an owner what it holds and wants.
+    CreditAsk(CreditAsk),
+    /// An owner hands out credits.
+    CreditGrant(CreditGrant),
+    /// One cell tells another how much room it has.
+    CellSummary(CellSummary),
+}
+
+/// Sign of life, with a digest of the configuration in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Availability zone of the sender.
+    pub zone: Box<str>,
+    /// Region of the sender.
+    pub region: Box<str>,
+    /// Address of its caller port, for forwarded requests.
+    pub caller_address: Box<str>,
+    /// It is stopping and takes no new work.
+    pub is_draining: bool,
+    /// Revision of the records in force.
+    pub revision: Revision,
+    /// Hash of the records in force.
+    pub records_hash: u64,
+    /// Age of its last confirmation by the platform, directly or through
+    /// peers, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// Members it suspects or knows to be dead.
+    pub silent: Vec<MemberId>,
+}
+
+/// What a holder of credits tells the target's owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CreditAsk {
+    /// Target concerned.
+    pub target: TargetName,
+    /// Credits held that have not lapsed.
+    pub held: u32,
+    /// Requests it has in flight there.
+    pub in_flight: u32,
+    /// Credits it could use now.
+    pub wanted: u32,
+}
+
+/// Credits handed to one holder; replaces its earlier grant for the target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CreditGrant {
+    /// Target concerned.
+    pub target: TargetName,
+    /// Requests, or tokens of engine memory, that the holder may have there.
+    pub credits: u32,
+    /// Life of the grant from its arrival, in milliseconds.
+    pub life_ms: u32,
+    /// Sequence of the ask it answers, so that a late grant is known.
+    pub answers: u64,
+}
+
+/// Room in a cell, by service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CellSummary {
+    /// Region of the cell.
+    pub region: Box<str>,
+    /// One line for each service.
+    pub services: Vec<ServiceRoom>,
+}
+
+/// Room for one service in one cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceRoom {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Requests that the cell could take on now.
+    pub free: u32,
+    /// Age of that figure, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What daemons ask one another over TCP: one request, one answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Asks for all records and tombstones above a revision.
+    RecordsAfter(Revision),
+    /// Answer to [`Frame::RecordsAfter`].
+    Records(RecordsPage),
+    /// Asks whether the peer runs a generation.
+    FindGeneration(GenerationId),
+    /// Answer to [`Frame::FindGeneration`].
+    Generation(Option<GenerationPlace>),
+    /// Tells of crashes that a request was part of.
+    CrashMark(CrashMark),
+    /// Acknowledges a notice.
+    Done,
+    /// The peer could not answer.
+    Refused(Box<str>),
+}
+
+/// Records above a revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordsPage {
+    /// Revision up to which the sender knows every change.
+    pub revision: Revision,
+    /// Changes above the revision asked for.
+    pub changes: Vec<RecordChange>,
+}
+
+/// One change of one record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordChange {
+    /// Platform key.
+    pub key: Box<str>,
+    /// Revision of the change.
+    pub revision: Revision,
+    /// JSON text of the document; `None` for a tombstone.
+    pub document: Option<Box<str>>,
+}
+
+/// Where a generation runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GenerationPlace {
+    /// Target that runs it.
+    pub target: TargetName,
+    /// The run on that target.
+    pub generation: GenerationId,
+}
+
+/// A request was in flight at a target that crashed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// Hash of customer and body.
+    pub fingerprint: [u8; 16],
+    /// Crashes it was part of.
+    pub crashes: u32,
+    /// Crashes in which nothing else was in flight.
+    pub alone: u32,
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,34 @@
+//! The whole path, each part a process of its own.
+
+mod common;
+
+use common::Fleet;
+use serde_json::json;
+
+#[test]
+fn a_streamed_answer_arrives_token_by_token_and_whole() {
+    let fleet = Fleet::with_daemons(1);
+    let generated = fleet
+        .caller(0)
+        .generate("[mark=a] [n=20] report", &json!({}), &[]);
+    assert_eq!(generated.status, 200);
+    assert!(generated.is_whole, "{generated:?}");
+    let expected: Vec<String> = (0..20).map(|i| format!("a{i} ")).collect();
+    assert_eq!(generated.texts, expected);
+}
+
+#[test]
+fn a_booking_with_one_key_is_executed_once() {
+    let fleet = Fleet::with_daemons(2);
+    let body = json!({"truck": 1});
+    let first = fleet
+        .caller(0)
+        .service("POST", "/bookings", Some("k1"), &body);
+    let second = fleet
+        .caller(1)
+        .service("POST", "/bookings", Some("k1"), &body);
+    assert_eq!(first.status, 201, "{first:?}");
+    assert_eq!(second.body, first.body);
+    let history = &fleet.targets.last().expect("the service").history;
+    assert_eq!(common::history::named(history, "executed").len(), 1);
+}
