--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,7 +10,16 @@
 /// Reads the boot-time clock, which goes on while the machine is suspended.
 #[must_use]
 pub fn now() -> BootTime {
-    let time = clock_gettime(ClockId::Boottime);
+    read(ClockId::Boottime)
+}
+
+/// Processor time that the calling thread has used.
+pub(crate) fn thread_time() -> Duration {
+    read(ClockId::ThreadCPUTime)
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
     let secs = u64::try_from(time.tv_sec).unwrap_or(0);
     let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
     Duration::new(secs, nanos)
--- a/src/control.rs
+++ b/src/control.rs
@@ -216,6 +216,7 @@
 
     async fn tick(&mut self) {
         let now = clock::now();
+        metrics::gauge!("bluebell_control_seconds").set(clock::thread_time());
         self.members.prune(now, KEEP_DEAD);
         self.publish(now);
         self.send_heartbeats(now).await;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -91,10 +91,14 @@
 
 /// Routes of the callers' port.
 pub(crate) fn router(entry: &Arc<Entry>) -> Router {
-    let (ready, completions, any) = (entry.clone(), entry.clone(), entry.clone());
+    let (ready, shown) = (entry.clone(), entry.clone());
+    let (completions, any) = (entry.clone(), entry.clone());
     Router::new()
         .get("/healthz", |_: Request| async { Ok("ok\n") })
-        .get("/metrics", |_: Request| async { Ok(metrics::render()) })
+        .get("/metrics", move |_: Request| {
+            let text = metrics::render(&shown.view.load());
+            async move { Ok(text) }
+        })
         .get("/readyz", move |_: Request| {
             let is_ready = ready.view.load().is_ready;
             async move {
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -58,10 +58,8 @@
         request: call.id.clone(),
         id_prefix: run.generation.generation_id.clone(),
         silence_after: entry.settings.timing.silence_after,
+        arrived: call.arrived,
     };
-    let first_token_from = call.arrived;
-    metrics::histogram!("bluebell_start_seconds")
-        .record(clock::now().saturating_sub(first_token_from));
     let active = Active::new(entry);
     let events = deliver(entry.engines.clone(), run, delivered);
     let events = futures::StreamExt::map(events, move |event| {
--- a/src/http.rs
+++ b/src/http.rs
@@ -18,7 +18,10 @@
 };
 use serde::Serialize;
 use snafu::Snafu;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use viz::{Body, Request, Responder, Response, Router, StatusCode, Tree};
 
@@ -26,6 +29,13 @@
 /// descriptors do not make the loop spin.
 const ACCEPT_BACKOFF: (Duration, Duration) = (Duration::from_millis(5), Duration::from_secs(1));
 
+/// Answer to a connection beyond the cap; nothing of it was read.
+const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    x-bluebell-ran: not-run\r\nconnection: close\r\ncontent-length: 21\r\n\r\n\
+    too many connections\n";
+/// Longest wait for that answer to leave.
+const REFUSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Client used towards targets, the platform and other HTTP peers.
 pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -228,6 +238,7 @@
         backoff = ACCEPT_BACKOFF.0;
         let Some(place) = peers.take(addr.ip(), limits.max_connections_per_peer) else {
             metrics::counter!("bluebell_connections_refused").increment(1);
+            tasks.spawn(refuse_connection(tcp));
             continue;
         };
         let connection = serve_one(tcp, addr, tree.clone(), limits.clone(), stop.clone());
@@ -241,6 +252,15 @@
     tasks.wait().await;
 }
 
+/// Tells a peer with too many connections why it gets no more.
+async fn refuse_connection(mut tcp: TcpStream) {
+    let told = async {
+        tcp.write_all(TOO_MANY_CONNECTIONS).await?;
+        tcp.shutdown().await
+    };
+    let _ = tokio::time::timeout(REFUSE_TIMEOUT, told).await;
+}
+
 async fn serve_one(
     tcp: TcpStream,
     addr: SocketAddr,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,8 +2,14 @@
 
 use std::sync::OnceLock;
 
+use metrics::gauge;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::{
+    clock::{self, BootTime},
+    view::View,
+};
+
 /// Bounds of histogram buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.041, 0.1, 0.2, 0.5, 1.0, 1.6, 5.0, 30.0, 300.0,
@@ -19,8 +25,21 @@
     });
 }
 
-/// All metrics as Prometheus text.
-pub(crate) fn render() -> String {
+/// All metrics as Prometheus text, with the gauges of `view` brought up to date.
+pub(crate) fn render(view: &View) -> String {
+    note_view(view, clock::now());
     let recorder = RECORDER.get().and_then(Option::as_ref);
     recorder.map(PrometheusHandle::render).unwrap_or_default()
 }
+
+fn note_view(view: &View, now: BootTime) {
+    let age = view.confirmed_at.map(|at| now.saturating_sub(at));
+    gauge!("bluebell_config_age_seconds").set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
+    #[expect(clippy::cast_precision_loss, reason = "revisions stay far below 2^52")]
+    gauge!("bluebell_config_revision").set(view.snapshot.revision as f64);
+    for target in view.targets.values().flatten() {
+        let name = target.name.to_string();
+        gauge!("bluebell_credits", "target" => name.clone()).set(target.credit.held(now));
+        gauge!("bluebell_in_flight", "target" => name).set(target.credit.in_flight());
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a daemon, read from one JSON file and checked whole before use.
 
-use std::{fs, path::Path, time::Duration};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, time::Duration};
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -238,6 +238,34 @@
     }
 }
 
+impl Timing {
+    fn faults(&self) -> Vec<Fault> {
+        let periods = [
+            ("/timing/heartbeat", self.heartbeat),
+            ("/timing/credit_life", self.credit_life),
+            ("/timing/platform_poll", self.platform_poll),
+            ("/timing/silence_after", self.silence_after),
+        ];
+        let zero = periods.into_iter().filter(|(_, period)| period.is_zero());
+        let mut faults: Vec<Fault> = zero
+            .map(|(path, _)| fault(path, "must be longer than 0s"))
+            .collect();
+        if self.suspect_after < self.heartbeat * 2 {
+            let reason = "must be at least two heartbeats";
+            faults.push(fault("/timing/suspect_after", reason));
+        }
+        if self.credit_life < self.heartbeat * 2 {
+            let reason = "must be at least two heartbeats";
+            faults.push(fault("/timing/credit_life", reason));
+        }
+        if self.stale_after <= self.platform_poll {
+            let reason = "must be longer than platform_poll";
+            faults.push(fault("/timing/stale_after", reason));
+        }
+        faults
+    }
+}
+
 /// Logging.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -249,8 +277,33 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub level: Option<Box<str>>,
     /// Levels of single modules, such as `bluebelldrift::spread`.
-    #[serde(skip_serializing_if = "std::collections::BTreeMap::is_empty")]
-    pub modules: std::collections::BTreeMap<Box<str>, Box<str>>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub modules: BTreeMap<Box<str>, Box<str>>,
+}
+
+impl LogSettings {
+    fn faults(&self) -> Vec<Fault> {
+        let level = self
+            .level
+            .iter()
+            .map(|level| ("/log/level".to_owned(), level));
+        let modules = self
+            .modules
+            .iter()
+            .map(|(module, level)| (format!("/log/modules/{module}"), level));
+        let wrong = level
+            .chain(modules)
+            .filter(|(_, level)| level.parse::<log::LevelFilter>().is_err());
+        let faults = wrong.map(|(path, level)| fault(&path, format!("unknown level {level:?}")));
+        faults.collect()
+    }
+}
+
+fn fault(path: &str, reason: impl Into<Box<str>>) -> Fault {
+    Fault {
+        path: path.into(),
+        reason: reason.into(),
+    }
 }
 
 /// Settings that could not be taken.
@@ -317,23 +370,27 @@
         }
     }
 
+    /// Faults of values that have the right form but do not work together.
     fn faults(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
+        let mut faults = self.address_faults();
+        faults.extend(self.timing.faults());
+        faults.extend(self.log.faults());
+        faults
+    }
+
+    fn address_faults(&self) -> Vec<Fault> {
         let addresses = [
             ("/listen/caller", &self.listen.caller),
             ("/listen/operator", &self.listen.operator),
             ("/listen/peer", &self.listen.peer),
             ("/platform/address", &self.platform.address),
         ];
-        for (path, address) in addresses {
-            if address.parse::<std::net::SocketAddr>().is_err() {
-                faults.push(Fault {
-                    path: path.into(),
-                    reason: format!("{address:?} is not IP:port").into(),
-                });
-            }
-        }
-        faults
+        let wrong = addresses
+            .into_iter()
+            .filter(|(_, address)| address.parse::<SocketAddr>().is_err());
+        let faults =
+            wrong.map(|(path, address)| fault(path, format!("{address:?} is not IP:port")));
+        faults.collect()
     }
 
     /// Settings to start from.
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -114,6 +114,8 @@
     pub id_prefix: Box<str>,
     /// Longest silence of the engine.
     pub silence_after: Duration,
+    /// When the request's last byte was here.
+    pub arrived: clock::BootTime,
 }
 
 /// Passes a run on as server-sent events.
@@ -184,7 +186,7 @@
     tx: &mpsc::Sender<Bytes>,
 ) -> Ended {
     let mut cursor = Cursor::new(run.generation.generation_id.clone());
-    let mut gaps = Gaps::default();
+    let mut gaps = Gaps::since(delivered.arrived);
     loop {
         let Ok(Ok(event)) = timeout(delivered.silence_after, run.events.next()).await else {
             // Silent, or broken: go on with a new connection at the cursor.
@@ -239,20 +241,28 @@
 }
 
 /// Gaps between the tokens of one stream, for the metrics.
-#[derive(Default)]
 struct Gaps {
+    arrived: clock::BootTime,
     last: Option<clock::BootTime>,
 }
 
 impl Gaps {
+    fn since(arrived: clock::BootTime) -> Self {
+        let last = None;
+        Self { arrived, last }
+    }
+
     fn note(&mut self) {
         let now = clock::now();
-        if let Some(last) = self.last.replace(now) {
-            let gap = now.saturating_sub(last);
-            metrics::histogram!("bluebell_token_gap_seconds").record(gap);
-            if let Some(stall) = gap.checked_sub(STALL_GAP) {
-                metrics::histogram!("bluebell_stall_seconds").record(stall);
-            }
+        let Some(last) = self.last.replace(now) else {
+            let first = now.saturating_sub(self.arrived);
+            metrics::histogram!("bluebell_first_token_seconds").record(first);
+            return;
+        };
+        let gap = now.saturating_sub(last);
+        metrics::histogram!("bluebell_token_gap_seconds").record(gap);
+        if let Some(stall) = gap.checked_sub(STALL_GAP) {
+            metrics::histogram!("bluebell_stall_seconds").record(stall);
         }
     }
 }
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,198 @@
+//! Who gets in, and that the daemon goes on after anything that does not.
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::{TcpStream, UdpSocket},
+    time::Duration,
+};
+
+use common::{Fleet, OPERATOR_KEY, client};
+use serde_json::{Value, json};
+
+/// Longest wait for a connection to be answered or closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One daemon with small limits, and one engine.
+fn small_fleet() -> Fleet {
+    let mut fleet = Fleet::start();
+    fleet.add_engine("engine-1", common::ZONES[0].0, &[]);
+    let limits = json!({"limits": {"max_body_bytes": 2048, "request_timeout": "1s",
+                                   "max_connections_per_peer": 40}});
+    fleet.add_daemon(0, &limits);
+    fleet.write_records(&common::default_records());
+    fleet.wait_ready();
+    fleet
+}
+
+/// Sends raw bytes and reads until the other side closes.
+fn send_raw(address: &str, bytes: &[u8]) -> String {
+    let mut tcp = TcpStream::connect(address).expect("the port accepts");
+    tcp.set_read_timeout(Some(CLOSE_TIMEOUT))
+        .expect("a timeout");
+    let _ = tcp.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = tcp.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn assert_serves(fleet: &Fleet) {
+    let generated = fleet.caller(0).generate("[n=3] x", &json!({}), &[]);
+    assert!(generated.is_whole, "{generated:?}");
+}
+
+#[test]
+fn wrong_keys_are_refused_on_both_ports() {
+    let fleet = small_fleet();
+    let body = json!({"model": "drafting-desk", "prompt": "x", "stream": true});
+    let keys: [&[(&str, &str)]; 2] = [&[], &[("authorization", "Bearer wrong")]];
+    for headers in keys {
+        let caller = &fleet.daemons[0].caller;
+        let answer = client::call("POST", caller, "/v1/completions", headers, &body);
+        assert_eq!(answer.status, 401, "{answer:?}");
+        assert_eq!(answer.header("x-bluebell-ran"), Some("not-run"));
+        assert_eq!(answer.json()["error"]["type"], "unauthorized");
+        let operator = &fleet.daemons[0].operator;
+        let answer = client::call("GET", operator, "/v1/status", headers, &Value::Null);
+        assert_eq!(answer.status, 401, "{answer:?}");
+        let answer = client::call("PUT", operator, "/v1/records", headers, &json!([]));
+        assert_eq!(answer.status, 401, "{answer:?}");
+    }
+    assert_serves(&fleet);
+}
+
+#[test]
+fn a_body_that_is_too_large_or_too_slow_is_refused_as_not_run() {
+    let fleet = small_fleet();
+    let prompt = "x".repeat(4096);
+    let generated = fleet.caller(0).generate(&prompt, &json!({}), &[]);
+    assert_eq!(generated.status, 413, "{generated:?}");
+    assert_eq!(generated.ran.as_deref(), Some("not-run"));
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-length: 100\r\n\r\n{{\"model\":",
+        common::CUSTOMER_KEY
+    );
+    let answer = send_raw(&fleet.daemons[0].caller, head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("x-bluebell-ran: not-run"), "{answer}");
+    assert_serves(&fleet);
+}
+
+#[test]
+fn bad_requests_name_what_is_wrong() {
+    let fleet = small_fleet();
+    let missing = fleet.caller(0).generate("x", &json!({"prompt": 7}), &[]);
+    assert_eq!(missing.status, 400, "{missing:?}");
+    let unknown = fleet
+        .caller(0)
+        .generate("x", &json!({"model": "nobody"}), &[]);
+    assert_eq!(unknown.status, 404, "{unknown:?}");
+    assert_eq!(unknown.ran.as_deref(), Some("not-run"));
+    assert_serves(&fleet);
+}
+
+#[test]
+fn half_requests_and_garbage_on_each_port_change_nothing() {
+    let fleet = small_fleet();
+    let daemon = &fleet.daemons[0];
+    for address in [&daemon.caller, &daemon.operator] {
+        let answer = send_raw(address, b"\x00\xff\x00 garbage\r\n\r\n");
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        let half = send_raw(address, b"GET /healthz HT");
+        assert!(
+            half.is_empty() || half.starts_with("HTTP/1.1 408"),
+            "{half}"
+        );
+        let long = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(64 * 1024));
+        let answer = send_raw(address, long.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    }
+    let frame_of_4_gib = [0xff, 0xff, 0xff, 0xff, 1, 2, 3];
+    assert_eq!(send_raw(&daemon.peer, &frame_of_4_gib), "");
+    assert_eq!(send_raw(&daemon.peer, &[0, 0, 0, 4, 1, 2, 3, 4]), "");
+    let udp = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for len in [0, 1, 15, 16, 17, 1400] {
+        udp.send_to(&vec![0xa5; len], &daemon.peer)
+            .expect("it is sent");
+    }
+    assert_serves(&fleet);
+}
+
+#[test]
+fn connections_beyond_the_cap_are_told_so_and_others_go_on() {
+    let fleet = small_fleet();
+    let caller = &fleet.daemons[0].caller;
+    let held: Vec<TcpStream> = (0..40)
+        .map(|_| TcpStream::connect(caller).expect("the port accepts"))
+        .collect();
+    common::wait_for("a connection beyond the cap is refused", || {
+        let answer = send_raw(
+            caller,
+            b"GET /healthz HTTP/1.1\r\nconnection: close\r\n\r\n",
+        );
+        answer.starts_with("HTTP/1.1 503").then_some(())
+    });
+    drop(held);
+    common::wait_for("places are given back", || {
+        let answer = client::call("GET", caller, "/healthz", &[], &Value::Null);
+        (answer.status == 200).then_some(())
+    });
+    assert_serves(&fleet);
+}
+
+#[test]
+fn metrics_tell_what_happened() {
+    let mut fleet = small_fleet();
+    fleet.add_daemon(1, &json!({}));
+    fleet.wait_ready();
+    common::wait_for("the daemons hear of each other", || {
+        let status = fleet.operator(0).status();
+        status["peers"]
+            .as_array()
+            .filter(|p| !p.is_empty())
+            .map(drop)
+    });
+    assert_serves(&fleet);
+    let unknown = fleet
+        .caller(0)
+        .generate("x", &json!({"model": "nobody"}), &[]);
+    assert_eq!(unknown.status, 404);
+    let caller = &fleet.daemons[0].caller;
+    let text = client::call("GET", caller, "/metrics", &[], &Value::Null).body;
+    for line in [
+        "bluebell_refusals{kind=\"no_service\"} 1",
+        "bluebell_config_age_seconds",
+        "bluebell_credits{target=\"engine-1\"}",
+        "bluebell_control_bytes",
+        "bluebell_control_seconds",
+        "bluebell_first_token_seconds_count 1",
+        "bluebell_token_gap_seconds_count 2",
+    ] {
+        assert!(text.contains(line), "{line} is missing in\n{text}");
+    }
+}
+
+#[test]
+fn each_decision_is_a_log_line_and_explain_reads_it_back() {
+    let fleet = small_fleet();
+    let generated = fleet.caller(0).generate("[n=2] x", &json!({}), &[]);
+    let request = generated.request;
+    let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log");
+    let mut lines = log.lines();
+    let line = lines.find(|l| l.contains("event=route") && l.contains(&request));
+    let line = line.expect("a line for the decision");
+    for part in [
+        "target=engine-1",
+        "candidates=engine-1:",
+        "revision=",
+        "level=INFO",
+    ] {
+        assert!(line.contains(part), "{part} is missing in {line}");
+    }
+    let path = format!("/v1/explain/{request}");
+    let explained = fleet.operator(0).call("GET", &path, &Value::Null);
+    assert_eq!(explained.json()[0]["target"], "engine-1", "{explained:?}");
+    assert!(!log.contains(OPERATOR_KEY), "keys are not logged");
+}
