--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,180 @@
+//! Slopes of a daemon's control cost over daemons, targets, customers and open
+//! streams: `cargo bench --bench capacity`.
+//!
+//! Each row starts a fleet of processes of its own on loopback and samples it
+//! for a while. It is a report, not a test: it asserts nothing.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use common::{Fleet, ZONES, client, record};
+use serde_json::{Value, json};
+
+/// Time for a fleet to come to rest before it is sampled.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Time between the two samples of a row.
+const SAMPLE: Duration = Duration::from_secs(10);
+
+/// One fleet's size.
+#[derive(Clone, Copy)]
+struct Size {
+    daemons: usize,
+    targets: usize,
+    customers: usize,
+    streams: usize,
+}
+
+const BASE: Size = Size {
+    daemons: 2,
+    targets: 4,
+    customers: 10,
+    streams: 0,
+};
+
+/// Counters of all daemons of a fleet at one moment.
+struct Sample {
+    at: Instant,
+    control_seconds: f64,
+    control_bytes: f64,
+    platform_calls: f64,
+}
+
+fn main() {
+    println!("varied      size  core_percent  bytes_per_s  platform_calls_per_s  resident_kib");
+    for daemons in [2, 4, 8, 16] {
+        report("daemons", daemons, Size { daemons, ..BASE });
+    }
+    for targets in [4, 32, 128, 600] {
+        report("targets", targets, Size { targets, ..BASE });
+    }
+    for customers in [10, 100, 250] {
+        report("customers", customers, Size { customers, ..BASE });
+    }
+    for streams in [0, 100, 500, 1000] {
+        report("streams", streams, Size { streams, ..BASE });
+    }
+}
+
+/// Prints one row, per daemon.
+fn report(varied: &str, number: usize, size: Size) {
+    let fleet = start(size);
+    let streams = open_streams(&fleet, size.streams);
+    std::thread::sleep(SETTLE);
+    let before = sample(&fleet);
+    std::thread::sleep(SAMPLE);
+    let after = sample(&fleet);
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    #[expect(clippy::cast_precision_loss, reason = "a few daemons")]
+    let daemons = size.daemons as f64;
+    let rate = |before: f64, after: f64| (after - before) / seconds / daemons;
+    let resident = fleet.daemons.iter().map(|d| d.process.resident_kib()).max();
+    println!(
+        "{varied:<10} {number:>5} {:>13.3} {:>12.0} {:>21.2} {:>13}",
+        100.0 * rate(before.control_seconds, after.control_seconds),
+        rate(before.control_bytes, after.control_bytes),
+        rate(before.platform_calls, after.platform_calls),
+        resident.unwrap_or(0),
+    );
+    drop(streams);
+}
+
+/// A fleet in one zone; targets beyond the first share its engine's address.
+fn start(size: Size) -> Fleet {
+    let mut fleet = Fleet::start();
+    let zone = ZONES[0].0;
+    let big = [
+        "--kv-tokens",
+        "10000000",
+        "--max-batch",
+        "2000",
+        "--step-us",
+        "100000",
+    ];
+    fleet.add_engine("engine-0", zone, &big);
+    let address = fleet.targets[0].address.clone();
+    for i in 1..size.targets {
+        let instance = json!({"name": format!("engine-{i}"), "zone": zone, "address": address,
+                              "state": "live", "role": "target", "service": "drafting-desk"});
+        fleet.set_instance(&instance);
+    }
+    for i in 0..size.daemons {
+        // Every third index stands in the first zone.
+        fleet.add_daemon(
+            i * ZONES.len(),
+            &json!({"timing": {"heartbeat": "500ms",
+            "suspect_after": "1500ms", "platform_poll": "2s", "stale_after": "6s"}}),
+        );
+    }
+    fleet.write_records(&records(size.customers));
+    common::wait_for("all daemons serve", || {
+        let serving = (0..size.daemons).all(|i| {
+            let status = fleet.operator(i).status();
+            let targets = status["targets"].as_array().map_or(0, Vec::len);
+            status["is_ready"] == json!(true) && targets == size.targets
+        });
+        serving.then_some(())
+    });
+    fleet
+}
+
+fn records(customers: usize) -> Value {
+    let Value::Array(mut records) = common::default_records() else {
+        return Value::Null;
+    };
+    for service in records.iter_mut().filter(|r| r["kind"] == "Service") {
+        service["spec"]["limit"] = json!(4000);
+        service["spec"]["cold_limit"] = json!(4000);
+    }
+    let key_hash = bluebelldrift::hash_key("5a17", "somebody-else");
+    let others = (1..customers).map(|i| {
+        let spec = json!({"key_salt": "5a17", "key_hash": key_hash});
+        record("Customer", &format!("customer-{i}"), &spec)
+    });
+    records.extend(others);
+    Value::Array(records)
+}
+
+/// Opens long streams at the first daemon and reads each on a thread.
+fn open_streams(fleet: &Fleet, count: usize) -> Vec<std::thread::JoinHandle<()>> {
+    let caller = fleet.caller(0);
+    let readers = (0..count).map(|_| {
+        let caller = caller.clone();
+        std::thread::spawn(move || {
+            let opened = caller.open_stream("[n=100000] report", &json!({}), &[]);
+            opened.into_iter().flatten().for_each(drop);
+        })
+    });
+    readers.collect()
+}
+
+fn sample(fleet: &Fleet) -> Sample {
+    let mut sums: BTreeMap<&str, f64> = BTreeMap::new();
+    for daemon in &fleet.daemons {
+        let text = client::call("GET", &daemon.caller, "/metrics", &[], &Value::Null).body;
+        for name in [
+            "bluebell_control_seconds",
+            "bluebell_control_bytes",
+            "bluebell_platform_calls",
+        ] {
+            *sums.entry(name).or_default() += sum_of(&text, name);
+        }
+    }
+    Sample {
+        at: Instant::now(),
+        control_seconds: sums["bluebell_control_seconds"],
+        control_bytes: sums["bluebell_control_bytes"],
+        platform_calls: sums["bluebell_platform_calls"],
+    }
+}
+
+/// Sum of all series of one metric.
+fn sum_of(text: &str, name: &str) -> f64 {
+    let lines = text.lines().filter(|l| l.starts_with(name));
+    let values = lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum()
+}
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -89,3 +89,14 @@
         self.kill();
     }
 }
+
+impl Process {
+    /// Resident memory, in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|l| l.split_whitespace().next());
+        kib.and_then(|kib| kib.parse().ok()).unwrap_or(0)
+    }
+}
