At most once: claims that survive lost answers, callers that leave, no room

Cause: on the thin path a claim whose answer was lost blocked its key for good, a caller that left in mid-run took the run's outcome with it (hyper drops the handler's future), a request that reached no target kept its claim, binary answers were stored as lossy text, and a record's lookup was unused. A key that was not ASCII was ignored, so its request ran without a claim, and an idempotent path matched as a bare prefix.

Ruled out: a second write before dispatch ("dispatching"), which would let anybody take over a claim that was never dispatched. It costs three platform writes for each booking instead of two. The claimant releases its own claim in a task of its own instead; only a daemon that dies in those milliseconds leaves a key unknown. A lease on the claim: a paused holder would be overtaken.

Change: the pure part (src/ledger.rs) says what a claimant writes next; the driver (src/settle.rs) writes until it stands; src/once.rs keeps the order place, claim, bytes, outcome, in a task that the caller's leaving cannot end. A claim given up is released even where no object stands, under the condition last tried, so that a late claim conflicts.

--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -14,6 +14,9 @@
 pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-bluebell-request");
 
 /// Whether a refused request ran.
+///
+/// It speaks of this attempt: an earlier attempt with the same idempotency key
+/// was told its own.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::IntoStaticStr,
 )]
@@ -58,6 +61,8 @@
     TargetFailed,
     /// The outcome of an earlier run is not known.
     OutcomeUnknown,
+    /// It ran, but its answer is not kept.
+    AnswerLost,
     /// The request crashed targets and is kept out for a while.
     Quarantined,
     /// The deadline of the request passed.
@@ -76,7 +81,7 @@
             Self::NotReady | Self::PlatformDown => StatusCode::SERVICE_UNAVAILABLE,
             Self::KeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
-            Self::OutcomeUnknown => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::AnswerLost => StatusCode::CONFLICT,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -84,7 +89,7 @@
     /// When the caller may try again, if that can help.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoRoom | Self::NotReady => Some(Duration::from_secs(1)),
+            Self::NoRoom | Self::NotReady | Self::OutcomeUnknown => Some(Duration::from_secs(1)),
             Self::PlatformDown => Some(Duration::from_secs(5)),
             _ => None,
         }
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,41 +3,50 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::{Method, header::CONTENT_TYPE};
-use viz::{Request, RequestExt, Response, StatusCode};
+use hyper::{
+    Method,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use viz::{Request, RequestExt, Response};
 
 use crate::{
+    choose::Chosen,
     clock,
     entry::{Active, Call, Entry, accept, finish, idempotency_key, new_id, service_of},
     http::{self, CallError},
-    ledger::{self, Claim, Outcome},
+    ledger::Outcome,
+    once,
     place::place,
     records::{Service, ServiceType},
     refusal::{Ran, Refusal, RefusalKind},
 };
 
+/// Header that carries the idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key.
+const MAX_KEY_BYTES: usize = 256;
 /// Most targets tried for one request.
-const MAX_TRIES: usize = 3;
+pub(crate) const MAX_TRIES: usize = 3;
 /// Largest answer passed on.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// One call of a plain service.
-struct PlainCall {
-    service: Box<str>,
-    method: Method,
+pub(crate) struct PlainCall {
+    pub service: Box<str>,
+    pub method: Method,
     /// Path and query below the service.
-    path: Box<str>,
-    media: Option<hyper::header::HeaderValue>,
-    idempotency_key: Option<Box<str>>,
-    body: Bytes,
+    pub path: Box<str>,
+    pub media: Option<HeaderValue>,
+    pub idempotency_key: Option<Box<str>>,
+    pub body: Bytes,
 }
 
 /// Serves one request below `/services/NAME/`.
 pub(crate) async fn serve(entry: Arc<Entry>, mut req: Request) -> Response {
     let id = new_id();
-    let _active = Active::new(&entry);
+    let active = Active::new(&entry);
     let served = match read(&entry, &mut req, id.clone()).await {
-        Ok((call, plain)) => dispatch(&entry, &call, &plain).await,
+        Ok((call, plain)) => dispatch(entry, call, plain, active).await,
         Err(refusal) => Err(refusal),
     };
     finish(served, &id)
@@ -53,123 +62,89 @@
     let prefix = format!("/services/{service}");
     let target = req.uri().path_and_query().map_or("/", |p| p.as_str());
     let path = target.strip_prefix(&prefix).unwrap_or("/").into();
+    let idempotency_key = key_of(req)?;
     let plain = PlainCall {
         service: service.into(),
         method: req.method().clone(),
         path,
         media: req.headers().get(CONTENT_TYPE).cloned(),
-        idempotency_key: idempotency_key(req),
+        idempotency_key,
         body,
     };
     Ok((call, plain))
 }
 
-async fn dispatch(entry: &Entry, call: &Call, plain: &PlainCall) -> Result<Response, Refusal> {
-    let service = service_of(&call.view, &plain.service, ServiceType::Plain)?;
-    if is_idempotent(service, plain) {
-        return pass_repeatable(entry, call, plain).await;
-    }
-    match &plain.idempotency_key {
-        None => pass_once(entry, call, plain).await.map(answer),
-        Some(key) => pass_claimed(entry, call, plain, key).await,
-    }
-}
-
-fn is_idempotent(service: &Service, plain: &PlainCall) -> bool {
-    if plain.method == Method::GET || plain.method == Method::HEAD {
-        return true;
+/// The idempotency key: one that cannot be read protects from nothing, so it
+/// is refused rather than ignored.
+fn key_of(req: &Request) -> Result<Option<Box<str>>, Refusal> {
+    if !req.headers().contains_key(KEY_HEADER) {
+        return Ok(None);
     }
-    service
-        .idempotent
-        .iter()
-        .any(|op| *op.method == *plain.method.as_str() && plain.path.starts_with(&*op.path))
+    let key = idempotency_key(req).filter(|k| (1..=MAX_KEY_BYTES).contains(&k.len()));
+    let key = key.ok_or_else(|| {
+        let message = "the idempotency key is empty, too long or not ASCII";
+        Refusal::not_run(RefusalKind::BadRequest, message)
+    })?;
+    Ok(Some(key))
 }
 
-/// Runs a request under a claim in the ledger.
-async fn pass_claimed(
-    entry: &Entry,
-    call: &Call,
-    plain: &PlainCall,
-    key: &str,
+async fn dispatch(
+    entry: Arc<Entry>,
+    call: Call,
+    plain: PlainCall,
+    active: Active,
 ) -> Result<Response, Refusal> {
-    let entry_key = ledger::entry_key(&call.customer, &plain.service, key);
-    let payload = payload_hash(plain);
-    let claimed = ledger::claim(&entry.platform, entry_key, &payload).await;
-    let claim = claimed.map_err(|e| {
-        let message = format!("nothing was dispatched: {e}");
-        Refusal::not_run(RefusalKind::PlatformDown, message)
-    })?;
-    let won = match claim {
-        Claim::Won(won) => won,
-        Claim::Settled(outcome) => return Ok(answer(outcome)),
-        Claim::Running => {
-            return Err(Refusal::new(
-                RefusalKind::OutcomeUnknown,
-                Ran::Unknown,
-                "a request with this key has no known outcome yet",
-            ));
-        }
-        Claim::OtherPayload => {
-            return Err(Refusal::not_run(
-                RefusalKind::KeyReused,
-                "this key was used with another payload",
-            ));
-        }
-    };
-    let outcome = pass_once(entry, call, plain).await?;
-    if let Err(e) = ledger::settle(&entry.platform, &won, outcome.clone()).await {
-        log::warn!(
-            "event=settle_failed request={} error={:?}",
-            call.id,
-            e.to_string()
-        );
+    let service = service_of(&call.view, &plain.service, ServiceType::Plain)?;
+    if is_idempotent(service, &plain) {
+        return pass_repeatable(&entry, &call, &plain).await.map(answer);
     }
-    Ok(answer(outcome))
+    let lookup = service.lookup.clone();
+    // In a task of its own: when the caller leaves, this future is dropped,
+    // but the run goes on and its outcome is stored.
+    let run = tokio::spawn(async move {
+        let _active_until_it_ends = active;
+        once::run(&entry, &call, &plain, lookup.as_deref()).await
+    });
+    run.await.unwrap_or_else(|e| {
+        let message = format!("the run failed: {e}");
+        Err(Refusal::new(
+            RefusalKind::TargetFailed,
+            Ran::Unknown,
+            message,
+        ))
+    })
 }
 
-fn payload_hash(plain: &PlainCall) -> String {
-    let mut hasher = blake3::Hasher::new();
-    for part in [
-        plain.method.as_str().as_bytes(),
-        plain.path.as_bytes(),
-        &plain.body,
-    ] {
-        hasher.update(&(part.len() as u64).to_be_bytes());
-        hasher.update(part);
+fn is_idempotent(service: &Service, plain: &PlainCall) -> bool {
+    if plain.method == Method::GET || plain.method == Method::HEAD {
+        return true;
     }
-    hasher.finalize().to_hex().to_string()
+    let mut operations = service.idempotent.iter();
+    operations.any(|op| *op.method == *plain.method.as_str() && is_below(&plain.path, &op.path))
 }
 
-/// Sends a request to one target, and to another only when no byte left.
-async fn pass_once(entry: &Entry, call: &Call, plain: &PlainCall) -> Result<Outcome, Refusal> {
-    let mut tried = Vec::new();
-    loop {
-        match pass_to_one(entry, call, plain, &mut tried).await? {
-            Ok(outcome) => return Ok(outcome),
-            Err(e) if e.is_unsent() && tried.len() < MAX_TRIES => {}
-            Err(e) => {
-                let ran = if e.is_unsent() {
-                    Ran::NotRun
-                } else {
-                    Ran::Unknown
-                };
-                let kind = RefusalKind::TargetFailed;
-                return Err(Refusal::new(kind, ran, e.to_string()));
-            }
-        }
-    }
+/// Whether a path is `prefix` or below it. Paths that a target could read as
+/// another one are never below any.
+fn is_below(path: &str, prefix: &str) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    let is_plain = !path.contains("..") && !path.contains('%') && !path.contains("//");
+    let prefix = prefix.trim_end_matches('/');
+    let rest = path.strip_prefix(prefix);
+    is_plain && rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 /// Sends an idempotent request, to another target after any failure.
-async fn pass_repeatable(
+pub(crate) async fn pass_repeatable(
     entry: &Entry,
     call: &Call,
     plain: &PlainCall,
-) -> Result<Response, Refusal> {
+) -> Result<Outcome, Refusal> {
     let mut tried = Vec::new();
     loop {
-        match pass_to_one(entry, call, plain, &mut tried).await? {
-            Ok(outcome) => return Ok(answer(outcome)),
+        let chosen = place_current(entry, call, plain, &tried).await?;
+        tried.push(chosen.target.name.clone());
+        match send_to(entry, plain, &chosen).await {
+            Ok(outcome) => return Ok(outcome),
             Err(_) if tried.len() < MAX_TRIES => {
                 metrics::counter!("bluebell_retries").increment(1);
             }
@@ -181,34 +156,38 @@
     }
 }
 
-async fn pass_to_one(
+/// Takes a place at a target whose permit is still current.
+pub(crate) async fn place_current(
     entry: &Entry,
     call: &Call,
     plain: &PlainCall,
-    tried: &mut Vec<Box<str>>,
-) -> Result<Result<Outcome, CallError>, Refusal> {
-    let chosen = loop {
+    tried: &[Box<str>],
+) -> Result<Chosen, Refusal> {
+    loop {
         let chosen = place(entry, call, &plain.service, tried).await?;
         if chosen.permit.is_current(clock::now()) {
-            break chosen;
+            return Ok(chosen);
         }
-    };
-    tried.push(chosen.target.name.clone());
-    let mut req = http::request(
-        &plain.method,
-        &chosen.target.address,
-        &plain.path,
-        plain.body.clone(),
-    );
+    }
+}
+
+/// Sends a request to one target, once.
+pub(crate) async fn send_to(
+    entry: &Entry,
+    plain: &PlainCall,
+    chosen: &Chosen,
+) -> Result<Outcome, CallError> {
+    let address = &chosen.target.address;
+    let mut req = http::request(&plain.method, address, &plain.path, plain.body.clone());
     if let Some(media) = &plain.media {
         req.headers_mut().insert(CONTENT_TYPE, media.clone());
     }
     if let Some(Ok(key)) = plain.idempotency_key.as_ref().map(|k| k.parse()) {
-        req.headers_mut().insert("idempotency-key", key);
+        req.headers_mut().insert(KEY_HEADER, key);
     }
     let timeout = entry.settings.limits.service_timeout;
     let sent = http::call(&entry.services, req, timeout, MAX_ANSWER_BYTES).await;
-    Ok(sent.map(|res| outcome_of(&res)))
+    sent.map(|res| outcome_of(&res))
 }
 
 fn outcome_of(res: &hyper::Response<Bytes>) -> Outcome {
@@ -217,14 +196,14 @@
     Outcome {
         status: res.status().as_u16(),
         media: media.unwrap_or("application/octet-stream").into(),
-        body: String::from_utf8_lossy(res.body()).into(),
+        body: res.body().to_vec(),
     }
 }
 
-fn answer(outcome: Outcome) -> Response {
-    let status: StatusCode = outcome.status_code();
-    let body = outcome.body.into_string();
-    let mut res = http::with_body(status, "application/octet-stream", body);
+/// The answer that a caller gets for an outcome.
+pub(crate) fn answer(outcome: Outcome) -> Response {
+    let status = outcome.status_code();
+    let mut res = http::with_body(status, "application/octet-stream", outcome.body);
     if let Ok(media) = outcome.media.parse() {
         res.headers_mut().insert(CONTENT_TYPE, media);
     }
--- /dev/null
+++ b/src/settle.rs
@@ -0,0 +1,157 @@
+//! The ledger at the platform: claims, outcomes and releases, written until
+//! they certainly stand or are given up.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::sync::Semaphore;
+
+use crate::{
+    clock,
+    ledger::{Entry, State, Step},
+    platform::{Condition, Platform, PlatformError, Put, Revision},
+};
+
+/// Most writes of one claim before it is given up.
+const CLAIM_TRIES: usize = 3;
+/// First and longest pause between reads of somebody else's claim.
+const WAIT_PAUSE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(500));
+/// First and longest pause between tries to end a claim.
+const END_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// How long the end of a claim is tried; then its key is left `unknown`.
+const END_PATIENCE: Duration = Duration::from_secs(120);
+/// Most claims that are being ended at once, so that a platform that comes
+/// back is not flooded, and memory stays bounded.
+const MAX_ENDING: usize = 512;
+
+static ENDING: Semaphore = Semaphore::const_new(MAX_ENDING);
+
+/// A claim under one key of the ledger.
+#[derive(Clone)]
+pub(crate) struct Claim {
+    platform: Platform,
+    key: Box<str>,
+    entry: Entry,
+}
+
+impl Claim {
+    /// A claim that is not written yet.
+    pub fn new(platform: &Platform, key: Box<str>, payload: &str) -> Self {
+        let claimant = format!("{:032x}", rand::random::<u128>());
+        Self {
+            platform: platform.clone(),
+            key,
+            entry: Entry::claimed(payload, claimant),
+        }
+    }
+
+    /// Writes the claim. On an error the caller never dispatches: a claim that
+    /// may stand all the same is released by a task of its own.
+    ///
+    /// # Errors
+    /// The platform did not say whether the claim stands.
+    pub async fn write(&self) -> Result<Step, PlatformError> {
+        let mut condition = Condition::Absent;
+        let mut may_stand = false;
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let error = match self.put(&self.entry, condition).await {
+                Ok(put) => match self.entry.after_claim(&put) {
+                    Step::Write(next) if tries < CLAIM_TRIES => {
+                        condition = next;
+                        continue;
+                    }
+                    step => return Ok(step),
+                },
+                Err(e) => e,
+            };
+            let had_effect = may_have_effect(&error);
+            may_stand |= had_effect;
+            if tries < CLAIM_TRIES && had_effect {
+                continue;
+            }
+            if may_stand {
+                // Under the same condition, so that a late claim conflicts.
+                self.end(State::Released, condition);
+            }
+            return Err(error);
+        }
+    }
+
+    /// Waits for the outcome of somebody else's claim; after `patience` the
+    /// last step is returned, whatever it is.
+    pub async fn wait(&self, seen: Step, patience: Duration) -> Step {
+        let deadline = clock::now() + patience;
+        let mut pause = WAIT_PAUSE.0;
+        let mut step = seen;
+        while matches!(step, Step::Wait(..)) && clock::now() < deadline {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(WAIT_PAUSE.1);
+            match self.platform.get(&self.key).await {
+                Ok(Some(object)) => step = self.entry.after_read(&object),
+                Ok(None) => step = Step::Write(Condition::Absent),
+                Err(e) => log::debug!("event=ledger_read_failed error={:?}", e.to_string()),
+            }
+        }
+        step
+    }
+
+    /// Ends the claim with `state` in a task of its own, which goes on until
+    /// that stands or [`END_PATIENCE`] is over.
+    pub fn end(&self, state: State, condition: Condition) {
+        let claim = self.clone();
+        let Ok(place) = ENDING.try_acquire() else {
+            metrics::counter!("bluebell_ledger_ends_dropped").increment(1);
+            log::warn!("event=ledger_end_dropped key={}", self.key);
+            return;
+        };
+        tokio::spawn(async move {
+            claim.end_until_done(state, condition).await;
+            drop(place);
+        });
+    }
+
+    async fn end_until_done(&self, state: State, mut condition: Condition) {
+        let ended = self.entry.with_state(state);
+        let deadline = clock::now() + END_PATIENCE;
+        let mut pause = END_PAUSE.0;
+        while clock::now() < deadline {
+            match self.put(&ended, condition).await {
+                Ok(put) => match self.entry.after_end(&put) {
+                    Some(next) => condition = next,
+                    None => return,
+                },
+                Err(e) => {
+                    log::debug!("event=ledger_end_failed error={:?}", e.to_string());
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(END_PAUSE.1);
+                }
+            }
+        }
+        metrics::counter!("bluebell_ledger_ends_dropped").increment(1);
+        log::warn!("event=ledger_end_given_up key={}", self.key);
+    }
+
+    /// Stores what a lookup told of somebody else's claim.
+    pub async fn settle_for(&self, held: &Entry, at: Revision, state: State) {
+        let written = self.put(&held.with_state(state), Condition::At(at)).await;
+        if let Err(e) = written {
+            log::debug!("event=ledger_lookup_not_stored error={:?}", e.to_string());
+        }
+    }
+
+    async fn put(&self, entry: &Entry, condition: Condition) -> Result<Put, PlatformError> {
+        let value = serde_json::to_value(entry).unwrap_or(Value::Null);
+        self.platform.put(&self.key, &value, condition).await
+    }
+}
+
+/// Whether a failed write may stand. An answer from something between us and
+/// the platform says nothing about the write.
+fn may_have_effect(error: &PlatformError) -> bool {
+    match error {
+        PlatformError::Status { status, .. } => matches!(status, 500 | 502 | 504),
+        other => !other.is_without_effect(),
+    }
+}
--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,248 @@
+//! Promise 6: a non-idempotent request runs at most once, whatever fails.
+
+mod common;
+
+use std::{io::Write, net::TcpStream, thread, time::Duration};
+
+use common::{
+    Answer, CUSTOMER_KEY, Fleet,
+    check::{self, Attempts},
+    client, record, wait_for,
+};
+use serde_json::{Value, json};
+
+/// Daemons, one plain service, and short timeouts.
+fn fleet(daemons: usize) -> Fleet {
+    let mut fleet = Fleet::start();
+    fleet.add_service("ledger-1", common::ZONES[0].0);
+    for i in 0..daemons {
+        fleet.add_daemon(i, &json!({"limits": {"service_timeout": "1500ms"}}));
+    }
+    fleet.write_records(&common::default_records());
+    fleet.wait_ready();
+    check::wait_serving(&fleet);
+    fleet
+}
+
+fn executed(fleet: &Fleet, key: &str) -> usize {
+    let history = [&*fleet.targets[0].history];
+    let counts = check::executions(&history, "executed", "key");
+    counts.get(key).copied().unwrap_or(0)
+}
+
+/// Sends a booking and returns its connection without reading the answer.
+fn send(fleet: &Fleet, daemon: usize, key: &str, body: &Value) -> TcpStream {
+    let body = body.to_string();
+    let mut tcp = TcpStream::connect(&fleet.daemons[daemon].caller).expect("a connection");
+    let head = format!(
+        "POST /services/post-ledger/bookings HTTP/1.1\r\nhost: x\r\n\
+         authorization: Bearer {CUSTOMER_KEY}\r\nidempotency-key: {key}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    tcp.write_all(head.as_bytes()).expect("it is sent");
+    tcp
+}
+
+fn book(fleet: &Fleet, daemon: usize, key: &str, body: &Value) -> Answer {
+    fleet
+        .caller(daemon)
+        .service("POST", "/bookings", Some(key), body)
+}
+
+fn ran(answer: &Answer) -> Option<&str> {
+    answer.header("x-bluebell-ran")
+}
+
+/// Waits until the claim stands at the platform.
+fn wait_claimed(fleet: &Fleet) {
+    wait_for("the claim stands", || {
+        let address = &fleet.platform_address;
+        let path = "/v1/list?prefix=ledger/";
+        let listed = client::call("GET", address, path, &[], &Value::Null).json();
+        (!listed["objects"].as_array()?.is_empty()).then_some(())
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_in_mid_run_finds_the_answer_later() {
+    let fleet = fleet(2);
+    let body = json!({"delay_before_ms": 400, "truck": 1});
+    let connection = send(&fleet, 0, "left", &body);
+    wait_claimed(&fleet);
+    drop(connection);
+    let repeat = book(&fleet, 1, "left", &body);
+    assert_eq!(repeat.status, 201, "{repeat:?}");
+    assert_eq!(executed(&fleet, "left"), 1);
+}
+
+#[test]
+fn a_claim_whose_answer_is_lost_is_found_again_by_its_own_request() {
+    let fleet = fleet(2);
+    fleet.set_faults(&json!({"lose_answers": 1}));
+    let first = book(&fleet, 0, "lost", &json!({}));
+    assert_eq!(first.status, 201, "{first:?}");
+    let second = book(&fleet, 1, "lost", &json!({}));
+    assert_eq!((second.status, &second.body), (201, &first.body));
+    assert_eq!(executed(&fleet, "lost"), 1);
+}
+
+#[test]
+fn a_claim_whose_answers_are_all_lost_is_given_up_and_may_run_later() {
+    let fleet = fleet(2);
+    fleet.set_faults(&json!({"lose_answers": 3}));
+    let first = book(&fleet, 0, "given-up", &json!({}));
+    assert_eq!(
+        (first.status, ran(&first)),
+        (503, Some("not-run")),
+        "{first:?}"
+    );
+    assert_eq!(executed(&fleet, "given-up"), 0);
+    let second = book(&fleet, 1, "given-up", &json!({}));
+    assert_eq!(second.status, 201, "{second:?}");
+    assert_eq!(executed(&fleet, "given-up"), 1);
+}
+
+#[test]
+fn a_claim_is_given_back_when_no_target_could_be_reached() {
+    let mut fleet = fleet(2);
+    fleet.targets[0].process.kill();
+    let refused = book(&fleet, 0, "unreached", &json!({}));
+    assert_eq!(ran(&refused), Some("not-run"), "{refused:?}");
+    fleet.add_service("ledger-2", common::ZONES[1].0);
+    fleet.wait_ready();
+    let repeat = wait_for("the repeat runs", || {
+        let answer = book(&fleet, 1, "unreached", &json!({}));
+        assert_ne!(ran(&answer), Some("unknown"), "{answer:?}");
+        (answer.status == 201).then_some(answer)
+    });
+    assert_eq!(repeat.json()["executed"], 1);
+}
+
+#[test]
+fn a_daemon_killed_after_dispatch_leaves_an_honest_unknown_that_a_lookup_settles() {
+    let mut fleet = fleet(2);
+    let body = json!({"delay_after_ms": 600});
+    let _connection = send(&fleet, 0, "killed", &body);
+    wait_for("it runs", || {
+        (executed(&fleet, "killed") == 1).then_some(())
+    });
+    fleet.daemons[0].process.kill();
+    let repeat = book(&fleet, 1, "killed", &body);
+    assert_eq!(
+        (repeat.status, ran(&repeat)),
+        (409, Some("unknown")),
+        "{repeat:?}"
+    );
+    let spec = json!({"type": "plain", "capacity": {"limit": 48, "cold_limit": 48},
+                      "lookup": "/bookings/{key}"});
+    let mut with_lookup = record("Service", "post-ledger", &spec);
+    with_lookup["schema"] = json!("bluebelldrift/v2");
+    let put = fleet.operator(1).put_records(&json!([with_lookup]));
+    assert_eq!(put.status, 200, "{put:?}");
+    let settled = wait_for("the lookup settles it", || {
+        let answer = book(&fleet, 1, "killed", &body);
+        (answer.status == 200).then_some(answer)
+    });
+    assert_eq!(ran(&settled), Some("ran"));
+    // "Not found" settles nothing: the first attempt may still be on its way.
+    let slow = json!({"delay_before_ms": 60_000});
+    let first = book(&fleet, 1, "unmade", &slow);
+    assert_eq!(ran(&first), Some("unknown"), "{first:?}");
+    let repeat = book(&fleet, 1, "unmade", &slow);
+    assert_eq!(
+        (repeat.status, ran(&repeat)),
+        (409, Some("unknown")),
+        "{repeat:?}"
+    );
+    assert_eq!(executed(&fleet, "killed"), 1);
+}
+
+#[test]
+fn a_daemon_paused_or_killed_between_claim_and_dispatch_is_never_overtaken() {
+    let mut fleet = fleet(3);
+    // Its claim stands, but the answer is lost: it waits at that very line.
+    fleet.set_faults(&json!({"lose_answers": 1}));
+    let _paused = send(&fleet, 0, "paused", &json!({}));
+    wait_claimed(&fleet);
+    fleet.daemons[0].process.pause();
+    let meanwhile = book(&fleet, 1, "paused", &json!({}));
+    assert_eq!(ran(&meanwhile), Some("unknown"), "{meanwhile:?}");
+    fleet.daemons[0].process.unpause();
+    wait_for("it goes on, once", || {
+        let answer = book(&fleet, 2, "paused", &json!({}));
+        (answer.status == 201).then_some(())
+    });
+    assert_eq!(executed(&fleet, "paused"), 1);
+
+    fleet.set_faults(&json!({"lose_answers": 1}));
+    let _killed = send(&fleet, 0, "killed", &json!({}));
+    thread::sleep(Duration::from_millis(100));
+    fleet.daemons[0].process.kill();
+    fleet.set_faults(&json!({}));
+    let after = book(&fleet, 1, "killed", &json!({}));
+    assert_eq!(ran(&after), Some("unknown"), "{after:?}");
+    assert_eq!(executed(&fleet, "killed"), 0);
+}
+
+#[test]
+fn a_target_that_answers_never_leaves_unknown_and_another_payload_is_refused() {
+    let fleet = fleet(2);
+    let body = json!({"is_mute": true});
+    let first = book(&fleet, 0, "mute", &body);
+    assert_eq!(ran(&first), Some("unknown"), "{first:?}");
+    let repeat = book(&fleet, 1, "mute", &body);
+    assert_eq!(ran(&repeat), Some("unknown"), "{repeat:?}");
+    let other = book(&fleet, 1, "mute", &json!({"truck": 2}));
+    assert_eq!((other.status, ran(&other)), (422, Some("not-run")));
+    let keyless = fleet.caller(0).service("POST", "/bookings", None, &body);
+    assert_eq!(ran(&keyless), Some("unknown"), "{keyless:?}");
+    assert_eq!(executed(&fleet, "mute"), 1);
+    assert_eq!(executed(&fleet, ""), 1, "without a key: sent once");
+}
+
+#[test]
+fn callers_that_repeat_through_all_daemons_while_everything_fails() {
+    let mut fleet = fleet(3);
+    let attempts = Attempts::default();
+    let callers: Vec<_> = (0..3).map(|i| fleet.caller(i)).collect();
+    let threads: Vec<_> = (0..24)
+        .map(|n| {
+            let (callers, attempts) = (callers.clone(), attempts.clone());
+            thread::spawn(move || {
+                for round in 0..4 {
+                    // Two callers share each key.
+                    let key = format!("k{}-{round}", n / 2);
+                    let body = json!({"delay_before_ms": (n * 7) % 40, "delay_after_ms": 20});
+                    for repeat in 0..4 {
+                        attempts.book(&callers[(n + repeat) % 3], &key, &body);
+                    }
+                }
+            })
+        })
+        .collect();
+    for faults in [
+        json!({"lose_answers": 6}),
+        json!({"delay_ms": 700}),
+        json!({"is_down": true}),
+        json!({"lose_answers": 4}),
+    ] {
+        fleet.set_faults(&faults);
+        fleet.daemons[1].process.pause();
+        thread::sleep(Duration::from_millis(700));
+        fleet.daemons[1].process.unpause();
+        fleet.set_faults(&json!({}));
+        thread::sleep(Duration::from_millis(200));
+    }
+    fleet.daemons[2].process.kill();
+    for thread in threads {
+        thread.join().expect("the caller's thread ends");
+    }
+    let executed = check::executions(&[&*fleet.targets[0].history], "executed", "key");
+    check::assert_at_most_once(&executed);
+    check::assert_truthful(&attempts, &executed);
+    let open = attempts.by_key().into_values();
+    let open = open.filter(|a| !a.iter().any(|a| a.status == 201)).count();
+    println!("keys=48 executed={} without_answer={open}", executed.len());
+    assert!(executed.len() > 12, "most keys ran: {}", executed.len());
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! bad links, and one reader of event histories.
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+pub mod check;
 pub mod client;
 pub mod history;
 pub mod process;
