--- /dev/null
+++ b/tests/not_run.rs
@@ -0,0 +1,232 @@
+//! Promise 5: a refusal that says "not run" is true.
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpListener, TcpStream},
+    path::Path,
+    thread,
+    time::Duration,
+};
+
+use common::{
+    Answer, CUSTOMER_KEY, Fleet,
+    check::{self, Attempts},
+    record, wait_for,
+};
+use serde_json::{Value, json};
+
+/// One daemon with small limits before one engine and one plain service.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::start();
+    fleet.add_service("ledger-1", common::ZONES[0].0);
+    fleet.add_engine("engine-1", common::ZONES[0].0, &[]);
+    let limits = json!({"max_body_bytes": 4096, "service_timeout": "1s",
+                        "request_timeout": "500ms"});
+    let timing = json!({"queue_timeout": "200ms"});
+    fleet.add_daemon(0, &json!({"limits": limits, "timing": timing}));
+    fleet.write_records(&common::default_records());
+    fleet.wait_ready();
+    check::wait_serving(&fleet);
+    fleet
+}
+
+fn check_all(fleet: &Fleet, attempts: &Attempts) {
+    let histories: Vec<&Path> = fleet.targets.iter().map(|t| &*t.history).collect();
+    let mut executed = check::executions(&histories, "executed", "key");
+    check::assert_at_most_once(&executed);
+    executed.extend(check::executions(&histories, "admitted", "mark"));
+    check::assert_truthful(attempts, &executed);
+}
+
+fn generate(fleet: &Fleet, attempts: &Attempts, mark: &str) -> Option<String> {
+    let prompt = format!("[mark={mark}] [n=3] report");
+    let generated = fleet.caller(0).generate(&prompt, &json!({}), &[]);
+    let in_stream = generated.error.as_ref().map(|e| e["error"]["ran"].clone());
+    let in_stream = in_stream.and_then(|r| r.as_str().map(str::to_owned));
+    let ran = generated.ran.or(in_stream);
+    attempts.note(mark, generated.status, ran.as_deref());
+    ran
+}
+
+fn ran(answer: &Answer) -> Option<&str> {
+    answer.header("x-bluebell-ran")
+}
+
+#[test]
+fn a_platform_that_is_down_or_slow_at_the_claim() {
+    let fleet = fleet();
+    let attempts = Attempts::default();
+    let caller = fleet.caller(0);
+    let faults = [
+        ("down", json!({"is_down": true})),
+        ("slow", json!({"delay_ms": 800})),
+        ("lost", json!({"lose_answers": 50})),
+    ];
+    for (key, fault) in faults {
+        fleet.set_faults(&fault);
+        let refused = attempts.book(&caller, key, &json!({}));
+        assert_eq!(
+            (refused.status, ran(&refused)),
+            (503, Some("not-run")),
+            "{refused:?}"
+        );
+        check_all(&fleet, &attempts);
+        fleet.set_faults(&json!({}));
+        let repeat = wait_for("it runs after all", || {
+            let answer = attempts.book(&caller, key, &json!({}));
+            (answer.status == 201).then_some(answer)
+        });
+        assert_eq!(repeat.json()["executed"], 1, "{repeat:?}");
+    }
+    check_all(&fleet, &attempts);
+}
+
+#[test]
+fn requests_that_are_wrong_or_not_whole() {
+    let fleet = fleet();
+    let attempts = Attempts::default();
+    let caller = fleet.caller(0);
+    let large = attempts.book(&caller, "large", &json!({"text": "x".repeat(8192)}));
+    assert_eq!(
+        (large.status, ran(&large)),
+        (413, Some("not-run")),
+        "{large:?}"
+    );
+    let long_key = "k".repeat(300);
+    let long = attempts.book(&caller, &long_key, &json!({}));
+    assert_eq!(
+        (long.status, ran(&long)),
+        (400, Some("not-run")),
+        "{long:?}"
+    );
+    let head = |key: &str, length: usize| {
+        format!(
+            "POST /services/post-ledger/bookings HTTP/1.1\r\nhost: x\r\n\
+             authorization: Bearer {CUSTOMER_KEY}\r\nidempotency-key: {key}\r\n\
+             content-length: {length}\r\n\r\n"
+        )
+    };
+    let send = |text: &[u8], ends: bool| {
+        let mut tcp = TcpStream::connect(&fleet.daemons[0].caller).expect("a connection");
+        tcp.write_all(text).expect("it is sent");
+        if ends {
+            tcp.shutdown(Shutdown::Write).expect("it is shut");
+        }
+        let mut answer = String::new();
+        let _ = tcp.set_read_timeout(Some(Duration::from_secs(2)));
+        let mut buf = [0; 4096];
+        if let Ok(n) = tcp.read(&mut buf) {
+            answer.push_str(&String::from_utf8_lossy(&buf[..n]));
+        }
+        answer
+    };
+    // Half a body: cut off, and never completed.
+    for (key, ends) in [("cut", true), ("stalled", false)] {
+        let answer = send(format!("{}{{", head(key, 50)).as_bytes(), ends);
+        attempts.note(key, 400, Some("not-run"));
+        assert!(
+            answer.is_empty() || answer.contains("x-bluebell-ran: not-run"),
+            "{answer}"
+        );
+    }
+    // A key that is not ASCII must not be taken for none.
+    let odd = send(format!("{}{{}}", head("nøkkel", 2)).as_bytes(), false);
+    assert!(odd.starts_with("HTTP/1.1 400"), "{odd}");
+    assert!(odd.contains("x-bluebell-ran: not-run"), "{odd}");
+    attempts.note("", 400, Some("not-run"));
+    check_all(&fleet, &attempts);
+}
+
+#[test]
+fn no_room_and_targets_that_are_gone() {
+    let mut fleet = fleet();
+    let attempts = Attempts::default();
+    let one = json!({"type": "plain", "limit": 1, "cold_limit": 1});
+    fleet.write_records(&json!([record("Service", "post-ledger", &one)]));
+    let caller = fleet.caller(0);
+    let refused = wait_for("there is no room beside a long booking", || {
+        let (first, second) = (
+            format!("a{:?}", std::time::Instant::now()),
+            attempts.clone(),
+        );
+        let busy = {
+            let caller = caller.clone();
+            thread::spawn(move || second.book(&caller, &first, &json!({"delay_after_ms": 700})))
+        };
+        thread::sleep(Duration::from_millis(100));
+        let answer = attempts.book(&caller, "no-room", &json!({}));
+        busy.join().expect("the caller's thread ends");
+        (answer.status == 429).then_some(answer)
+    });
+    assert_eq!(ran(&refused), Some("not-run"), "{refused:?}");
+    for target in &mut fleet.targets {
+        target.process.kill();
+    }
+    let gone = attempts.book(&caller, "gone", &json!({}));
+    assert_eq!(ran(&gone), Some("not-run"), "{gone:?}");
+    assert_eq!(
+        generate(&fleet, &attempts, "gone-engine").as_deref(),
+        Some("not-run")
+    );
+    check_all(&fleet, &attempts);
+}
+
+#[test]
+fn a_target_that_takes_a_request_and_says_nothing_is_never_told_as_not_run() {
+    let mut fleet = fleet();
+    for target in &mut fleet.targets {
+        target.process.kill();
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    // The first closes at once, the second after the request, the third in
+    // the middle of its answer.
+    thread::spawn(move || {
+        for (n, tcp) in listener.incoming().enumerate() {
+            let mut tcp = tcp.expect("a connection");
+            let mut buf = [0; 1024];
+            if n % 3 > 0 {
+                let _ = tcp.read(&mut buf);
+            }
+            if n % 3 == 2 {
+                let _ = tcp.write_all(b"HTTP/1.1 201 Created\r\ncontent-length: 100\r\n\r\n{");
+            }
+        }
+    });
+    for (name, service) in [("fake-1", "post-ledger"), ("fake-2", "drafting-desk")] {
+        fleet.set_instance(
+            &json!({"name": name, "zone": common::ZONES[0].0, "state": "live",
+            "address": address, "role": "target", "service": service}),
+        );
+    }
+    for name in ["ledger-1", "engine-1"] {
+        let leaving = format!("/v1/instances/{name}");
+        let platform = &fleet.platform_address;
+        common::client::call("DELETE", platform, &leaving, &[], &Value::Null);
+    }
+    wait_for("the daemon sees only the new targets", || {
+        let status = fleet.operator(0).status();
+        let targets = status["targets"].as_array()?;
+        let is_new = |t: &Value| t["target"].as_str().is_some_and(|n| n.starts_with("fake"));
+        (targets.len() == 2 && targets.iter().all(is_new)).then_some(())
+    });
+    let caller = fleet.caller(0);
+    for key in ["closed", "taken", "half"] {
+        let answer = caller.service("POST", "/bookings", Some(key), &json!({}));
+        assert!(answer.status >= 400, "{key}: {answer:?}");
+        assert_ne!(ran(&answer), Some("not-run"), "{key}: {answer:?}");
+        let repeat = caller.service("POST", "/bookings", Some(key), &json!({}));
+        assert_eq!(
+            (repeat.status, ran(&repeat)),
+            (409, ran(&answer)),
+            "{key}: {repeat:?}"
+        );
+    }
+    let attempts = Attempts::default();
+    for mark in ["closed", "taken", "half"] {
+        let told = generate(&fleet, &attempts, mark);
+        assert_ne!(told.as_deref(), Some("not-run"), "{mark}");
+    }
+}
