Quarantine: a request that crashes its targets fells two at most

Cause: a request that crashes each target that runs it was sent to the next one for as long as its caller repeated it.

Change: src/quarantine.rs, a pure machine of marks and runs in flight. What was in flight at a crash is marked and told to all peers before the caller hears of it. A marked request runs only at the daemon's own share of the targets, one on trial at a time, until its eighth token. A second crash with it as the only suspect keeps it out for ten minutes (422, not-run); a whole answer clears it everywhere.

--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,7 @@
     platform::{
         Instance, InstanceRole, InstanceState, Instances, Listing, Object, Platform, Revision,
     },
+    quarantine::SharedQuarantine,
     records::ZoneState,
     settings::Settings,
     spread::Spread,
@@ -74,6 +75,8 @@
     pub view: SharedView,
     /// Address of the peer port.
     pub peer_address: SocketAddr,
+    /// Requests that crashed targets.
+    pub quarantine: SharedQuarantine,
 }
 
 /// Starts the control thread with a runtime and peer port of its own. It ends
@@ -94,6 +97,8 @@
         .enable_all()
         .build()?;
     let (thread_view, thread_events) = (view.clone(), events.clone());
+    let quarantine = SharedQuarantine::default();
+    let thread_quarantine = quarantine.clone();
     let body = async move {
         let port = match PeerPort::bind(peer_address).await {
             Ok(port) => port,
@@ -101,7 +106,8 @@
         };
         let _ = bound_tx.send(Ok(port.address));
         let udp = port.udp.clone();
-        let control = Control::new(settings, udp, caller_address, thread_view, thread_events);
+        let mut control = Control::new(settings, udp, caller_address, thread_view, thread_events);
+        control.quarantine = thread_quarantine;
         control.run(port, queue, stop).await;
     };
     std::thread::Builder::new()
@@ -113,6 +119,7 @@
         events,
         view,
         peer_address,
+        quarantine,
     })
 }
 
@@ -132,6 +139,7 @@
     owner: Owner,
     loads: BTreeMap<TargetName, LoadReport>,
     is_draining: bool,
+    quarantine: SharedQuarantine,
 }
 
 impl Control {
@@ -164,6 +172,7 @@
             owner: Owner::new(settings.timing.credit_life),
             loads: BTreeMap::new(),
             is_draining: false,
+            quarantine: SharedQuarantine::default(),
             settings,
         }
     }
@@ -268,6 +277,10 @@
     fn answer(&self, frame: &Frame) -> Frame {
         match frame {
             Frame::RecordsAfter(after) => Frame::Records(self.spread.page_after(*after)),
+            Frame::CrashMark(mark) => {
+                self.quarantine.lock().hear(mark, clock::now());
+                Frame::Done
+            }
             _ => Frame::Refused("not understood".into()),
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -73,7 +73,11 @@
             port: "peer",
             address: listen.peer.clone(),
         })?;
-        let entry = Arc::new(Entry::open(settings.clone(), control.view.clone()));
+        let entry = Arc::new(Entry::open(
+            settings.clone(),
+            control.view.clone(),
+            control.quarantine.clone(),
+        ));
         let stop_ports = CancellationToken::new();
         let limits = settings.limits.port();
         let caller_port = http::serve(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,6 +20,7 @@
     http::{self, HttpClient},
     metrics,
     platform::Platform,
+    quarantine::SharedQuarantine,
     records::{Service, ServiceType},
     refusal::{REQUEST_HEADER, Refusal, RefusalKind},
     service,
@@ -39,6 +40,8 @@
     /// Client for plain services: a new connection for each call.
     pub services: HttpClient,
     pub decisions: Decisions,
+    /// Requests that crashed targets.
+    pub quarantine: SharedQuarantine,
     /// Requests being served.
     pub active: AtomicUsize,
     /// The daemon is stopping.
@@ -46,13 +49,14 @@
 }
 
 impl Entry {
-    pub fn open(settings: Arc<Settings>, view: SharedView) -> Self {
+    pub fn open(settings: Arc<Settings>, view: SharedView, quarantine: SharedQuarantine) -> Self {
         let address = settings.platform.address.clone();
         Self {
             platform: Platform::open(address, settings.platform.timeout),
             engines: EngineClient::open(ENGINE_TIMEOUT),
             services: http::client(ENGINE_TIMEOUT, None),
             decisions: Decisions::default(),
+            quarantine,
             active: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             settings,
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -1,6 +1,6 @@
 //! Completions: from the caller's request to a running generation.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -12,6 +12,7 @@
     entry::{Active, Call, Entry, accept, finish, new_id, service_of},
     http,
     place::place,
+    quarantine::{self, Fingerprint, Held},
     records::ServiceType,
     refusal::{Ran, Refusal, RefusalKind},
     stream::{Delivered, Run, deliver},
@@ -19,6 +20,8 @@
 
 /// Most targets tried for one request.
 const MAX_TRIES: usize = 3;
+/// Pause before a marked request looks at all targets again.
+const APART_PAUSE: Duration = Duration::from_millis(20);
 
 /// A completion as callers ask for it: the usual fields and ours.
 #[derive(Debug, Deserialize)]
@@ -53,8 +56,10 @@
         let message = "only \"stream\": true is served so far";
         return Err(Refusal::not_run(RefusalKind::BadRequest, message));
     }
-    let run = start_run(entry, call, completion).await?;
+    let print = quarantine::fingerprint(&call.customer, body);
+    let run = start_run(entry, call, completion, print).await?;
     let delivered = Delivered {
+        entry: entry.clone(),
         request: call.id.clone(),
         id_prefix: run.generation.generation_id.clone(),
         silence_after: entry.settings.timing.silence_after,
@@ -73,9 +78,15 @@
 
 /// Finds a target and starts the generation there; tries another target when
 /// one certainly did not run it.
-async fn start_run(entry: &Entry, call: &Call, completion: Completion) -> Result<Run, Refusal> {
+async fn start_run(
+    entry: &Entry,
+    call: &Call,
+    completion: Completion,
+    print: Fingerprint,
+) -> Result<Run, Refusal> {
     let service = completion.model;
     let mut tried = Vec::new();
+    let mut apart = Vec::new();
     let generation = GenerationRequest {
         generation_id: new_id(),
         prompt: completion.prompt,
@@ -84,11 +95,27 @@
         parameters: completion.parameters,
     };
     loop {
-        let chosen = place(entry, call, &service, &tried).await?;
+        let left_out = quarantine::left_out(entry, &print, &service);
+        let skipped = [tried.as_slice(), &apart, &left_out].concat();
+        let chosen = place(entry, call, &service, &skipped).await?;
         let target = chosen.target;
         if !chosen.permit.is_current(clock::now()) {
             continue;
         }
+        let in_flight = match entry.quarantine.begin(print, &target.name) {
+            Ok(in_flight) => in_flight,
+            Err(Held::Apart) => {
+                drop(chosen.permit);
+                apart.push(target.name.clone());
+                let skipped = tried.len() + left_out.len();
+                wait_apart(entry, call, &service, skipped, &mut apart).await?;
+                continue;
+            }
+            Err(Held::Quarantined) => {
+                let message = "this request crashed two targets and is kept out for a while";
+                return Err(Refusal::not_run(RefusalKind::Quarantined, message));
+            }
+        };
         match entry.engines.start(&target.address, &generation).await {
             Ok(events) => {
                 return Ok(Run {
@@ -96,6 +123,7 @@
                     generation,
                     permit: chosen.permit,
                     events,
+                    in_flight,
                 });
             }
             Err(e) => {
@@ -106,12 +134,42 @@
                     e.to_string()
                 );
                 tried.push(target.name.clone());
+                if !e.is_not_run() && is_gone(entry, &target.address).await {
+                    quarantine::tell(entry, in_flight.crashed()).await;
+                }
                 refuse_if_final(&e, tried.len())?;
             }
         }
     }
 }
 
+/// Lets a marked request look at all targets again once each has been found
+/// busy with another marked one, until its place in the queue is over.
+async fn wait_apart(
+    entry: &Entry,
+    call: &Call,
+    service: &str,
+    skipped: usize,
+    apart: &mut Vec<Box<str>>,
+) -> Result<(), Refusal> {
+    if skipped + apart.len() < call.view.targets_of(service).len() {
+        return Ok(());
+    }
+    if clock::now().saturating_sub(call.arrived) > entry.settings.timing.queue_timeout {
+        let message = "no target is free to run this request apart from others";
+        return Err(Refusal::not_run(RefusalKind::NoRoom, message));
+    }
+    apart.clear();
+    tokio::time::sleep(APART_PAUSE).await;
+    Ok(())
+}
+
+/// Whether an engine refuses connections, so that it has certainly ended.
+async fn is_gone(entry: &Entry, address: &str) -> bool {
+    let asked = entry.engines.load(address).await;
+    matches!(asked, Err(EngineError::Call { source }) if source.is_unsent())
+}
+
 fn refuse_if_final(error: &EngineError, tries: usize) -> Result<(), Refusal> {
     let ran = if error.is_not_run() {
         Ran::NotRun
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer;
 mod place;
 mod platform;
+pub mod quarantine;
 pub mod records;
 mod refusal;
 mod service;
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -12,6 +12,8 @@
     engine::{
         EndOfGeneration, EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest,
     },
+    entry::Entry,
+    quarantine::{self, InFlight},
     refusal::{Ran, Refusal, RefusalKind},
     view::Target,
     wire::GenerationId,
@@ -19,6 +21,8 @@
 
 /// Events buffered between the engine's stream and the caller's connection.
 const BUFFERED_EVENTS: usize = 256;
+/// Tokens after which a marked run is no longer on trial.
+const TRIAL_TOKENS: u64 = 8;
 /// Gaps above this count as stalls.
 const STALL_GAP: Duration = Duration::from_millis(200);
 
@@ -104,10 +108,14 @@
     pub permit: Permit,
     /// Events of the run.
     pub events: EngineStream,
+    /// What the quarantine holds of it.
+    pub in_flight: InFlight,
 }
 
 /// What a caller gets from a run.
 pub(crate) struct Delivered {
+    /// What all requests share.
+    pub entry: Arc<Entry>,
     /// Request id, for the log.
     pub request: Box<str>,
     /// Front part of event ids; the index follows.
@@ -155,12 +163,17 @@
     );
     match ended {
         Ended::Whole(end) => {
+            quarantine::tell(&delivered.entry, run.in_flight.whole()).await;
             let _ = tx.send(end_event(&generation, &end)).await;
         }
         Ended::CallerLeft => {
             let _ = engines.cancel(&target.address, &generation).await;
         }
         Ended::Failed(tokens, error) => {
+            if error.is_not_run() {
+                // It refuses connections, or has started anew.
+                quarantine::tell(&delivered.entry, run.in_flight.crashed()).await;
+            }
             let message = format!("the stream broke after {tokens} tokens: {error}");
             let refusal = Refusal::new(RefusalKind::TargetFailed, Ran::Ran, message);
             refusal.record(&delivered.request);
@@ -208,6 +221,9 @@
             },
             Verdict::Deliver => {
                 gaps.note();
+                if cursor.next() == TRIAL_TOKENS {
+                    run.in_flight.survived();
+                }
                 if tx
                     .send(token_event(&delivered.id_prefix, index, &data))
                     .await
