--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
-use std::{io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 use common::{
     Answer, CUSTOMER_KEY, Fleet,
@@ -246,3 +251,50 @@
     println!("keys=48 executed={} without_answer={open}", executed.len());
     assert!(executed.len() > 12, "most keys ran: {}", executed.len());
 }
+
+/// Platform calls so far: reads, then writes.
+fn platform_calls(fleet: &Fleet) -> (u64, u64) {
+    let address = &fleet.platform_address;
+    let counts = client::call("GET", address, "/v1/counts", &[], &Value::Null).json();
+    let count = |name: &str| counts[name].as_u64().expect("a count");
+    (count("reads"), count("writes"))
+}
+
+#[test]
+fn a_booking_costs_two_platform_writes_and_a_repeat_one() {
+    const BOOKINGS: usize = 400;
+    const THREADS: usize = 16;
+    let fleet = fleet(2);
+    for (round, writes) in [("first", 2), ("repeat", 1)] {
+        let before = platform_calls(&fleet);
+        let began = Instant::now();
+        let threads: Vec<_> = (0..THREADS)
+            .map(|t| {
+                let caller = fleet.caller(t % 2);
+                thread::spawn(move || {
+                    for n in 0..BOOKINGS / THREADS {
+                        let key = format!("{t}-{n}");
+                        let answer = caller.service("POST", "/bookings", Some(&key), &json!({}));
+                        assert_eq!(answer.status, 201, "{answer:?}");
+                    }
+                })
+            })
+            .collect();
+        for thread in threads {
+            thread.join().expect("the caller's thread ends");
+        }
+        let took = began.elapsed();
+        let expected = before.1 + writes * BOOKINGS as u64;
+        wait_for("all outcomes are stored", || {
+            (platform_calls(&fleet).1 >= expected).then_some(())
+        });
+        let after = platform_calls(&fleet);
+        assert_eq!(after.1, expected, "{round}");
+        let bookings = u32::try_from(BOOKINGS).expect("it is small");
+        let per_second = f64::from(bookings) / took.as_secs_f64();
+        println!("round={round} bookings={BOOKINGS} per_second={per_second:.0} writes={writes}");
+        // What the daemons read besides, they read without bookings too.
+        let reads = after.0 - before.0;
+        assert!(reads < BOOKINGS as u64 / 4, "{round}: {reads} reads");
+    }
+}
