A stopping daemon stores its outcomes first

Cause: outcomes are written by tasks of their own, which the count of active requests does not hold; a daemon that was stopped while the platform was away left its last bookings unknown.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
     entry::{self, Entry},
     http, metrics, operator,
     settings::Settings,
+    settle,
 };
 
 /// Pause between looks at what still runs while stopping.
@@ -124,6 +125,7 @@
         for port in self.ports {
             let _ = port.await;
         }
+        settle::all_ended().await;
         self.stop_control.cancel();
         log::info!("event=drain_ended");
     }
--- a/src/settle.rs
+++ b/src/settle.rs
@@ -26,6 +26,19 @@
 
 static ENDING: Semaphore = Semaphore::const_new(MAX_ENDING);
 
+/// Waits until no claim is being ended any more, at the latest after
+/// [`END_PATIENCE`]: a stopping daemon leaves no outcome behind.
+pub(crate) async fn all_ended() {
+    let deadline = clock::now() + END_PATIENCE;
+    while ENDING.available_permits() < MAX_ENDING {
+        if clock::now() > deadline {
+            log::warn!("event=ledger_ends_left_behind");
+            return;
+        }
+        tokio::time::sleep(END_PAUSE.0).await;
+    }
+}
+
 /// A claim under one key of the ledger.
 #[derive(Clone)]
 pub(crate) struct Claim {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -298,3 +298,28 @@
         assert!(reads < BOOKINGS as u64 / 4, "{round}: {reads} reads");
     }
 }
+
+#[test]
+fn a_daemon_that_stops_stores_its_outcomes_first() {
+    let mut fleet = fleet(2);
+    let body = json!({"delay_after_ms": 300});
+    let caller = fleet.caller(0);
+    let booking = {
+        let body = body.clone();
+        thread::spawn(move || caller.service("POST", "/bookings", Some("stopped"), &body))
+    };
+    wait_for("it runs", || {
+        (executed(&fleet, "stopped") == 1).then_some(())
+    });
+    fleet.set_faults(&json!({"is_down": true}));
+    let answer = booking.join().expect("the caller's thread ends");
+    assert_eq!(answer.status, 201, "{answer:?}");
+    fleet.daemons[0].process.terminate();
+    // Longer than the drain lag: the outcome cannot be stored yet.
+    thread::sleep(Duration::from_millis(1200));
+    fleet.set_faults(&json!({}));
+    let ended = wait_for("the daemon ends", || fleet.daemons[0].process.ended());
+    assert!(ended);
+    let repeat = book(&fleet, 1, "stopped", &body);
+    assert_eq!((repeat.status, &repeat.body), (201, &answer.body));
+}
