--- a/src/settle.rs
+++ b/src/settle.rs
@@ -1,7 +1,10 @@
 //! The ledger at the platform: claims, outcomes and releases, written until
 //! they certainly stand or are given up.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 use serde_json::Value;
 use tokio::sync::Semaphore;
@@ -21,16 +24,34 @@
 /// How long the end of a claim is tried; then its key is left `unknown`.
 const END_PATIENCE: Duration = Duration::from_secs(120);
 /// Most claims that are being ended at once, so that a platform that comes
-/// back is not flooded, and memory stays bounded.
+/// back is not flooded.
 const MAX_ENDING: usize = 512;
 
 static ENDING: Semaphore = Semaphore::const_new(MAX_ENDING);
+/// Claims whose end is not written yet.
+static PENDING: AtomicUsize = AtomicUsize::new(0);
+
+/// Counts one claim as pending until dropped.
+struct Pending;
+
+impl Pending {
+    fn new() -> Self {
+        PENDING.fetch_add(1, Ordering::AcqRel);
+        Self
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        PENDING.fetch_sub(1, Ordering::AcqRel);
+    }
+}
 
 /// Waits until no claim is being ended any more, at the latest after
 /// [`END_PATIENCE`]: a stopping daemon leaves no outcome behind.
 pub(crate) async fn all_ended() {
     let deadline = clock::now() + END_PATIENCE;
-    while ENDING.available_permits() < MAX_ENDING {
+    while PENDING.load(Ordering::Acquire) > 0 {
         if clock::now() > deadline {
             log::warn!("event=ledger_ends_left_behind");
             return;
@@ -112,16 +133,22 @@
 
     /// Ends the claim with `state` in a task of its own, which goes on until
     /// that stands or [`END_PATIENCE`] is over.
+    ///
+    /// Outcomes wait for their turn: there are no more of them than runs. Of
+    /// releases there may be as many as refusals, so they are given up when
+    /// too many wait, which leaves their keys `unknown`.
     pub fn end(&self, state: State, condition: Condition) {
-        let claim = self.clone();
-        let Ok(place) = ENDING.try_acquire() else {
+        if state == State::Released && PENDING.load(Ordering::Acquire) >= MAX_ENDING {
             metrics::counter!("bluebell_ledger_ends_dropped").increment(1);
             log::warn!("event=ledger_end_dropped key={}", self.key);
             return;
-        };
+        }
+        let claim = self.clone();
+        let pending = Pending::new();
         tokio::spawn(async move {
+            let _place = ENDING.acquire().await;
             claim.end_until_done(state, condition).await;
-            drop(place);
+            drop(pending);
         });
     }
 
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -323,3 +323,18 @@
     let repeat = book(&fleet, 1, "stopped", &body);
     assert_eq!((repeat.status, &repeat.body), (201, &answer.body));
 }
+
+#[test]
+fn an_idempotent_operation_is_not_a_prefix_of_another_name() {
+    let fleet = fleet(1);
+    let spec = json!({"type": "plain", "capacity": {"limit": 48, "cold_limit": 48},
+                      "idempotent": [{"method": "POST", "path": "/book"}]});
+    let mut service = record("Service", "post-ledger", &spec);
+    service["schema"] = json!("bluebelldrift/v2");
+    let put = fleet.operator(0).put_records(&json!([service]));
+    assert_eq!(put.status, 200, "{put:?}");
+    for _ in 0..2 {
+        assert_eq!(book(&fleet, 0, "prefix", &json!({})).status, 201);
+    }
+    assert_eq!(executed(&fleet, "prefix"), 1);
+}
