--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -338,3 +338,37 @@
     }
     assert_eq!(executed(&fleet, "prefix"), 1);
 }
+
+#[test]
+fn an_answer_too_large_to_keep_is_told_as_run_and_the_media_type_counts() {
+    let fleet = fleet(2);
+    let large = json!({"text": "x".repeat(900 * 1024)});
+    let first = book(&fleet, 0, "large", &large);
+    assert_eq!((first.status, first.body.len() > 900 * 1024), (201, true));
+    let repeat = wait_for("the end of the first is stored", || {
+        let answer = book(&fleet, 1, "large", &large);
+        (answer.status == 409).then_some(answer)
+    });
+    assert_eq!(ran(&repeat), Some("ran"), "{repeat:?}");
+    let authorization = format!("Bearer {CUSTOMER_KEY}");
+    let book_as = |media: &str| {
+        let headers = [
+            ("authorization", authorization.as_str()),
+            ("idempotency-key", "media"),
+            ("content-type", media),
+        ];
+        let path = "/services/post-ledger/bookings";
+        client::call("POST", &fleet.daemons[0].caller, path, &headers, &json!({}))
+    };
+    assert_eq!(book_as("application/json").status, 201);
+    let other = book_as("application/octet-stream");
+    assert_eq!(
+        (other.status, ran(&other)),
+        (422, Some("not-run")),
+        "{other:?}"
+    );
+    assert_eq!(
+        (executed(&fleet, "large"), executed(&fleet, "media")),
+        (1, 1)
+    );
+}
