--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
     entry::{self, Entry},
     http, metrics, operator,
     settings::Settings,
+    settle,
 };
 
 /// Pause between looks at what still runs while stopping.
@@ -73,7 +74,11 @@
             port: "peer",
             address: listen.peer.clone(),
         })?;
-        let entry = Arc::new(Entry::open(settings.clone(), control.view.clone()));
+        let entry = Arc::new(Entry::open(
+            settings.clone(),
+            control.view.clone(),
+            control.quarantine.clone(),
+        ));
         let stop_ports = CancellationToken::new();
         let limits = settings.limits.port();
         let caller_port = http::serve(
@@ -120,6 +125,7 @@
         for port in self.ports {
             let _ = port.await;
         }
+        settle::all_ended().await;
         self.stop_control.cancel();
         log::info!("event=drain_ended");
     }
