--- a/src/cli.rs
+++ b/src/cli.rs
@@ -94,7 +94,15 @@
 #[derive(Debug, Subcommand)]
 pub enum CtlCommand {
     /// Write records.
-    Apply(RecordFiles),
+    Apply {
+        /// What to write.
+        #[command(flatten)]
+        files: RecordFiles,
+        /// Write the one record only if it is still at this revision; 0 for
+        /// one that must not exist.
+        #[arg(long)]
+        if_revision: Option<u64>,
+    },
     /// Show what `apply` would change.
     Diff(RecordFiles),
     /// Show records.
@@ -113,6 +121,9 @@
         kind: Box<str>,
         /// Name of the record.
         name: Box<str>,
+        /// Withdraw it only if it is still at this revision.
+        #[arg(long)]
+        if_revision: Option<u64>,
     },
     /// Show the state of daemons and targets.
     Status,
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,18 +19,18 @@
     clock::{self, BootTime},
     engine::LoadReport,
     feeds,
+    follow::CellLinks,
     membership::{Member, Membership},
     owner::Owner,
     peer::{self, PeerPort, Seal},
-    platform::{
-        Instance, InstanceRole, InstanceState, Instances, Listing, Object, Platform, Revision,
-    },
+    platform::{Instance, InstanceRole, InstanceState, Listing, Object, Platform, Revision},
     records::ZoneState,
+    relay::InstanceList,
     settings::Settings,
     spread::Spread,
     supervisor::supervise,
     view::{LoadHint, PeerDaemon, SharedView, Standing, Target, View},
-    wire::{Datagram, Frame, Heartbeat, MemberId, Packet, RecordsPage, TargetName},
+    wire::{Datagram, Frame, Heartbeat, InstancesPage, MemberId, Packet, RecordsPage, TargetName},
 };
 
 /// Events that wait for the control thread.
@@ -44,14 +44,18 @@
 pub(crate) enum Event {
     /// A datagram of another daemon.
     Packet(SocketAddr, Packet),
-    /// One changed object.
+    /// The next change that the watch brought.
     Object(Object),
+    /// A change written through this daemon.
+    Written(Object),
     /// All records at one revision.
     Listing(Listing),
-    /// The platform answered with its revision.
-    Confirmed(Revision),
-    /// The platform's instance list.
-    Instances(Vec<Instance>),
+    /// The platform, asked at this moment, answered with its revision.
+    Confirmed(Revision, BootTime),
+    /// The platform's instance list, asked for at this moment.
+    Instances(Vec<Instance>, BootTime),
+    /// The instance list as another daemon read it.
+    InstancesPage(InstancesPage),
     /// An engine's load report.
     Load(TargetName, LoadReport),
     /// Records another daemon sent.
@@ -116,19 +120,20 @@
     })
 }
 
-struct Control {
-    settings: Arc<Settings>,
-    me: MemberId,
+pub(crate) struct Control {
+    pub settings: Arc<Settings>,
+    pub me: MemberId,
     caller_address: Box<str>,
     sequence: u64,
     udp: Arc<UdpSocket>,
-    seal: Seal,
-    platform: Platform,
-    view: SharedView,
-    events: Events,
-    spread: Spread,
-    instances: Instances,
-    members: Membership,
+    pub seal: Seal,
+    pub platform: Platform,
+    pub view: SharedView,
+    pub events: Events,
+    pub spread: Spread,
+    pub cell: CellLinks,
+    pub instances: InstanceList,
+    pub members: Membership,
     owner: Owner,
     loads: BTreeMap<TargetName, LoadReport>,
     is_draining: bool,
@@ -159,7 +164,8 @@
             view,
             events,
             spread: Spread::default(),
-            instances: Instances::new(),
+            cell: CellLinks::default(),
+            instances: InstanceList::default(),
             members: Membership::new(settings.timing.suspect_after),
             owner: Owner::new(settings.timing.credit_life),
             loads: BTreeMap::new(),
@@ -190,14 +196,18 @@
     }
 
     fn supervise_tasks(&self, port: PeerPort, stop: &CancellationToken) {
-        let (platform, events) = (self.platform.clone(), self.events.clone());
-        supervise("watch", stop.clone(), move || {
-            feeds::watch_records(platform.clone(), events.clone())
-        });
-        let (platform, events) = (self.platform.clone(), self.events.clone());
         let period = self.settings.timing.platform_poll;
-        supervise("poll", stop.clone(), move || {
-            feeds::poll_platform(platform.clone(), events.clone(), period)
+        let reader = self.platform_reader();
+        supervise("watch", stop.clone(), {
+            let reader = reader.clone();
+            move || feeds::watch_records(reader.clone())
+        });
+        supervise("poll", stop.clone(), {
+            let reader = reader.clone();
+            move || feeds::poll_platform(reader.clone())
+        });
+        supervise("status", stop.clone(), move || {
+            feeds::write_status(reader.clone())
         });
         let (udp, seal, events) = (self.udp.clone(), self.seal.clone(), self.events.clone());
         supervise("datagrams", stop.clone(), move || {
@@ -217,6 +227,7 @@
     async fn tick(&mut self) {
         let now = clock::now();
         self.members.prune(now, KEEP_DEAD);
+        self.choose_role(now);
         self.publish(now);
         self.send_heartbeats(now).await;
     }
@@ -225,16 +236,15 @@
         let now = clock::now();
         match event {
             Event::Packet(from, packet) => self.on_packet(from, packet, now),
-            Event::Object(object) => self.spread.on_object(&object),
+            Event::Object(object) => self.spread.on_watched(&object),
             Event::Listing(listing) => self.spread.on_listing(&listing),
-            Event::Confirmed(revision) => self.spread.on_confirmed(revision, now),
-            Event::Instances(instances) => {
-                let named = instances.into_iter().map(|i| (i.name.clone(), i));
-                self.instances = named.collect();
-            }
+            Event::Written(object) => self.on_written(&object),
+            Event::Confirmed(revision, asked_at) => self.spread.on_confirmed(revision, asked_at),
+            Event::Instances(list, asked_at) => self.instances.on_read(list, asked_at),
+            Event::InstancesPage(page) => self.instances.on_page(&page, now),
             Event::Load(target, load) => drop(self.loads.insert(target, load)),
             Event::Page(page) => self.spread.on_page(&page),
-            Event::Ask(frame, reply) => drop(reply.send(self.answer(&frame))),
+            Event::Ask(frame, reply) => drop(reply.send(self.answer(&frame, now))),
             Event::Drain => self.is_draining = true,
         }
         self.publish(now);
@@ -243,49 +253,41 @@
     fn on_packet(&mut self, from: SocketAddr, packet: Packet, now: BootTime) {
         match packet.message {
             Datagram::Heartbeat(heartbeat) => {
-                let revision = heartbeat.revision;
-                let is_news = self.members.hear(&packet.from, from, heartbeat, now);
-                if is_news && revision > self.spread.revision() {
-                    self.fetch_records(from);
+                if !self.cell.exchange.hear(&packet.from, packet.sequence, now) {
+                    return;
+                }
+                let from = self.listed_address(&packet.from.name).unwrap_or(from);
+                let said = heartbeat.clone();
+                if self.members.hear(&packet.from, from, heartbeat, now) {
+                    self.on_digest(from, &said, now);
                 }
             }
             Datagram::CreditAsk(_) | Datagram::CreditGrant(_) | Datagram::CellSummary(_) => {}
         }
     }
 
-    fn fetch_records(&self, from: SocketAddr) {
-        let (seal, events) = (self.seal.clone(), self.events.clone());
-        let ask = Frame::RecordsAfter(self.spread.revision());
-        tokio::spawn(async move {
-            match peer::ask(&seal, from, ask, PEER_TIMEOUT).await {
-                Ok(Frame::Records(page)) => drop(events.send(Event::Page(page)).await),
-                Ok(_) => log::debug!("event=fetch_refused peer={from}"),
-                Err(e) => log::debug!("event=fetch_failed peer={from} error={:?}", e.to_string()),
-            }
-        });
-    }
-
-    fn answer(&self, frame: &Frame) -> Frame {
+    fn answer(&mut self, frame: &Frame, now: BootTime) -> Frame {
         match frame {
             Frame::RecordsAfter(after) => Frame::Records(self.spread.page_after(*after)),
+            Frame::Records(page) => {
+                self.spread.on_page(page);
+                Frame::Done
+            }
+            Frame::InstancesAsk => Frame::Instances(self.instances.page(now)),
             _ => Frame::Refused("not understood".into()),
         }
     }
 
     async fn send_heartbeats(&mut self, now: BootTime) {
-        let message = Datagram::Heartbeat(self.heartbeat(now));
-        let daemons: Vec<SocketAddr> = self
-            .instances
-            .values()
-            .filter(|i| i.role == InstanceRole::Daemon && i.name != self.me.name)
-            .filter_map(|i| i.address.parse().ok())
-            .collect();
-        for to in daemons {
+        for (name, to) in self.heartbeat_receivers(now) {
+            let mut heartbeat = self.heartbeat(now);
+            heartbeat.echo = name.and_then(|name| self.cell.exchange.echo_for(&name, now));
             self.sequence += 1;
+            self.cell.exchange.on_sent(self.sequence, clock::now());
             let packet = Packet {
                 from: self.me.clone(),
                 sequence: self.sequence,
-                message: message.clone(),
+                message: Datagram::Heartbeat(heartbeat),
             };
             peer::send_packet(&self.udp, &self.seal, to, &packet).await;
         }
@@ -299,9 +301,13 @@
             caller_address: self.caller_address.clone(),
             is_draining: self.is_draining,
             revision: self.spread.revision(),
-            records_hash: 0,
+            newest: self.spread.newest(),
+            records_hash: self.spread.hash(),
             confirmed_age_ms: self.spread.confirmed_at().map(age),
             silent: Vec::new(),
+            instances_hash: self.instances.hash(),
+            instances_age_ms: self.instances.own_age_ms(now),
+            echo: None,
         }
     }
 
@@ -309,9 +315,9 @@
         let peers: Vec<PeerDaemon> = self.members.live(now).map(peer_daemon).collect();
         let snapshot = self.spread.snapshot();
         self.owner
-            .renew(&self.instances, snapshot, peers.len() + 1, now);
+            .renew(&self.instances.instances, snapshot, peers.len() + 1, now);
         let mut targets: BTreeMap<Box<str>, Vec<Arc<Target>>> = BTreeMap::new();
-        for instance in self.instances.values() {
+        for instance in self.instances.instances.values() {
             if let InstanceRole::Target { service } = &instance.role {
                 let target = Arc::new(self.target(instance));
                 targets.entry(service.clone()).or_default().push(target);
@@ -322,7 +328,7 @@
             snapshot: self.spread.snapshot().clone(),
             targets,
             peers,
-            confirmed_at: self.spread.confirmed_at(),
+            confirmed_at: self.current_as_of(),
             is_ready: self.spread.has_whole_set() && !self.is_draining,
         }));
     }
@@ -357,6 +363,7 @@
         address: member.address,
         caller_address: member.heartbeat.caller_address.clone(),
         revision: member.heartbeat.revision,
+        records_hash: member.heartbeat.records_hash,
         is_draining: member.heartbeat.is_draining,
     }
 }
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -16,11 +16,15 @@
 use crate::{
     cli::{CtlCli, CtlCommand, EXIT_BAD_INPUT, EXIT_FAILED, Output, ZoneCommand},
     http::{self, CallError},
-    operator::Rejected,
+    operator::{REVISION_HEADER, Rejected},
 };
 
 /// Longest wait for an answer; writes wait for the other daemons.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Tries of a zone's change against racing operators.
+const ZONE_TRIES: u32 = 20;
+/// Pause between them.
+const ZONE_PAUSE: Duration = Duration::from_millis(200);
 /// Largest answer read.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -68,7 +72,10 @@
 }
 
 fn reasons(rejected: &Rejected) -> String {
-    let lines: Vec<String> = rejected.errors.iter().map(ToString::to_string).collect();
+    let errors = rejected.errors.iter().map(ToString::to_string);
+    let results = rejected.results.iter();
+    let results = results.map(|r| format!("{}: {}", r.record, r.outcome));
+    let lines: Vec<String> = errors.chain(results).collect();
     lines.join("\n")
 }
 
@@ -94,17 +101,22 @@
     let output = cli.output;
     let answer = match &cli.command {
         CtlCommand::Completions { shell } => return Ok(completions(*shell)),
-        CtlCommand::Apply(files) => {
+        CtlCommand::Apply { files, if_revision } => {
             let records = Value::Array(read_all(&files.files)?);
-            call(&cli, &Method::PUT, "/v1/records", Some(&records)).await?
+            let path = format!("/v1/records{}", condition(*if_revision));
+            call(&cli, &Method::PUT, &path, Some(&records)).await?
         }
         CtlCommand::Diff(files) => diff(&cli, &read_all(&files.files)?).await?,
         CtlCommand::Get { kind, name, schema } => {
             let path = get_path(kind.as_deref(), name.as_deref(), schema.as_deref());
             call(&cli, &Method::GET, &path, None).await?
         }
-        CtlCommand::Withdraw { kind, name } => {
-            let path = format!("/v1/records/{kind}/{name}");
+        CtlCommand::Withdraw {
+            kind,
+            name,
+            if_revision,
+        } => {
+            let path = format!("/v1/records/{kind}/{name}{}", condition(*if_revision));
             call(&cli, &Method::DELETE, &path, None).await?
         }
         CtlCommand::Status => call(&cli, &Method::GET, "/v1/status", None).await?,
@@ -117,6 +129,12 @@
     Ok(show(&answer, output))
 }
 
+fn condition(if_revision: Option<u64>) -> String {
+    if_revision
+        .map(|revision| format!("?if_revision={revision}"))
+        .unwrap_or_default()
+}
+
 fn completions(shell: clap_complete::Shell) -> String {
     let mut text = Vec::new();
     let mut command = CtlCli::command();
@@ -141,10 +159,23 @@
         ZoneCommand::Undrain { zone } => (zone, "serving"),
     };
     let path = format!("/v1/records/AvailabilityZone/{zone}");
-    let mut record = call(cli, &Method::GET, &path, None).await?;
-    record["spec"]["state"] = json!(state);
-    let records = json!([record]);
-    call(cli, &Method::PUT, "/v1/records", Some(&records)).await
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let (mut record, revision) = call_with_revision(cli, &Method::GET, &path, None).await?;
+        record["spec"]["state"] = json!(state);
+        let records = json!([record]);
+        // Another operator's change of the same zone must not be undone.
+        let path = format!("/v1/records{}", condition(revision));
+        match call(cli, &Method::PUT, &path, Some(&records)).await {
+            Err(CtlError::Rejected { status, .. })
+                if status == StatusCode::CONFLICT && tries < ZONE_TRIES =>
+            {
+                tokio::time::sleep(ZONE_PAUSE).await;
+            }
+            ended => return ended,
+        }
+    }
 }
 
 /// Compares each record with the one in force; unchanged ones are left out.
@@ -176,6 +207,17 @@
     path: &str,
     body: Option<&Value>,
 ) -> Result<Value, CtlError> {
+    let answer = call_with_revision(cli, method, path, body).await?;
+    Ok(answer.0)
+}
+
+/// The answer, and the record's revision if it names one.
+async fn call_with_revision(
+    cli: &CtlCli,
+    method: &Method,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<(Value, Option<u64>), CtlError> {
     let client = http::client(TIMEOUT, None);
     let body = body.map(|b| Bytes::from(b.to_string())).unwrap_or_default();
     let mut req = http::request(method, &cli.server, path, body);
@@ -184,9 +226,11 @@
     }
     let res = http::call(&client, req, TIMEOUT, MAX_ANSWER_BYTES).await?;
     let status = res.status();
+    let revision = res.headers().get(REVISION_HEADER);
+    let revision = revision.and_then(|r| r.to_str().ok()?.parse().ok());
     let parsed = serde_json::from_slice::<Value>(res.body()).ok();
     match parsed {
-        Some(value) if status.is_success() => Ok(value),
+        Some(value) if status.is_success() => Ok((value, revision)),
         Some(value) => match serde_json::from_value(value) {
             Ok(rejected) => Err(CtlError::Rejected { status, rejected }),
             Err(_) => Err(unexpected(status, res.body())),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod entry;
 mod feeds;
+mod follow;
 mod generate;
 mod http;
 mod ledger;
@@ -28,6 +29,7 @@
 mod platform;
 pub mod records;
 mod refusal;
+mod relay;
 mod service;
 mod settings;
 mod spread;
@@ -36,6 +38,7 @@
 mod supervisor;
 mod view;
 pub mod wire;
+mod write;
 
 pub use crate::{
     admission::hash_key,
@@ -52,7 +55,8 @@
         Put, Revision,
     },
     refusal::{RAN_HEADER, REQUEST_HEADER, Ran, RefusalKind},
+    relay::{Contacts, Exchange, InstanceList, Role, choose_relays},
     settings::{Policy, Settings, SettingsError, settings_schemas},
-    spread::Spread,
+    spread::{Spread, page_of},
     stream::{Cursor, Verdict},
 };
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' port: records in and out, status, and explanations.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -11,15 +11,16 @@
     control::{ControlHandle, Event},
     entry::Entry,
     http,
-    platform::{Condition, Object, Platform, PlatformError, Put, Revision},
-    records::{
-        Envelope, Fault, Kind, RecordKey, RecordSet, check_references, check_shape, decode,
-        down_convert, merge_older_write, referrers,
+    platform::{Object, Revision},
+    records::{Envelope, Fault, Kind, RecordKey, down_convert, referrers},
+    write::{
+        WriteError, WriteOutcome, WriteResult, check_batch, delete_record, fault, key_of,
+        write_record,
     },
 };
 
-/// Tries of one write against racing operators and lost answers.
-const WRITE_TRIES: usize = 8;
+/// Revision of the record in an answer, for `if_revision`.
+pub(crate) const REVISION_HEADER: &str = "x-bluebell-revision";
 /// Longest wait for the other daemons to have a write in force.
 const SPREAD_WAIT: Duration = Duration::from_secs(3);
 /// Pause between looks at the other daemons.
@@ -43,6 +44,12 @@
 pub struct Rejected {
     /// What is wrong; paths start with the record's place in the list.
     pub errors: Vec<Fault>,
+    /// What became of each record, once writing had begun.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub results: Vec<WriteResult>,
+    /// The record as it stands, when it is not at the expected revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<Object>,
 }
 
 /// Status of a daemon, as operators see it.
@@ -170,15 +177,13 @@
     Some(reject(status, vec![fault("", "no valid operator key")]))
 }
 
-fn fault(path: &str, reason: &str) -> Fault {
-    Fault {
-        path: path.into(),
-        reason: reason.into(),
-    }
-}
-
 fn reject(status: StatusCode, errors: Vec<Fault>) -> Response {
-    http::json(status, &Rejected { errors })
+    let rejected = Rejected {
+        errors,
+        results: Vec::new(),
+        current: None,
+    };
+    http::json(status, &rejected)
 }
 
 fn list_records(op: &Operator, req: &Request) -> Response {
@@ -200,12 +205,13 @@
     let Some(document) = held.and_then(|h| h.document.as_ref()) else {
         return reject(StatusCode::NOT_FOUND, vec![fault("", "no such record")]);
     };
+    let revision = held.map_or(0, |h| h.revision);
     let Some(schema) = query(req, "schema") else {
-        return http::json(StatusCode::OK, document);
+        return with_revision(http::json(StatusCode::OK, document), revision);
     };
     let envelope = serde_json::from_value(document.clone()).ok();
     match envelope.and_then(|e: Envelope| down_convert(&e, &schema)) {
-        Some(converted) => http::json(StatusCode::OK, &converted),
+        Some(converted) => with_revision(http::json(StatusCode::OK, &converted), revision),
         None => reject(
             StatusCode::UNPROCESSABLE_ENTITY,
             vec![fault("/schema", "this record has no such schema version")],
@@ -213,6 +219,12 @@
     }
 }
 
+fn with_revision(mut res: Response, revision: Revision) -> Response {
+    let headers = res.headers_mut();
+    headers.insert(REVISION_HEADER, revision.into());
+    res
+}
+
 fn query(req: &Request, name: &str) -> Option<String> {
     let pairs: Vec<(String, String)> = req.query().unwrap_or_default();
     pairs.into_iter().find(|(n, _)| n == name).map(|(_, v)| v)
@@ -242,17 +254,56 @@
         Ok(envelopes) => envelopes,
         Err(errors) => return reject(StatusCode::UNPROCESSABLE_ENTITY, errors),
     };
-    let mut revision = 0;
-    for envelope in &envelopes {
-        match write_record(&op.entry.platform, envelope).await {
+    let if_revision = match if_revision(&req, envelopes.len()) {
+        Ok(if_revision) => if_revision,
+        Err(e) => return reject(StatusCode::UNPROCESSABLE_ENTITY, vec![e]),
+    };
+    let mut results: Vec<WriteResult> = Vec::new();
+    for (i, envelope) in envelopes.iter().enumerate() {
+        match write_record(&op.entry.platform, envelope, if_revision).await {
             Ok(object) => {
-                revision = revision.max(object.revision);
-                let _ = op.control.events.send(Event::Object(object)).await;
+                results.push(written(&object));
+                let _ = op.control.events.send(Event::Written(object)).await;
+            }
+            Err(e) => {
+                results.push(result_of(envelope, e.outcome()));
+                let rest = &envelopes[i + 1..];
+                results.extend(rest.iter().map(|e| result_of(e, WriteOutcome::NotWritten)));
+                return failed(&format!("/{i}"), &e, results);
             }
-            Err(e) => return failed(&e),
         }
     }
-    accepted(op, revision, envelopes.len()).await
+    let revision = results.iter().filter_map(|r| r.revision).max();
+    accepted(op, revision.unwrap_or(0), results.len()).await
+}
+
+/// Revision that the operator expects the one record of the batch to have.
+fn if_revision(req: &Request, records: usize) -> Result<Option<Revision>, Fault> {
+    let Some(text) = query(req, "if_revision") else {
+        return Ok(None);
+    };
+    let parsed: Result<Revision, _> = text.parse();
+    match parsed {
+        Ok(_) if records != 1 => Err(fault("/if_revision", "only for a batch of one record")),
+        Ok(revision) => Ok(Some(revision)),
+        Err(e) => Err(fault("/if_revision", &e.to_string())),
+    }
+}
+
+fn written(object: &Object) -> WriteResult {
+    WriteResult {
+        record: object.key.clone(),
+        outcome: WriteOutcome::Written,
+        revision: Some(object.revision),
+    }
+}
+
+fn result_of(envelope: &Envelope, outcome: WriteOutcome) -> WriteResult {
+    WriteResult {
+        record: key_of(envelope).to_string().into(),
+        outcome,
+        revision: None,
+    }
 }
 
 async fn withdraw_record(op: &Operator, req: Request) -> Response {
@@ -269,20 +320,42 @@
         let errors = vec![fault("", &reason)];
         return reject(StatusCode::UNPROCESSABLE_ENTITY, errors);
     }
-    match delete_record(&op.entry.platform, &key).await {
+    let if_revision = match if_revision(&req, 1) {
+        Ok(if_revision) => if_revision,
+        Err(e) => return reject(StatusCode::UNPROCESSABLE_ENTITY, vec![e]),
+    };
+    match delete_record(&op.entry.platform, &key, if_revision).await {
         Ok(None) => reject(StatusCode::NOT_FOUND, vec![fault("", "no such record")]),
         Ok(Some(object)) => {
             let revision = object.revision;
-            let _ = op.control.events.send(Event::Object(object)).await;
+            let _ = op.control.events.send(Event::Written(object)).await;
             accepted(op, revision, 1).await
         }
-        Err(e) => failed(&e),
+        Err(e) => {
+            let result = WriteResult {
+                record: key.to_string().into(),
+                outcome: e.outcome(),
+                revision: None,
+            };
+            failed("", &e, vec![result])
+        }
     }
 }
 
-fn failed(error: &PlatformError) -> Response {
-    let errors = vec![fault("", &error.to_string())];
-    reject(StatusCode::SERVICE_UNAVAILABLE, errors)
+/// Tells exactly what became of each record: 409 for a precondition that does
+/// not hold, with the record as it stands, else 503.
+fn failed(at: &str, error: &WriteError, results: Vec<WriteResult>) -> Response {
+    let (status, current) = match error {
+        WriteError::Precondition(held) => (StatusCode::CONFLICT, held.clone()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, None),
+    };
+    let errors = vec![fault(at, &error.reason())];
+    let rejected = Rejected {
+        errors,
+        results,
+        current,
+    };
+    http::json(status, &rejected)
 }
 
 /// Waits a while for the other daemons, then tells how many have the write.
@@ -290,8 +363,12 @@
     let deadline = clock::now() + SPREAD_WAIT;
     loop {
         let view = op.entry.view.load_full();
-        let own = usize::from(view.snapshot.revision >= revision);
-        let others = view.peers.iter().filter(|p| p.revision >= revision);
+        let own = usize::from(view.records.newest() >= revision);
+        let hash = view.records.hash();
+        let others = view.peers.iter().filter(|p| {
+            let has_same = own == 1 && p.records_hash == hash;
+            p.revision >= revision || has_same
+        });
         let answer = Accepted {
             revision,
             records,
@@ -305,162 +382,6 @@
     }
 }
 
-/// Checks a whole batch before anything is written.
-fn check_batch(body: &[u8], held: &RecordSet) -> Result<Vec<Envelope>, Vec<Fault>> {
-    let parsed = serde_json::from_slice(body);
-    let documents: Vec<Value> = parsed.map_err(|e| vec![fault("", &e.to_string())])?;
-    let mut envelopes = Vec::new();
-    let mut faults = Vec::new();
-    let mut names = BTreeSet::new();
-    for (i, document) in documents.iter().enumerate() {
-        match read_envelope(document, i) {
-            Ok(envelope) if !names.insert((envelope.kind, envelope.name.clone())) => {
-                let reason = format!("{} {:?} stands twice", envelope.kind, envelope.name);
-                faults.push(fault(&format!("/{i}/name"), &reason));
-            }
-            Ok(envelope) => envelopes.push(envelope),
-            Err(more) => faults.extend(more),
-        }
-    }
-    if faults.is_empty() {
-        faults = dangling(&envelopes, held);
-    }
-    if faults.is_empty() {
-        Ok(envelopes)
-    } else {
-        Err(faults)
-    }
-}
-
-fn read_envelope(document: &Value, place: usize) -> Result<Envelope, Vec<Fault>> {
-    let at = format!("/{place}");
-    check_shape::<Envelope>(document, &at)?;
-    let parsed = serde_json::from_value(document.clone());
-    let envelope: Envelope = parsed.map_err(|e| vec![fault(&at, &e.to_string())])?;
-    decode(&envelope).map_err(|faults| prefixed(&at, faults))?;
-    Ok(envelope)
-}
-
-fn prefixed(at: &str, faults: Vec<Fault>) -> Vec<Fault> {
-    let faults = faults.into_iter();
-    faults
-        .map(|f| fault(&format!("{at}{}", f.path), &f.reason))
-        .collect()
-}
-
-/// Faults of references, judged as if the whole batch were in force.
-fn dangling(envelopes: &[Envelope], held: &RecordSet) -> Vec<Fault> {
-    let mut after = held.clone();
-    for envelope in envelopes {
-        let object = Object {
-            key: key_of(envelope).to_string().into(),
-            revision: Revision::MAX,
-            value: serde_json::to_value(envelope).ok(),
-        };
-        after.apply(&object);
-    }
-    let snapshot = after.snapshot();
-    let mut faults = Vec::new();
-    for (i, envelope) in envelopes.iter().enumerate() {
-        if let Ok(record) = decode(envelope) {
-            let found = check_references(&record, &snapshot);
-            faults.extend(prefixed(&format!("/{i}"), found));
-        }
-    }
-    faults
-}
-
-fn key_of(envelope: &Envelope) -> RecordKey {
-    RecordKey {
-        kind: envelope.kind,
-        name: envelope.name.clone(),
-    }
-}
-
-/// Writes a record by conditional updates with an operation id, so that a
-/// write whose answer was lost is found again and not made twice.
-async fn write_record(platform: &Platform, write: &Envelope) -> Result<Object, PlatformError> {
-    let operation: Box<str> = format!("{:032x}", rand::random::<u128>()).into();
-    let key = key_of(write).to_string();
-    let mut last = None;
-    for _ in 0..WRITE_TRIES {
-        let held = match platform.get(&key).await {
-            Ok(held) => held,
-            Err(e) => {
-                last = Some(e);
-                tokio::time::sleep(SPREAD_POLL).await;
-                continue;
-            }
-        };
-        if let Some(held) = &held
-            && operation_of(held) == Some(&operation)
-        {
-            return Ok(held.clone());
-        }
-        let value = merged(held.as_ref(), write, &operation);
-        let condition = held.map_or(Condition::Absent, |h| Condition::At(h.revision));
-        match platform.put(&key, &value, condition).await {
-            Ok(Put::Written(revision)) => {
-                return Ok(Object {
-                    key: key.into(),
-                    revision,
-                    value: Some(value),
-                });
-            }
-            Ok(Put::Conflict(_)) => {}
-            Err(e) => last = Some(e),
-        }
-    }
-    Err(last.unwrap_or(PlatformError::Status {
-        step: "write_race",
-        status: StatusCode::CONFLICT.as_u16(),
-    }))
-}
-
-fn operation_of(object: &Object) -> Option<&str> {
-    object.value.as_ref()?.get("operation")?.as_str()
-}
-
-fn merged(held: Option<&Object>, write: &Envelope, operation: &str) -> Value {
-    let stored = held.and_then(|h| h.value.clone());
-    let stored = stored.and_then(|v| serde_json::from_value::<Envelope>(v).ok());
-    let mut merged = match &stored {
-        Some(stored) => merge_older_write(stored, write),
-        None => write.clone(),
-    };
-    merged.operation = Some(operation.into());
-    serde_json::to_value(&merged).unwrap_or(Value::Null)
-}
-
-/// Withdraws a record; `None` when there is none.
-async fn delete_record(
-    platform: &Platform,
-    key: &RecordKey,
-) -> Result<Option<Object>, PlatformError> {
-    let key = key.to_string();
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        let Some(held) = platform.get(&key).await? else {
-            return Ok(None);
-        };
-        let deleted = platform.delete(&key, Condition::At(held.revision)).await?;
-        if let Put::Written(revision) = deleted {
-            return Ok(Some(Object {
-                key: key.into(),
-                revision,
-                value: None,
-            }));
-        }
-        if tries == WRITE_TRIES {
-            return Err(PlatformError::Status {
-                step: "withdraw_race",
-                status: StatusCode::CONFLICT.as_u16(),
-            });
-        }
-    }
-}
-
 fn show_status(op: &Operator) -> Response {
     let view = op.entry.view.load();
     let now = clock::now();
--- a/src/records/check.rs
+++ b/src/records/check.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use jsonschema::{ValidationError, error::ValidationErrorKind};
 use schemars::{JsonSchema, schema_for};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -33,10 +34,8 @@
         Ok(validator) => validator,
         Err(e) => return Err(vec![fault(at, &e.to_string())]),
     };
-    let faults: Vec<Fault> = validator
-        .iter_errors(value)
-        .map(|e| fault(&format!("{at}{}", e.instance_path()), &e.to_string()))
-        .collect();
+    let errors = validator.iter_errors(value);
+    let faults: Vec<Fault> = errors.flat_map(|e| faults_of(at, &e)).collect();
     if faults.is_empty() {
         Ok(())
     } else {
@@ -44,6 +43,26 @@
     }
 }
 
+/// One fault for each field concerned: unknown and missing ones are named in
+/// the path.
+fn faults_of(at: &str, e: &ValidationError<'_>) -> Vec<Fault> {
+    let path = format!("{at}{}", e.instance_path());
+    match e.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => unexpected
+            .iter()
+            .map(|name| fault(&format!("{path}/{name}"), "unknown field"))
+            .collect(),
+        ValidationErrorKind::Required { property } => {
+            let name = property.as_str().unwrap_or_default();
+            vec![fault(
+                &format!("{path}/{name}"),
+                "required field is missing",
+            )]
+        }
+        _ => vec![fault(&path, &e.to_string())],
+    }
+}
+
 fn fault(path: &str, reason: &str) -> Fault {
     Fault {
         path: path.into(),
--- a/src/records/schema.rs
+++ b/src/records/schema.rs
@@ -171,6 +171,16 @@
     }
 }
 
+/// Turns the path of a field in the internal form into its path in the schema
+/// version that the client wrote.
+#[must_use]
+pub fn client_path(envelope: &Envelope, path: &str) -> String {
+    if envelope.kind == Kind::Service && &*envelope.schema == SCHEMA_V1 {
+        return path.replacen("/spec/capacity/", "/spec/", 1);
+    }
+    path.to_owned()
+}
+
 fn keep_field(old: &Map<String, Value>, new: &mut Map<String, Value>, field: &str) {
     if let Some(value) = old.get(field) {
         new.insert(field.to_owned(), value.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -63,6 +63,10 @@
     pub listen: Listen,
     /// Where the platform answers.
     pub platform: PlatformSettings,
+    /// Peer ports of the other daemons of the cell, `IP:port`. A daemon that
+    /// starts while the platform is down asks a majority of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<Box<str>>,
     /// Shared secrets.
     pub keys: Keys,
     /// Caps towards callers and operators.
@@ -333,6 +337,14 @@
                 });
             }
         }
+        for (i, address) in self.peers.iter().enumerate() {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                faults.push(Fault {
+                    path: format!("/peers/{i}").into(),
+                    reason: format!("{address:?} is not IP:port").into(),
+                });
+            }
+        }
         faults
     }
 
@@ -354,6 +366,7 @@
                 address: "127.0.0.1:7000".into(),
                 timeout: default_platform_timeout(),
             },
+            peers: Vec::new(),
             keys: Keys {
                 peer: key.as_str().into(),
                 operator: key.as_str().into(),
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -40,6 +40,8 @@
     pub delay_ms: u64,
     /// Applies this many writes, then never answers them.
     pub lose_answers: u32,
+    /// Goes down once this many more writes were answered.
+    pub down_after_writes: Option<u32>,
     /// Watches stay open but say nothing.
     pub silent_watches: bool,
     /// How far the instance list lags.
@@ -183,12 +185,22 @@
         }
         is_lost
     };
+    if shared.store().counts.writes > writes_before {
+        count_down(shared);
+    }
     if is_lost {
         std::future::pending::<()>().await;
     }
     res
 }
 
+fn count_down(shared: &Shared) {
+    let faults = &mut shared.store().faults;
+    let left = faults.down_after_writes.map(|left| left.saturating_sub(1));
+    faults.down_after_writes = left.filter(|left| *left > 0);
+    faults.is_down |= left == Some(0);
+}
+
 fn status(status: StatusCode) -> Response {
     http::with_body(status, "text/plain", Bytes::new())
 }
@@ -309,7 +321,11 @@
         if faults.is_down {
             return None;
         }
-        if !faults.silent_watches && object.key.starts_with(prefix) {
+        if faults.silent_watches {
+            // Once silent, a connection stays so: it never skips a change only.
+            std::future::pending::<()>().await;
+        }
+        if object.key.starts_with(prefix) {
             return Some(object);
         }
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -65,6 +65,8 @@
     pub caller_address: Box<str>,
     /// Revision of its records in force.
     pub revision: Revision,
+    /// Hash of its records in force.
+    pub records_hash: u64,
     /// It takes no new work.
     pub is_draining: bool,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -61,6 +61,8 @@
     pub is_draining: bool,
     /// Revision of the records in force.
     pub revision: Revision,
+    /// Revision of the newest change held, ahead of others or not.
+    pub newest: Revision,
     /// Hash of the records in force.
     pub records_hash: u64,
     /// Age of its last confirmation by the platform, directly or through
@@ -68,6 +70,23 @@
     pub confirmed_age_ms: Option<u64>,
     /// Members it suspects or knows to be dead.
     pub silent: Vec<MemberId>,
+    /// Hash of the instance list it uses.
+    pub instances_hash: u64,
+    /// Age of its own last reading of the instance list, in milliseconds.
+    pub instances_age_ms: Option<u64>,
+    /// The receiver's newest packet that it has; bounds this one's age.
+    pub echo: Option<Echo>,
+}
+
+/// Which packet of the receiver the sender last had when it wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// Run of the receiver that sent the packet.
+    pub incarnation: Incarnation,
+    /// Sequence of the packet.
+    pub sequence: u64,
+    /// Time since it arrived, in milliseconds.
+    pub held_ms: u64,
 }
 
 /// What a holder of credits tells the target's owner.
@@ -121,8 +140,12 @@
 pub enum Frame {
     /// Asks for all records and tombstones above a revision.
     RecordsAfter(Revision),
-    /// Answer to [`Frame::RecordsAfter`].
+    /// Answer to [`Frame::RecordsAfter`]; unasked, changes just written.
     Records(RecordsPage),
+    /// Asks for the platform's instance list as the peer last read it.
+    InstancesAsk,
+    /// Answer to [`Frame::InstancesAsk`].
+    Instances(InstancesPage),
     /// Asks whether the peer runs a generation.
     FindGeneration(GenerationId),
     /// Answer to [`Frame::FindGeneration`].
@@ -138,9 +161,14 @@
 /// Records above a revision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RecordsPage {
+    /// Revision above which the page has every change up to `revision`; `None`
+    /// for single changes.
+    pub after: Option<Revision>,
     /// Revision up to which the sender knows every change.
     pub revision: Revision,
-    /// Changes above the revision asked for.
+    /// It has all live records; what it lacks was withdrawn.
+    pub is_whole: bool,
+    /// The changes.
     pub changes: Vec<RecordChange>,
 }
 
@@ -153,6 +181,26 @@
     pub revision: Revision,
     /// JSON text of the document; `None` for a tombstone.
     pub document: Option<Box<str>>,
+    /// Last valid form, when the change itself is not valid to the sender.
+    pub valid: Option<ValidForm>,
+}
+
+/// The form of a record that is in force in place of an invalid change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ValidForm {
+    /// Its revision.
+    pub revision: Revision,
+    /// JSON text of its document.
+    pub document: Box<str>,
+}
+
+/// The platform's instance list, as one daemon last read it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct InstancesPage {
+    /// Age of the reading, in milliseconds; `None` when there was none.
+    pub age_ms: Option<u64>,
+    /// JSON text of the list.
+    pub list: Box<str>,
 }
 
 /// Where a generation runs.
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,438 @@
+//! Accepted configuration is in force everywhere within seconds and never
+//! reverts, whatever fails meanwhile.
+
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::{
+    Daemon, Fleet, Operator, client, default_records, record, relay::Relay, wait_for, zone_record,
+};
+use serde_json::{Value, json};
+
+/// An accepted write is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(7);
+const ZONE: &str = "kushiro-a";
+const ZONE_PATH: &str = "/v1/records/AvailabilityZone/kushiro-a";
+
+fn adopted_revisions(log: &Path) -> Vec<u64> {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines = text.lines().filter(|l| l.contains("event=records_adopted"));
+    lines
+        .filter_map(|l| {
+            l.split(" revision=")
+                .nth(1)?
+                .split(' ')
+                .next()?
+                .parse()
+                .ok()
+        })
+        .collect()
+}
+
+/// Every daemon's revision history rises, from each of its starts on.
+fn check_monotone(daemons: &[Daemon]) {
+    for daemon in daemons {
+        let revisions = adopted_revisions(&daemon.log);
+        assert!(!revisions.is_empty(), "{} adopted nothing", daemon.name);
+        let is_monotone = revisions.windows(2).all(|w| w[0] <= w[1]);
+        assert!(is_monotone, "{} went back: {revisions:?}", daemon.name);
+    }
+}
+
+fn zone_state(operator: &Operator) -> Value {
+    let answer = operator.call("GET", ZONE_PATH, &Value::Null);
+    answer.json()["spec"]["state"].clone()
+}
+
+/// Waits until all daemons have the zone in `state`, within the bound.
+fn wait_in_force(fleet: &Fleet, daemons: &[usize], state: &str, since: Instant) {
+    for i in daemons {
+        wait_for("the write is in force", || {
+            (zone_state(&fleet.operator(*i)) == json!(state)).then_some(())
+        });
+    }
+    let took = since.elapsed();
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
+
+fn zone_out(fleet: &Fleet, i: usize) -> Instant {
+    let answer = fleet
+        .operator(i)
+        .put_records(&json!([zone_record(ZONE, "out")]));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    Instant::now()
+}
+
+/// Daemons behind relays: others reach them only through these.
+fn relayed(fleet: &Fleet) -> Vec<Relay> {
+    let relays: Vec<Relay> = fleet
+        .daemons
+        .iter()
+        .map(|d| Relay::start(&d.peer))
+        .collect();
+    for (i, (daemon, relay)) in fleet.daemons.iter().zip(&relays).enumerate() {
+        let zone = common::ZONES[i % 3].0;
+        fleet.set_instance(&json!({"name": daemon.name, "zone": zone, "state": "live",
+                                   "address": relay.address.to_string(), "role": "daemon"}));
+    }
+    for (i, daemon) in fleet.daemons.iter().enumerate() {
+        wait_for("all are heard through their relays", || {
+            let status = fleet.operator(i).status();
+            let peers = status["peers"].as_array()?.clone();
+            let through = |p: &Value| {
+                relays
+                    .iter()
+                    .any(|r| p["address"] == json!(r.address.to_string()))
+            };
+            let count = peers.iter().filter(|p| through(p)).count();
+            (count + 1 == relays.len()).then_some(())
+        });
+        assert!(!daemon.name.is_empty());
+    }
+    relays
+}
+
+#[test]
+fn racing_operators_end_with_the_platforms_state_everywhere() {
+    let fleet = Fleet::with_daemons(3);
+    thread::scope(|s| {
+        for i in 0..6_u64 {
+            let operator = fleet.operator(usize::try_from(i).unwrap() % 3);
+            s.spawn(move || {
+                for n in 0..5 {
+                    let spec = json!({"context_tokens": 1000 + i * 10 + n});
+                    let answer =
+                        operator.put_records(&json!([record("Model", "denture-7b", &spec)]));
+                    assert_eq!(answer.status, 200, "{answer:?}");
+                }
+            });
+        }
+    });
+    let path = "/v1/objects/records/Model/denture-7b";
+    let stored = client::call("GET", &fleet.platform_address, path, &[], &Value::Null).json();
+    for i in 0..3 {
+        wait_for("the last write is in force", || {
+            let path = "/v1/records/Model/denture-7b";
+            let held = fleet.operator(i).call("GET", path, &Value::Null).json();
+            (held == stored["value"]).then_some(())
+        });
+    }
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn a_conditional_write_never_undoes_another() {
+    let fleet = Fleet::with_daemons(3);
+    let path = "/v1/records/Model/denture-7b";
+    let accepted: u64 = thread::scope(|s| {
+        let racers: Vec<_> = (0..3)
+            .map(|i| {
+                let operator = fleet.operator(i);
+                s.spawn(move || {
+                    let mut accepted = 0;
+                    while accepted < 4 {
+                        let held = operator.call("GET", path, &Value::Null);
+                        let revision = held.header("x-bluebell-revision").unwrap().to_owned();
+                        let mut write = held.json();
+                        let tokens = write["spec"]["context_tokens"].as_u64().unwrap();
+                        write["spec"]["context_tokens"] = json!(tokens + 1);
+                        let to = format!("/v1/records?if_revision={revision}");
+                        let answer = operator.call("PUT", &to, &json!([write]));
+                        match answer.status {
+                            200 => accepted += 1,
+                            409 => assert!(answer.json()["current"]["revision"].is_u64()),
+                            _ => panic!("{answer:?}"),
+                        }
+                    }
+                    accepted
+                })
+            })
+            .collect();
+        racers.into_iter().map(|r| r.join().unwrap()).sum()
+    });
+    let held = fleet.operator(0).call("GET", path, &Value::Null).json();
+    assert_eq!(held["spec"]["context_tokens"], json!(32768 + accepted));
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_found_again_and_made_once() {
+    let fleet = Fleet::with_daemons(2);
+    let before = fleet.operator(0).status()["revision"].as_u64().unwrap();
+    fleet.set_faults(&json!({"lose_answers": 1}));
+    let accepted = fleet
+        .operator(0)
+        .put_records(&json!([zone_record(ZONE, "out")]));
+    assert_eq!(accepted.status, 200, "{accepted:?}");
+    assert_eq!(
+        accepted.json()["revision"],
+        json!(before + 1),
+        "written once"
+    );
+    fleet.set_faults(&json!({"lose_answers": 1}));
+    let withdrawn = fleet.operator(1).call("DELETE", ZONE_PATH, &Value::Null);
+    assert_eq!(withdrawn.status, 200, "{withdrawn:?}");
+    for i in 0..2 {
+        wait_for("it is withdrawn", || {
+            let answer = fleet.operator(i).call("GET", ZONE_PATH, &Value::Null);
+            (answer.status == 404).then_some(())
+        });
+    }
+}
+
+#[test]
+fn a_batch_that_breaks_off_is_reported_record_by_record() {
+    let fleet = Fleet::with_daemons(1);
+    fleet.set_faults(&json!({"down_after_writes": 1}));
+    let batch = json!([
+        zone_record("kushiro-a", "out"),
+        zone_record("asahikawa-a", "out")
+    ]);
+    let answer = fleet.operator(0).put_records(&batch);
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let results = answer.json()["results"].clone();
+    assert_eq!(results[0]["outcome"], json!("written"), "{results}");
+    assert_eq!(results[1]["outcome"], json!("not_written"), "{results}");
+    // The first is in force; the second is not, here nor at the platform.
+    wait_for("the first is in force", || {
+        (zone_state(&fleet.operator(0)) == json!("out")).then_some(())
+    });
+    fleet.set_faults(&json!({}));
+    let path = "/v1/objects/records/AvailabilityZone/asahikawa-a";
+    let stored = client::call("GET", &fleet.platform_address, path, &[], &Value::Null).json();
+    assert_ne!(stored["value"]["spec"]["state"], json!("out"));
+    // An answer that stays lost is told as unknown, and it is.
+    fleet.set_faults(&json!({"lose_answers": 100, "down_after_writes": 1}));
+    let answer = fleet
+        .operator(0)
+        .put_records(&json!([zone_record("asahikawa-a", "out")]));
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(answer.json()["results"][0]["outcome"], json!("unknown"));
+}
+
+#[test]
+fn the_platform_fails_right_after_the_write_and_a_daemon_starts_from_peers() {
+    let mut fleet = Fleet::with_daemons(3);
+    fleet.set_faults(&json!({"down_after_writes": 1}));
+    let accepted = zone_out(&fleet, 0);
+    wait_in_force(&fleet, &[0, 1, 2], "out", accepted);
+    // One of four seeds is a daemon that knows nothing; a majority counts.
+    let mut seeds: Vec<String> = fleet.daemons.iter().map(|d| d.peer.clone()).collect();
+    let stale = fleet.add_daemon(3, &json!({}));
+    seeds.push(fleet.daemons[stale].peer.clone());
+    let new = fleet.add_daemon(4, &json!({"peers": seeds}));
+    wait_in_force(&fleet, &[new], "out", Instant::now());
+    wait_for("it is ready", || {
+        (fleet.operator(new).status()["is_ready"] == json!(true)).then_some(())
+    });
+    // Without a majority it stays not ready.
+    assert_eq!(fleet.operator(stale).status()["is_ready"], json!(false));
+    let generated = fleet.caller(new).generate("[n=3] hello", &json!({}), &[]);
+    assert!(generated.is_whole, "all peers are reachable: {generated:?}");
+    fleet.set_faults(&json!({}));
+    let accepted = Instant::now();
+    wait_in_force(&fleet, &[0, 1, 2, stale, new], "out", accepted);
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn a_daemon_paused_during_the_write_catches_up_before_it_serves() {
+    let fleet = Fleet::with_daemons(3);
+    fleet.daemons[2].process.pause();
+    zone_out(&fleet, 0);
+    thread::sleep(Duration::from_secs(5));
+    fleet.daemons[2].process.unpause();
+    wait_in_force(&fleet, &[0, 1, 2], "out", Instant::now());
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn a_silent_watch_is_found_by_the_revision_read() {
+    let fleet = Fleet::with_daemons(3);
+    fleet.set_faults(&json!({"silent_watches": true}));
+    let mut value = zone_record(ZONE, "out");
+    value["operation"] = json!("by-hand");
+    let path = format!("/v1/objects/records/AvailabilityZone/{ZONE}");
+    let stored = client::call("GET", &fleet.platform_address, &path, &[], &Value::Null).json();
+    let to = format!("{path}?if_revision={}", stored["revision"]);
+    let answer = client::call("PUT", &fleet.platform_address, &to, &[], &value);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    wait_in_force(&fleet, &[0, 1, 2], "out", Instant::now());
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn lost_datagrams_and_a_stalled_link_delay_but_do_not_stop_a_write() {
+    let fleet = Fleet::with_daemons(3);
+    let relays = relayed(&fleet);
+    for relay in &relays {
+        relay.set_loss_percent(30);
+    }
+    let accepted = zone_out(&fleet, 0);
+    wait_in_force(&fleet, &[0, 1, 2], "out", accepted);
+    relays[1].set_stalled(true);
+    let answer = fleet
+        .operator(0)
+        .put_records(&json!([zone_record(ZONE, "serving")]));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    wait_in_force(&fleet, &[0, 1, 2], "serving", Instant::now());
+    relays[1].set_stalled(false);
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn a_daemon_cut_off_refuses_as_not_run_while_the_others_serve_without_a_platform() {
+    let mut fleet = Fleet::with_daemons(2);
+    let platform = Relay::start(&fleet.platform_address);
+    let overrides = json!({"platform": {"address": platform.address.to_string()}});
+    fleet.add_daemon(2, &overrides);
+    fleet.wait_ready();
+    let relays = relayed(&fleet);
+    fleet.set_faults(&json!({"is_down": true}));
+    thread::sleep(Duration::from_secs(5));
+    let serves = |i: usize| fleet.caller(i).generate("[n=3] hello", &json!({}), &[]);
+    for i in 0..3 {
+        assert!(serves(i).is_whole, "all can reach one another");
+    }
+    platform.set_cut(true);
+    for relay in &relays {
+        relay.set_cut(true);
+    }
+    let since = Instant::now();
+    for i in 0..3 {
+        wait_for("a daemon that is cut off refuses", || {
+            (serves(i).status == 503).then_some(())
+        });
+    }
+    assert!(since.elapsed() < Duration::from_secs(5), "refused in time");
+    for relay in &relays {
+        relay.set_cut(false);
+    }
+    for i in 0..3 {
+        wait_for("it serves again", || serves(i).is_whole.then_some(()));
+    }
+}
+
+#[test]
+fn an_unknown_schema_leaves_the_last_valid_form_in_force_and_says_so() {
+    let fleet = Fleet::with_daemons(2);
+    let path = "/v1/objects/records/Service/drafting-desk";
+    let status = "/v1/objects/status/records/Service/drafting-desk";
+    let platform = |method: &str, path: &str, body: &Value| {
+        client::call(method, &fleet.platform_address, path, &[], body)
+    };
+    let stored = platform("GET", path, &Value::Null).json();
+    let mut future = stored["value"].clone();
+    future["schema"] = json!("bluebelldrift/v9");
+    let to = format!("{path}?if_revision={}", stored["revision"]);
+    let written = platform("PUT", &to, &future).json();
+    for i in 0..2 {
+        wait_for("it is reported as invalid", || {
+            let invalid = fleet.operator(i).status()["invalid"][0].clone();
+            (invalid["in_force_revision"] == stored["revision"]).then_some(())
+        });
+    }
+    let object = wait_for("its status object is written", || {
+        let answer = platform("GET", status, &Value::Null);
+        (answer.status == 200).then(|| answer.json()["value"].clone())
+    });
+    assert_eq!(object["revision"], written);
+    assert_eq!(object["faults"][0]["path"], json!("/schema"));
+    assert!(
+        fleet
+            .caller(1)
+            .generate("[n=3] hello", &json!({}), &[])
+            .is_whole
+    );
+    fleet.write_records(&default_records());
+    wait_for("its status object goes away", || {
+        (platform("GET", status, &Value::Null).status == 404).then_some(())
+    });
+}
+
+#[test]
+fn two_schema_versions_stand_side_by_side_in_both_directions() {
+    let fleet = Fleet::with_daemons(1);
+    let operator = fleet.operator(0);
+    let path = "/v1/records/Service/drafting-desk";
+    let mut new = json!({"schema": "bluebelldrift/v2", "kind": "Service", "name": "drafting-desk",
+        "spec": {"type": "generation", "model": "denture-7b", "lookup": "/outcome/{key}",
+                 "capacity": {"limit": 30, "cold_limit": 3, "ramp_window": "3s", "kv_tokens": 900}}});
+    assert_eq!(operator.put_records(&json!([new])).status, 200);
+    let mut old = operator
+        .call(
+            "GET",
+            &format!("{path}?schema=bluebelldrift/v1"),
+            &Value::Null,
+        )
+        .json();
+    assert_eq!(old["spec"]["limit"], json!(30));
+    old["spec"]["limit"] = json!(40);
+    old["spec"]["delivery"] = json!("whole");
+    assert_eq!(operator.put_records(&json!([old])).status, 200);
+    new["spec"]["capacity"]["limit"] = json!(40);
+    let held = wait_for("the old client's write is in force", || {
+        let held = operator.call("GET", path, &Value::Null).json();
+        (held["spec"]["capacity"]["limit"] == json!(40)).then_some(held)
+    });
+    assert_eq!(held["schema"], json!("bluebelldrift/v2"));
+    assert_eq!(held["spec"]["capacity"], new["spec"]["capacity"]);
+    assert_eq!(held["spec"]["lookup"], new["spec"]["lookup"]);
+    assert_eq!(held["spec"]["delivery"], json!("whole"));
+}
+
+#[test]
+fn each_fault_is_told_once_with_the_path_that_the_client_wrote() {
+    let fleet = Fleet::with_daemons(1);
+    let service = |spec: &Value| record("Service", "s", spec);
+    let batch = json!([
+        service(&json!({"type": "plain", "limit": 2, "cold_limit": 3})),
+        record(
+            "RoutingIntent",
+            "i",
+            &json!({"service": "none", "prefer_zones": [ZONE, "nowhere"]})
+        ),
+    ]);
+    let paths = |batch: &Value| -> BTreeMap<String, u64> {
+        let answer = fleet.operator(0).put_records(batch);
+        assert_eq!(answer.status, 422, "{answer:?}");
+        let errors = answer.json()["errors"].as_array().unwrap().clone();
+        let mut counted = BTreeMap::new();
+        for error in errors {
+            *counted
+                .entry(error["path"].as_str().unwrap().to_owned())
+                .or_default() += 1;
+        }
+        counted
+    };
+    let once = |paths: &[&str]| paths.iter().map(|p| ((*p).to_owned(), 1)).collect();
+    let dangling: BTreeMap<_, _> = once(&[
+        "/0/spec/cold_limit",
+        "/1/spec/service",
+        "/1/spec/prefer_zones/1",
+    ]);
+    assert_eq!(paths(&batch), dangling);
+    let shape = json!([service(
+        &json!({"type": "plain", "limit": 0, "limits": 1, "more": 2})
+    )]);
+    let expected: BTreeMap<_, _> = once(&[
+        "/0/spec/limit",
+        "/0/spec/limits",
+        "/0/spec/more",
+        "/0/spec/cold_limit",
+    ]);
+    assert_eq!(paths(&shape), expected);
+    let stored = client::call(
+        "GET",
+        &fleet.platform_address,
+        "/v1/list?prefix=records/Service/s",
+        &[],
+        &Value::Null,
+    );
+    assert_eq!(stored.json()["objects"], json!([]), "nothing is applied");
+}
