--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod entry;
 mod feeds;
+mod follow;
 mod generate;
 mod http;
 pub mod ledger;
@@ -30,6 +31,7 @@
 pub mod quarantine;
 pub mod records;
 mod refusal;
+mod relay;
 mod service;
 mod settings;
 mod settle;
@@ -39,6 +41,7 @@
 mod supervisor;
 mod view;
 pub mod wire;
+mod write;
 
 pub use crate::{
     admission::hash_key,
@@ -55,7 +58,8 @@
         Put, Revision,
     },
     refusal::{RAN_HEADER, REQUEST_HEADER, Ran, RefusalKind},
+    relay::{Contacts, Exchange, InstanceList, Role, choose_relays},
     settings::{Policy, Settings, SettingsError, settings_schemas},
-    spread::Spread,
+    spread::{Spread, page_of},
     stream::{Cursor, Verdict},
 };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -63,6 +63,10 @@
     pub listen: Listen,
     /// Where the platform answers.
     pub platform: PlatformSettings,
+    /// Peer ports of the other daemons of the cell, `IP:port`. A daemon that
+    /// starts while the platform is down asks a majority of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<Box<str>>,
     /// Shared secrets.
     pub keys: Keys,
     /// Caps towards callers and operators.
@@ -385,11 +389,15 @@
             ("/listen/peer", &self.listen.peer),
             ("/platform/address", &self.platform.address),
         ];
-        let wrong = addresses
+        let single = addresses.map(|(path, address)| (path.to_owned(), address));
+        let peers = self.peers.iter().enumerate();
+        let peers = peers.map(|(i, address)| (format!("/peers/{i}"), address));
+        let wrong = single
             .into_iter()
+            .chain(peers)
             .filter(|(_, address)| address.parse::<SocketAddr>().is_err());
         let faults =
-            wrong.map(|(path, address)| fault(path, format!("{address:?} is not IP:port")));
+            wrong.map(|(path, address)| fault(&path, format!("{address:?} is not IP:port")));
         faults.collect()
     }
 
@@ -411,6 +419,7 @@
                 address: "127.0.0.1:7000".into(),
                 timeout: default_platform_timeout(),
             },
+            peers: Vec::new(),
             keys: Keys {
                 peer: key.as_str().into(),
                 operator: key.as_str().into(),
