Credits: owners grant, holders ask, starting targets ramp under a lease

Cause: every daemon used its share of a target's limit by itself, so three daemons together gave a cold engine whatever they had, and the share did not follow where requests came from.

Ruled out: counting a grant only until it lapses on the owner's clock. Work that started under it may run for half an hour after that, so the owner counts what the holder's last ask says and the grant that answers it, and a holder takes no other grant. A platform lease for every target was ruled out as well: warm targets must go on while the platform is down.

Datagrams of an older incarnation or sequence are dropped, peers are reached where the instance list has them, and a gap in the control thread's calls voids what was held. A daemon is ready once grants of earlier owners have lapsed. Setting least_in_flight keeps the baseline; token_credits is refused by the settings check until it exists.

--- /dev/null
+++ b/src/allot.rs
@@ -0,0 +1,395 @@
+//! Credits of all targets: what this daemon owns and hands out, and what it
+//! holds. No input or output: calls return what is to be sent.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tokio::sync::Notify;
+
+use crate::{
+    cell::owner_of,
+    clock::BootTime,
+    credits::{Credit, local_share},
+    engine::LoadReport,
+    holder::Holder,
+    lease::{Lease, LeaseCall, LeaseRecord},
+    owner::{Book, FirstTokens},
+    platform::{Object, Put},
+    records::Capacity,
+    settings::Policy,
+    view::Standing,
+    warmup::Ramp,
+    wire::{CreditAsk, CreditGrant, DaemonName, Datagram, MemberId, TargetName},
+};
+
+/// Start that a target without load reports is taken to have.
+const LISTED: &str = "listed";
+/// Lives of a credit that a lease on a starting target lasts.
+const LEASE_LIVES: u32 = 2;
+
+/// Live daemons with their regions, this one included.
+pub type Daemons = BTreeMap<DaemonName, Box<str>>;
+
+/// A target as the instance list and the records have it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Region it stands in.
+    pub region: Box<str>,
+    /// Whether it may take new work.
+    pub standing: Standing,
+    /// How much the record says it takes.
+    pub capacity: Capacity,
+    /// First-token time above which it counts as cold again.
+    pub first_token_band: Duration,
+    /// It reports its start; others count as started when listed.
+    pub reports_load: bool,
+}
+
+/// What is to be sent.
+#[derive(Clone, Debug)]
+pub enum Out {
+    /// A datagram to a daemon, with the sequence that it must carry.
+    Send(DaemonName, u64, Datagram),
+    /// A call on a target's lease, with the value to write.
+    Lease(TargetName, LeaseCall, LeaseRecord),
+}
+
+/// How a call on a lease ended.
+#[derive(Clone, Debug)]
+pub enum LeaseAnswer {
+    /// The object as read; `None` when absent.
+    Read(Option<Object>),
+    /// How the write ended.
+    Put(Put),
+    /// No answer; a write may have taken effect.
+    Failed,
+}
+
+struct Tracked {
+    listed: Listed,
+    owner: Option<DaemonName>,
+    ramp: Ramp,
+    lease: Lease,
+    /// Present while this daemon is the owner.
+    book: Option<Book>,
+}
+
+/// All targets of the instance list.
+pub struct Allot {
+    me: MemberId,
+    policy: Policy,
+    life: Duration,
+    holder: Holder,
+    targets: BTreeMap<TargetName, Tracked>,
+    daemons: Daemons,
+    sequence: u64,
+    called_at: BootTime,
+}
+
+impl Allot {
+    /// Starts without targets. `life` is the life of a credit.
+    #[must_use]
+    pub fn new(
+        me: MemberId,
+        policy: Policy,
+        life: Duration,
+        wake: Arc<Notify>,
+        now: BootTime,
+    ) -> Self {
+        Self {
+            me,
+            policy,
+            life,
+            holder: Holder::new(life, wake),
+            targets: BTreeMap::new(),
+            daemons: Daemons::new(),
+            sequence: 0,
+            called_at: now,
+        }
+    }
+
+    /// The next datagram sequence; all datagrams of this daemon share it.
+    pub fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Credits held for a target.
+    pub fn credit(&mut self, target: &str) -> Arc<Credit> {
+        self.holder.credit(target)
+    }
+
+    /// Takes the targets and daemons as they are now known.
+    pub fn refresh(
+        &mut self,
+        listed: BTreeMap<TargetName, Listed>,
+        daemons: Daemons,
+        now: BootTime,
+    ) {
+        self.targets.retain(|name, _| listed.contains_key(name));
+        self.holder.retain(|name| listed.contains_key(name), now);
+        self.daemons = daemons;
+        for (name, listed) in listed {
+            self.refresh_target(name, listed, now);
+        }
+    }
+
+    fn refresh_target(&mut self, name: TargetName, listed: Listed, now: BootTime) {
+        let credit = self.holder.credit(&name);
+        credit.set_first_token_band(listed.first_token_band);
+        if self.policy == Policy::LeastInFlight {
+            let share = local_share(listed.capacity.limit, self.daemons.len());
+            return credit.grant(share, now + self.life);
+        }
+        if listed.standing != Standing::Serving {
+            self.holder.revoke(&name, now);
+        }
+        let owner = owner_of(&name, &listed.region, &self.daemons).map(Box::from);
+        let is_mine = owner.as_ref() == Some(&self.me.name);
+        let known = self.targets.remove(&name);
+        let mut tracked = known.unwrap_or_else(|| Tracked {
+            listed: listed.clone(),
+            owner: None,
+            ramp: Ramp::default(),
+            lease: Lease::new(self.me.clone(), self.life * LEASE_LIVES),
+            book: None,
+        });
+        let was_out = tracked.listed.standing == Standing::ZoneOut;
+        if was_out && listed.standing == Standing::Serving {
+            // A zone that returns ramps: it never takes the whole load at once.
+            tracked.ramp.chill(&listed.capacity);
+        }
+        if !listed.reports_load {
+            tracked.ramp.on_report(LISTED, 0, &listed.capacity, now);
+        }
+        if is_mine && tracked.book.is_none() {
+            tracked.book = Some(Book::new(self.life, now));
+        } else if !is_mine && tracked.book.take().is_some() {
+            tracked.lease.release();
+        }
+        if tracked.owner != owner {
+            let owner = owner.as_deref().unwrap_or_default();
+            log::info!("event=target_owner target={name} owner={owner}");
+        }
+        tracked.owner = owner;
+        tracked.listed = listed;
+        self.targets.insert(name, tracked);
+    }
+
+    /// Takes an engine's load report.
+    pub fn on_load(&mut self, target: &str, load: &LoadReport, now: BootTime) {
+        let Some(tracked) = self.targets.get_mut(target) else {
+            return;
+        };
+        let capacity = &tracked.listed.capacity;
+        let is_new = tracked
+            .ramp
+            .on_report(&load.boot_id, load.preemptions, capacity, now);
+        if is_new {
+            log::info!(
+                "event=target_started target={target} boot={} limit={}",
+                load.boot_id,
+                tracked.ramp.limit(capacity)
+            );
+        }
+        if let Some(book) = &mut tracked.book {
+            book.on_report(load.running + load.waiting, now);
+        }
+    }
+
+    /// One heartbeat period: asks for all targets in use, and leases.
+    pub fn tick(&mut self, now: BootTime) -> Vec<Out> {
+        self.note_time(now);
+        let mut out = self.ask_all(false, now);
+        for (name, tracked) in &mut self.targets {
+            out.extend(lease_call(&self.me, name, tracked, now));
+        }
+        out
+    }
+
+    /// Asks at once for targets where a request found no credit.
+    pub fn ask_urgent(&mut self, now: BootTime) -> Vec<Out> {
+        self.note_time(now);
+        self.ask_all(true, now)
+    }
+
+    /// Calls come at least once a heartbeat period. After a longer gap the
+    /// process was paused: what it held is in doubt, and others may own what it
+    /// owned.
+    fn note_time(&mut self, now: BootTime) {
+        let gap = now.saturating_sub(self.called_at);
+        self.called_at = now;
+        if gap <= self.life {
+            return;
+        }
+        log::warn!("event=paused gap_ms={}", gap.as_millis());
+        self.holder.revoke_all(now);
+        for tracked in self.targets.values_mut() {
+            if let Some(book) = &mut tracked.book {
+                book.take_over(now);
+            }
+        }
+    }
+
+    fn ask_all(&mut self, is_urgent: bool, now: BootTime) -> Vec<Out> {
+        if self.policy == Policy::LeastInFlight {
+            return Vec::new();
+        }
+        let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+        let asks = names.iter().filter_map(|n| self.ask(n, is_urgent, now));
+        asks.collect()
+    }
+
+    fn ask(&mut self, target: &TargetName, is_urgent: bool, now: BootTime) -> Option<Out> {
+        let tracked = self.targets.get(target)?;
+        let owner = tracked.owner.clone()?;
+        if tracked.listed.standing != Standing::Serving {
+            return None;
+        }
+        let sequence = self.sequence + 1;
+        let ask = self.holder.ask(target, &owner, sequence, is_urgent, now)?;
+        self.sequence = sequence;
+        if owner != self.me.name {
+            return Some(Out::Send(owner, sequence, Datagram::CreditAsk(ask)));
+        }
+        let me = self.me.clone();
+        let grant = self.answer(&me, sequence, &ask, now)?;
+        self.holder.on_grant(&owner, &grant);
+        None
+    }
+
+    /// Takes another daemon's ask; answers it as the target's owner.
+    pub fn on_ask(
+        &mut self,
+        from: &MemberId,
+        sequence: u64,
+        ask: &CreditAsk,
+        now: BootTime,
+    ) -> Option<Out> {
+        self.note_time(now);
+        let grant = self.answer(from, sequence, ask, now)?;
+        let sequence = self.next_sequence();
+        let message = Datagram::CreditGrant(grant);
+        Some(Out::Send(from.name.clone(), sequence, message))
+    }
+
+    /// Takes a grant of an owner.
+    pub fn on_grant(&mut self, from: &MemberId, grant: &CreditGrant) {
+        let is_taken = self.holder.on_grant(&from.name, grant);
+        let tracked = self.targets.get_mut(&grant.target).filter(|_| is_taken);
+        if let (Some(tracked), Some(ramp)) = (tracked, &grant.ramp) {
+            tracked.ramp.adopt(ramp);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        from: &MemberId,
+        sequence: u64,
+        ask: &CreditAsk,
+        now: BootTime,
+    ) -> Option<CreditGrant> {
+        let tracked = self.targets.get_mut(&ask.target)?;
+        let book = tracked.book.as_mut()?;
+        if let Some(known) = &ask.ramp {
+            tracked.ramp.adopt(known);
+        }
+        let capacity = &tracked.listed.capacity;
+        let is_serving = tracked.listed.standing == Standing::Serving;
+        let is_cold = tracked.ramp.is_cold(capacity);
+        let limit = if is_serving {
+            tracked.ramp.limit(capacity)
+        } else {
+            0
+        };
+        if is_cold && is_serving {
+            // Without the lease another daemon may hand out credits as well.
+            book.take_over(tracked.lease.held_since(now)?);
+        }
+        let (credits, first_tokens) = book.on_ask(from, sequence, ask, limit, now)?;
+        let life_ms = book.life_ms();
+        judge(&ask.target, &mut tracked.ramp, first_tokens, capacity, now);
+        Some(CreditGrant {
+            target: ask.target.clone(),
+            credits,
+            life_ms,
+            ramp: tracked.ramp.state(),
+            answers: sequence,
+        })
+    }
+
+    /// Takes the answer to a call on a lease that was sent at `sent_at`.
+    pub fn on_lease(
+        &mut self,
+        target: &str,
+        answer: &LeaseAnswer,
+        sent_at: BootTime,
+        now: BootTime,
+    ) {
+        let Some(tracked) = self.targets.get_mut(target) else {
+            return;
+        };
+        match answer {
+            LeaseAnswer::Read(object) => {
+                tracked.lease.on_read(object.as_ref(), now);
+                adopt_record(tracked, object.as_ref());
+            }
+            LeaseAnswer::Put(put) => {
+                tracked.lease.on_put(put, sent_at, now);
+                if let Put::Conflict(object) = put {
+                    adopt_record(tracked, object.as_ref());
+                }
+            }
+            LeaseAnswer::Failed => tracked.lease.on_failure(),
+        }
+    }
+}
+
+/// Moves a ramp on by the first tokens that a holder saw.
+fn judge(
+    target: &str,
+    ramp: &mut Ramp,
+    first_tokens: FirstTokens,
+    capacity: &Capacity,
+    now: BootTime,
+) {
+    if first_tokens.slow > first_tokens.good && !ramp.is_cold(capacity) {
+        log::warn!("event=target_cold_again target={target} reason=first_token");
+        ramp.chill(capacity);
+    } else if first_tokens.good > 0 {
+        ramp.on_good_answer(capacity, now);
+    }
+}
+
+/// The call on the lease of a target that this daemon owns, if one is due.
+fn lease_call(
+    me: &MemberId,
+    name: &TargetName,
+    tracked: &mut Tracked,
+    now: BootTime,
+) -> Option<Out> {
+    tracked.book.as_ref()?;
+    let ramp = tracked.ramp.state()?;
+    let is_cold = tracked.ramp.is_cold(&tracked.listed.capacity);
+    let is_held = tracked.lease.held_since(now).is_some();
+    if !is_cold && !is_held {
+        return None;
+    }
+    let call = if is_cold {
+        tracked.lease.next_call(now)?
+    } else {
+        tracked.lease.give_up()?
+    };
+    let record = LeaseRecord {
+        holder: me.clone(),
+        ramp: Some(ramp),
+    };
+    Some(Out::Lease(name.clone(), call, record))
+}
+
+fn adopt_record(tracked: &mut Tracked, object: Option<&Object>) {
+    let value = object.and_then(|o| o.value.clone());
+    let record: Option<LeaseRecord> = value.and_then(|v| serde_json::from_value(v).ok());
+    if let Some(ramp) = record.and_then(|r| r.ramp) {
+        tracked.ramp.adopt(&ramp);
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,22 +11,24 @@
 use arc_swap::ArcSwap;
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, oneshot},
+    sync::{Notify, mpsc, oneshot},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    allot::{Allot, Daemons, LeaseAnswer, Listed, Out},
     clock::{self, BootTime},
+    credits::Credit,
     engine::LoadReport,
     feeds,
     membership::{Member, Membership},
-    owner::Owner,
+    owner::TAKEOVER_MARGIN,
     peer::{self, PeerPort, Seal},
     platform::{
         Instance, InstanceRole, InstanceState, Instances, Listing, Object, Platform, Revision,
     },
-    records::ZoneState,
-    settings::Settings,
+    records::{ServiceType, ZoneState},
+    settings::{Policy, Settings},
     spread::Spread,
     supervisor::supervise,
     view::{LoadHint, PeerDaemon, SharedView, Standing, Target, View},
@@ -58,6 +60,8 @@
     Page(RecordsPage),
     /// Another daemon asks.
     Ask(Frame, oneshot::Sender<Frame>),
+    /// A call on a target's lease, sent at this time, ended.
+    Lease(TargetName, LeaseAnswer, BootTime),
     /// The daemon is stopping.
     Drain,
 }
@@ -120,7 +124,6 @@
     settings: Arc<Settings>,
     me: MemberId,
     caller_address: Box<str>,
-    sequence: u64,
     udp: Arc<UdpSocket>,
     seal: Seal,
     platform: Platform,
@@ -129,7 +132,10 @@
     spread: Spread,
     instances: Instances,
     members: Membership,
-    owner: Owner,
+    allot: Allot,
+    /// Notified when a request finds no credit.
+    short: Arc<Notify>,
+    started_at: BootTime,
     loads: BTreeMap<TargetName, LoadReport>,
     is_draining: bool,
 }
@@ -149,10 +155,12 @@
             incarnation: u64::try_from(incarnation).unwrap_or(u64::MAX),
         };
         let address = settings.platform.address.clone();
+        let (short, started_at) = (Arc::new(Notify::new()), clock::now());
+        let (policy, life) = (settings.policy, settings.timing.credit_life);
+        let allot = Allot::new(me.clone(), policy, life, short.clone(), started_at);
         Self {
             me,
             caller_address: caller_address.to_string().into(),
-            sequence: 0,
             udp,
             seal: Seal::new(&settings.keys.peer),
             platform: Platform::open(address, settings.platform.timeout),
@@ -161,7 +169,9 @@
             spread: Spread::default(),
             instances: Instances::new(),
             members: Membership::new(settings.timing.suspect_after),
-            owner: Owner::new(settings.timing.credit_life),
+            allot,
+            short,
+            started_at,
             loads: BTreeMap::new(),
             is_draining: false,
             settings,
@@ -177,11 +187,17 @@
         self.supervise_tasks(port, &stop);
         let mut heartbeat = tokio::time::interval(self.settings.timing.heartbeat);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let short = self.short.clone();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = heartbeat.tick() => self.tick().await,
+                () = short.notified() => {
+                    let out = self.allot.ask_urgent(clock::now());
+                    self.send_all(out).await;
+                }
                 event = queue.recv() => match event {
+                    Some(Event::Packet(from, packet)) => self.on_packet(from, packet).await,
                     Some(event) => self.handle(event),
                     None => return,
                 },
@@ -219,12 +235,45 @@
         self.members.prune(now, KEEP_DEAD);
         self.publish(now);
         self.send_heartbeats(now).await;
+        let out = self.allot.tick(now);
+        self.send_all(out).await;
+    }
+
+    async fn send_all(&self, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Send(to, sequence, message) => self.send(&to, sequence, message).await,
+                Out::Lease(target, call, record) => {
+                    let (platform, events) = (self.platform.clone(), self.events.clone());
+                    tokio::spawn(feeds::call_lease(platform, events, target, call, record));
+                }
+            }
+        }
+    }
+
+    async fn send(&self, to: &str, sequence: u64, message: Datagram) {
+        let Some(address) = self.listed_address(to) else {
+            return;
+        };
+        let packet = Packet {
+            from: self.me.clone(),
+            sequence,
+            message,
+        };
+        peer::send_packet(&self.udp, &self.seal, address, &packet).await;
+    }
+
+    /// Where the instance list says that a daemon is reached.
+    fn listed_address(&self, daemon: &str) -> Option<SocketAddr> {
+        let instance = self.instances.get(daemon)?;
+        let is_daemon = instance.role == InstanceRole::Daemon;
+        instance.address.parse().ok().filter(|_| is_daemon)
     }
 
     fn handle(&mut self, event: Event) {
         let now = clock::now();
         match event {
-            Event::Packet(from, packet) => self.on_packet(from, packet, now),
+            Event::Packet(..) => {}
             Event::Object(object) => self.spread.on_object(&object),
             Event::Listing(listing) => self.spread.on_listing(&listing),
             Event::Confirmed(revision) => self.spread.on_confirmed(revision, now),
@@ -232,7 +281,13 @@
                 let named = instances.into_iter().map(|i| (i.name.clone(), i));
                 self.instances = named.collect();
             }
-            Event::Load(target, load) => drop(self.loads.insert(target, load)),
+            Event::Load(target, load) => {
+                self.allot.on_load(&target, &load, now);
+                self.loads.insert(target, load);
+            }
+            Event::Lease(target, answer, sent_at) => {
+                self.allot.on_lease(&target, &answer, sent_at, now);
+            }
             Event::Page(page) => self.spread.on_page(&page),
             Event::Ask(frame, reply) => drop(reply.send(self.answer(&frame))),
             Event::Drain => self.is_draining = true,
@@ -240,19 +295,40 @@
         self.publish(now);
     }
 
-    fn on_packet(&mut self, from: SocketAddr, packet: Packet, now: BootTime) {
+    async fn on_packet(&mut self, from: SocketAddr, packet: Packet) {
+        let now = clock::now();
+        if !self.members.is_new(&packet.from, packet.sequence) {
+            return metrics::counter!("bluebell_datagrams_old").increment(1);
+        }
+        let sender = packet.from;
         match packet.message {
-            Datagram::Heartbeat(heartbeat) => {
-                let revision = heartbeat.revision;
-                let is_news = self.members.hear(&packet.from, from, heartbeat, now);
-                if is_news && revision > self.spread.revision() {
-                    self.fetch_records(from);
-                }
+            Datagram::Heartbeat(heartbeat) => self.on_heartbeat(from, &sender, heartbeat, now),
+            Datagram::CreditAsk(ask) => {
+                let answer = self.allot.on_ask(&sender, packet.sequence, &ask, now);
+                self.send_all(answer.into_iter().collect()).await;
             }
-            Datagram::CreditAsk(_) | Datagram::CreditGrant(_) | Datagram::CellSummary(_) => {}
+            Datagram::CreditGrant(grant) => self.allot.on_grant(&sender, &grant),
+            Datagram::CellSummary(_) => {}
         }
     }
 
+    fn on_heartbeat(
+        &mut self,
+        from: SocketAddr,
+        sender: &MemberId,
+        heartbeat: Heartbeat,
+        now: BootTime,
+    ) {
+        let revision = heartbeat.revision;
+        // A peer is reached where it is listed; until then, where it sent from.
+        let address = self.listed_address(&sender.name).unwrap_or(from);
+        let is_news = self.members.hear(sender, address, heartbeat, now);
+        if is_news && revision > self.spread.revision() {
+            self.fetch_records(address);
+        }
+        self.publish(now);
+    }
+
     fn fetch_records(&self, from: SocketAddr) {
         let (seal, events) = (self.seal.clone(), self.events.clone());
         let ask = Frame::RecordsAfter(self.spread.revision());
@@ -274,20 +350,12 @@
 
     async fn send_heartbeats(&mut self, now: BootTime) {
         let message = Datagram::Heartbeat(self.heartbeat(now));
-        let daemons: Vec<SocketAddr> = self
-            .instances
-            .values()
-            .filter(|i| i.role == InstanceRole::Daemon && i.name != self.me.name)
-            .filter_map(|i| i.address.parse().ok())
-            .collect();
-        for to in daemons {
-            self.sequence += 1;
-            let packet = Packet {
-                from: self.me.clone(),
-                sequence: self.sequence,
-                message: message.clone(),
-            };
-            peer::send_packet(&self.udp, &self.seal, to, &packet).await;
+        let daemons = self.instances.values();
+        let others = daemons.filter(|i| i.role == InstanceRole::Daemon && i.name != self.me.name);
+        let others: Vec<Box<str>> = others.map(|i| i.name.clone()).collect();
+        for to in others {
+            let sequence = self.allot.next_sequence();
+            self.send(&to, sequence, message.clone()).await;
         }
     }
 
@@ -307,13 +375,12 @@
 
     fn publish(&mut self, now: BootTime) {
         let peers: Vec<PeerDaemon> = self.members.live(now).map(peer_daemon).collect();
-        let snapshot = self.spread.snapshot();
-        self.owner
-            .renew(&self.instances, snapshot, peers.len() + 1, now);
+        self.allot.refresh(self.listed(), self.daemons(now), now);
         let mut targets: BTreeMap<Box<str>, Vec<Arc<Target>>> = BTreeMap::new();
         for instance in self.instances.values() {
             if let InstanceRole::Target { service } = &instance.role {
-                let target = Arc::new(self.target(instance));
+                let credit = self.allot.credit(&instance.name);
+                let target = Arc::new(self.target(instance, credit));
                 targets.entry(service.clone()).or_default().push(target);
             }
         }
@@ -323,28 +390,72 @@
             targets,
             peers,
             confirmed_at: self.spread.confirmed_at(),
-            is_ready: self.spread.has_whole_set() && !self.is_draining,
+            is_ready: self.spread.has_whole_set() && self.owns_fully(now) && !self.is_draining,
         }));
     }
 
-    fn target(&self, instance: &Instance) -> Target {
+    /// Whether earlier owners' grants have lapsed since this daemon started.
+    fn owns_fully(&self, now: BootTime) -> bool {
+        let life = self.settings.timing.credit_life;
+        let since = now.saturating_sub(self.started_at);
+        self.settings.policy != Policy::Credits || since >= life + TAKEOVER_MARGIN
+    }
+
+    /// Live daemons with their regions, this one included.
+    fn daemons(&self, now: BootTime) -> Daemons {
+        let live = self.members.live(now);
+        let mut daemons: Daemons = live
+            .map(|m| (m.id.name.clone(), m.heartbeat.region.clone()))
+            .collect();
+        daemons.insert(self.me.name.clone(), self.settings.region.clone());
+        daemons
+    }
+
+    fn listed(&self) -> BTreeMap<TargetName, Listed> {
+        let instances = self.instances.values();
+        let listed = instances.filter_map(|i| Some((i.name.clone(), self.listed_target(i)?)));
+        listed.collect()
+    }
+
+    fn listed_target(&self, instance: &Instance) -> Option<Listed> {
+        let InstanceRole::Target { service } = &instance.role else {
+            return None;
+        };
+        let snapshot = self.spread.snapshot();
+        let service = snapshot.services.get(service)?;
+        let model = service.model.as_ref().and_then(|m| snapshot.models.get(m));
+        let zone = snapshot.zones.get(&instance.zone);
+        Some(Listed {
+            region: zone.map(|z| z.region.clone()).unwrap_or_default(),
+            standing: self.standing(instance),
+            capacity: service.capacity.clone(),
+            first_token_band: model.map_or(Duration::MAX, |m| m.first_token_band),
+            reports_load: service.kind == ServiceType::Generation,
+        })
+    }
+
+    fn standing(&self, instance: &Instance) -> Standing {
         let zone = self.spread.snapshot().zones.get(&instance.zone);
         let is_out = zone.is_some_and(|z| z.state == ZoneState::Out);
-        let standing = if instance.state == InstanceState::Leaving {
+        if instance.state == InstanceState::Leaving {
             Standing::Leaving
         } else if is_out {
             Standing::ZoneOut
         } else {
             Standing::Serving
-        };
+        }
+    }
+
+    fn target(&self, instance: &Instance, credit: Arc<Credit>) -> Target {
+        let zone = self.spread.snapshot().zones.get(&instance.zone);
         let load = self.loads.get(&instance.name);
         Target {
             name: instance.name.clone(),
             zone: instance.zone.clone(),
             region: zone.map(|z| z.region.clone()).unwrap_or_default(),
             address: instance.address.clone(),
-            standing,
-            credit: self.owner.credit(&instance.name),
+            standing: self.standing(instance),
+            credit,
             load: load.map(load_hint).unwrap_or_default(),
         }
     }
--- a/src/credits.rs
+++ b/src/credits.rs
@@ -1,11 +1,16 @@
 //! What a daemon may have in flight at one target, on the holder's side.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
-use crate::clock::{BootTime, millis};
+use tokio::sync::Notify;
+
+use crate::clock::{self, BootTime, millis};
 
 /// Credits held for one target. Control grants; traffic takes and gives back.
 ///
@@ -16,9 +21,47 @@
     granted: AtomicU32,
     lapses_at_ms: AtomicU64,
     in_flight: AtomicU32,
+    /// A request found no credit since the last ask.
+    is_short: AtomicBool,
+    wake: Arc<Notify>,
+    band_ms: AtomicU64,
+    good: AtomicU64,
+    slow: AtomicU64,
 }
 
 impl Credit {
+    /// Starts without credits; `wake` is notified when a request finds none.
+    #[must_use]
+    pub fn with_wake(wake: Arc<Notify>) -> Self {
+        Self {
+            wake,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a request found no credit since [`Credit::clear_short`].
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.is_short.load(Ordering::Acquire)
+    }
+
+    /// Forgets that a request found no credit.
+    pub fn clear_short(&self) {
+        self.is_short.store(false, Ordering::Release);
+    }
+
+    /// Sets the longest time to the first token of a warm target.
+    pub fn set_first_token_band(&self, band: Duration) {
+        self.band_ms.store(millis(band), Ordering::Release);
+    }
+
+    /// First tokens within the band, and later ones.
+    #[must_use]
+    pub fn first_tokens(&self) -> (u64, u64) {
+        let good = self.good.load(Ordering::Acquire);
+        (good, self.slow.load(Ordering::Acquire))
+    }
+
     /// Replaces the grant: `granted` requests at once, until `lapses_at`.
     pub fn grant(&self, granted: u32, lapses_at: BootTime) {
         // A smaller grant takes effect before its life does, a larger one after.
@@ -64,9 +107,17 @@
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |in_flight| {
                 (in_flight < held).then_some(in_flight + 1)
             });
-        taken.ok().map(|_| Permit {
+        if taken.is_err() && !self.is_short.swap(true, Ordering::AcqRel) {
+            self.wake.notify_one();
+        }
+        taken.ok().map(|_| self.permit(now))
+    }
+
+    fn permit(self: &Arc<Self>, taken_at: BootTime) -> Permit {
+        Permit {
             credit: Arc::clone(self),
-        })
+            taken_at,
+        }
     }
 
     /// Counts a request that must go on here whatever the grant: one that is
@@ -74,9 +125,7 @@
     #[must_use]
     pub fn take_running(self: &Arc<Self>) -> Permit {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
-        Permit {
-            credit: Arc::clone(self),
-        }
+        self.permit(clock::now())
     }
 }
 
@@ -84,6 +133,7 @@
 #[derive(Debug)]
 pub struct Permit {
     credit: Arc<Credit>,
+    taken_at: BootTime,
 }
 
 impl Permit {
@@ -93,6 +143,19 @@
     pub fn is_current(&self, now: BootTime) -> bool {
         self.credit.held(now) >= 1
     }
+
+    /// Notes that the first token came at `now`: late ones tell that the target
+    /// has turned cold.
+    pub fn note_first_token(&self, now: BootTime) {
+        let waited = millis(now.saturating_sub(self.taken_at));
+        let is_good = waited <= self.credit.band_ms.load(Ordering::Acquire);
+        let count = if is_good {
+            &self.credit.good
+        } else {
+            &self.credit.slow
+        };
+        count.fetch_add(1, Ordering::AcqRel);
+    }
 }
 
 impl Drop for Permit {
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -9,13 +9,16 @@
 };
 
 use crate::{
+    allot::LeaseAnswer,
+    clock,
     control::{Event, Events, PEER_TIMEOUT},
     engine::EngineClient,
+    lease::{LeaseCall, LeaseRecord, TARGET_LEASES},
     peer::{self, Seal},
     platform::Platform,
     records::{RECORD_PREFIX, ServiceType},
     view::SharedView,
-    wire::Frame,
+    wire::{Frame, TargetName},
 };
 
 /// Idle time after which a peer's connection is closed.
@@ -105,3 +108,31 @@
         tokio::time::sleep(period).await;
     }
 }
+
+/// Makes one call on a target's lease.
+pub(crate) async fn call_lease(
+    platform: Platform,
+    events: Events,
+    target: TargetName,
+    call: LeaseCall,
+    record: LeaseRecord,
+) {
+    let sent_at = clock::now();
+    let key = format!("{TARGET_LEASES}{target}");
+    let called = match call {
+        LeaseCall::Read => platform.get(&key).await.map(LeaseAnswer::Read),
+        LeaseCall::Write(condition) => {
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            let put = platform.put(&key, &value, condition).await;
+            put.map(LeaseAnswer::Put)
+        }
+    };
+    let answer = called.unwrap_or_else(|e| {
+        log::warn!(
+            "event=lease_failed target={target} error={:?}",
+            e.to_string()
+        );
+        LeaseAnswer::Failed
+    });
+    let _ = events.send(Event::Lease(target, answer, sent_at)).await;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! The binaries are thin; this library holds everything they do.
 
 mod admission;
+mod allot;
+mod cell;
 mod choose;
 pub mod cli;
 mod clock;
@@ -16,7 +18,9 @@
 mod entry;
 mod feeds;
 mod generate;
+mod holder;
 mod http;
+mod lease;
 mod ledger;
 mod log;
 mod membership;
@@ -35,15 +39,19 @@
 mod stream;
 mod supervisor;
 mod view;
+mod warmup;
 pub mod wire;
 
 pub use crate::{
     admission::hash_key,
+    allot::{Allot, Daemons, LeaseAnswer, Listed, Out},
+    cell::{MAX_CELL, cells_of, owner_of},
     clock::{BootTime, now},
     credits::{Credit, Permit},
     daemon::{Daemon, DaemonError},
     engine::{EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest, LoadReport},
     http::{CallError, PortLimits},
+    lease::{LeaseCall, LeaseRecord},
     log::{LogError, install as install_log},
     membership::{Health, Member, Membership},
     peer::{PeerError, Seal, ask},
@@ -55,4 +63,6 @@
     settings::{Policy, Settings, SettingsError, settings_schemas},
     spread::Spread,
     stream::{Cursor, Verdict},
+    view::Standing,
+    warmup::{Ramp, RampState},
 };
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::BootTime,
-    wire::{DaemonName, Heartbeat, MemberId},
+    wire::{DaemonName, Heartbeat, Incarnation, MemberId},
 };
 
 /// What is known of one other daemon.
@@ -34,9 +34,12 @@
 
 /// The other daemons this one has heard of.
 ///
-/// Invariant: a member's incarnation never falls.
+/// Invariants: a member's incarnation never falls; of one incarnation, each
+/// datagram sequence is taken once and in rising order.
 #[derive(Clone, Debug)]
 pub struct Membership {
+    /// Newest incarnation of each daemon, and its last sequence.
+    newest: BTreeMap<DaemonName, (Incarnation, u64)>,
     members: BTreeMap<DaemonName, Member>,
     suspect_after: Duration,
 }
@@ -47,11 +50,24 @@
     #[must_use]
     pub fn new(suspect_after: Duration) -> Self {
         Self {
+            newest: BTreeMap::new(),
             members: BTreeMap::new(),
             suspect_after,
         }
     }
 
+    /// Whether a datagram is newer than all before it of the same daemon; one
+    /// that is replayed, overtaken or of an older incarnation is not.
+    pub fn is_new(&mut self, id: &MemberId, sequence: u64) -> bool {
+        let last = self.newest.get(&id.name);
+        if last.is_some_and(|last| (id.incarnation, sequence) <= *last) {
+            return false;
+        }
+        let newest = (id.incarnation, sequence);
+        self.newest.insert(id.name.clone(), newest);
+        true
+    }
+
     /// Takes a heartbeat. Returns false for one of an older incarnation.
     pub fn hear(
         &mut self,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -333,9 +333,24 @@
                 });
             }
         }
+        faults.extend(self.policy_fault());
         faults
     }
 
+    fn policy_fault(&self) -> Option<Fault> {
+        let (path, reason) = if self.policy == Policy::TokenCredits {
+            ("/policy", "token_credits is not available yet")
+        } else if self.timing.credit_life < self.timing.heartbeat * 2 {
+            ("/timing/credit_life", "at least two heartbeat periods")
+        } else {
+            return None;
+        };
+        Some(Fault {
+            path: path.into(),
+            reason: reason.into(),
+        })
+    }
+
     /// Settings to start from.
     #[must_use]
     pub fn example() -> Self {
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -208,6 +208,9 @@
             },
             Verdict::Deliver => {
                 gaps.note();
+                if index == 0 {
+                    run.permit.note_first_token(clock::now());
+                }
                 if tx
                     .send(token_event(&delivered.id_prefix, index, &data))
                     .await
--- a/src/view.rs
+++ b/src/view.rs
@@ -15,7 +15,7 @@
 /// Whether a target may take new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
-pub(crate) enum Standing {
+pub enum Standing {
     /// It may, as far as credits go.
     Serving,
     /// Operators took its zone out.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::Revision;
+use crate::{platform::Revision, warmup::RampState};
 
 /// Name of a daemon's instance.
 pub type DaemonName = Box<str>;
@@ -81,6 +81,12 @@
     pub in_flight: u32,
     /// Credits it could use now.
     pub wanted: u32,
+    /// First tokens within the model's band since its start.
+    pub good: u64,
+    /// First tokens later than the band since its start.
+    pub slow: u64,
+    /// What it last heard of the target's ramp, for a new owner.
+    pub ramp: Option<RampState>,
 }
 
 /// Credits handed to one holder; replaces its earlier grant for the target.
@@ -90,8 +96,10 @@
     pub target: TargetName,
     /// Requests, or tokens of engine memory, that the holder may have there.
     pub credits: u32,
-    /// Life of the grant from its arrival, in milliseconds.
+    /// Life of the grant from the sending of the ask, in milliseconds.
     pub life_ms: u32,
+    /// What the owner knows of the target's ramp.
+    pub ramp: Option<RampState>,
     /// Sequence of the ask it answers, so that a late grant is known.
     pub answers: u64,
 }
--- /dev/null
+++ b/tests/credits.rs
@@ -0,0 +1,400 @@
+//! Credits of a starting target among daemons whose messages are lost,
+//! repeated and late, that are paused, and that disagree on who is alive.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bluebelldrift::{
+    Allot, Condition, Credit, Daemons, LeaseAnswer, LeaseCall, LeaseRecord, Listed, LoadReport,
+    Membership, Object, Out, Permit, Policy, Put, Standing,
+    records::Capacity,
+    wire::{Datagram, MemberId},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use tokio::sync::Notify;
+
+const NODES: usize = 4;
+const TARGET: &str = "engine-1";
+const COLD_LIMIT: u32 = 5;
+const LIFE: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u16),
+    Tick(usize),
+    TickAll,
+    Deliver(usize),
+    DeliverAll,
+    Lose(usize),
+    Repeat(usize),
+    Take(usize),
+    Finish(usize),
+    /// Which daemons a node takes to be alive.
+    Live(usize, u8),
+    Report(usize),
+    CallPlatform(usize, bool),
+    /// All nodes do all that is due but those paused, and but the platform
+    /// calls of those cut off from it; then time passes. Several times.
+    Rounds {
+        paused: u8,
+        cut: u8,
+        ms: u16,
+        times: u8,
+    },
+}
+
+/// Any step may follow any other.
+#[derive(Clone, Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let node = || 0..NODES;
+        let few = || prop_oneof![Just(0), 0..16_u8];
+        prop_oneof![
+            3 => (1..700_u16).prop_map(Step::Advance),
+            2 => node().prop_map(Step::Tick),
+            4 => Just(Step::TickAll),
+            2 => any::<usize>().prop_map(Step::Deliver),
+            5 => Just(Step::DeliverAll),
+            1 => any::<usize>().prop_map(Step::Lose),
+            1 => any::<usize>().prop_map(Step::Repeat),
+            6 => node().prop_map(Step::Take),
+            2 => node().prop_map(Step::Finish),
+            1 => (node(), any::<u8>()).prop_map(|(n, live)| Step::Live(n, live)),
+            1 => node().prop_map(Step::Report),
+            4 => (few(), few(), 1..700_u16, 1..8_u8).prop_map(|(paused, cut, ms, times)| {
+                Step::Rounds { paused, cut, ms, times }
+            }),
+            4 => (any::<usize>(), prop::bool::weighted(0.8))
+                .prop_map(|(i, answered)| Step::CallPlatform(i, answered)),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Node {
+    id: MemberId,
+    /// Machines were started at different times.
+    clock_ahead: Duration,
+    allot: Allot,
+    members: Membership,
+    credit: Arc<Credit>,
+    running: Vec<Permit>,
+}
+
+struct Sent {
+    from: usize,
+    to: usize,
+    sequence: u64,
+    message: Datagram,
+}
+
+struct PlatformCall {
+    node: usize,
+    sent_at: Duration,
+    call: LeaseCall,
+    record: LeaseRecord,
+}
+
+struct World {
+    now: Duration,
+    nodes: Vec<Node>,
+    sent: Vec<Sent>,
+    calls: Vec<PlatformCall>,
+    lease: Option<Object>,
+    granted: u32,
+}
+
+impl World {
+    fn clock(&self, node: usize) -> Duration {
+        self.now + self.nodes[node].clock_ahead
+    }
+
+    fn push(&mut self, from: usize, out: impl IntoIterator<Item = Out>) {
+        for out in out {
+            match out {
+                Out::Send(to, sequence, message) => {
+                    let to = self.nodes.iter().position(|n| n.id.name == to);
+                    let to = to.expect("a known daemon");
+                    self.sent.push(Sent {
+                        from,
+                        to,
+                        sequence,
+                        message,
+                    });
+                }
+                Out::Lease(_, call, record) => {
+                    let sent_at = self.clock(from);
+                    self.calls.push(PlatformCall {
+                        node: from,
+                        sent_at,
+                        call,
+                        record,
+                    });
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = self.clock(node);
+        let out = self.nodes[node].allot.tick(now);
+        self.push(node, out);
+    }
+
+    fn deliver(&mut self, sent: &Sent) {
+        let (now, from) = (self.clock(sent.to), self.nodes[sent.from].id.clone());
+        let node = &mut self.nodes[sent.to];
+        if !node.members.is_new(&from, sent.sequence) {
+            return;
+        }
+        match &sent.message {
+            Datagram::CreditAsk(ask) => {
+                let out = node.allot.on_ask(&from, sent.sequence, ask, now);
+                self.push(sent.to, out);
+            }
+            Datagram::CreditGrant(grant) => node.allot.on_grant(&from, grant),
+            _ => {}
+        }
+    }
+
+    fn refresh(&mut self, node: usize, live: u8) {
+        let names = self.nodes.iter().enumerate();
+        let live = names.filter(|(i, _)| *i == node || live & (1 << i) != 0);
+        let daemons: Daemons = live
+            .map(|(_, n)| (n.id.name.clone(), "vest".into()))
+            .collect();
+        let listed = BTreeMap::from([(TARGET.into(), listed())]);
+        let now = self.clock(node);
+        self.nodes[node].allot.refresh(listed, daemons, now);
+    }
+
+    fn report(&mut self, node: usize) {
+        let running: usize = self.nodes.iter().map(|n| n.running.len()).sum();
+        let load = LoadReport {
+            boot_id: "b1".into(),
+            running: u32::try_from(running).expect("a small number"),
+            ..LoadReport::default()
+        };
+        let now = self.clock(node);
+        self.nodes[node].allot.on_load(TARGET, &load, now);
+    }
+
+    /// Carries out a platform call; its answer may be lost after that.
+    fn call_platform(&mut self, call: &PlatformCall, is_answered: bool) {
+        let revision = self.lease.as_ref().map_or(0, |o| o.revision);
+        let answer = match call.call {
+            LeaseCall::Read => LeaseAnswer::Read(self.lease.clone()),
+            LeaseCall::Write(condition) => {
+                let expected = match condition {
+                    Condition::Absent => 0,
+                    Condition::At(revision) => revision,
+                };
+                LeaseAnswer::Put(if expected == revision {
+                    let value = serde_json::to_value(&call.record).ok();
+                    let (key, revision) = ("lease/target/engine-1".into(), revision + 1);
+                    self.lease = Some(Object {
+                        key,
+                        revision,
+                        value,
+                    });
+                    Put::Written(revision)
+                } else {
+                    Put::Conflict(self.lease.clone())
+                })
+            }
+        };
+        let answer = if is_answered {
+            answer
+        } else {
+            LeaseAnswer::Failed
+        };
+        let now = self.clock(call.node);
+        let allot = &mut self.nodes[call.node].allot;
+        allot.on_lease(TARGET, &answer, call.sent_at, now);
+    }
+
+    fn round(&mut self, paused: u8, cut: u8, ms: u16) {
+        let awake = |i: &usize| paused & (1 << i) == 0;
+        for node in (0..NODES).filter(awake) {
+            let now = self.clock(node);
+            if let Some(permit) = self.nodes[node].credit.try_take(now) {
+                self.nodes[node].running.push(permit);
+            }
+            self.tick(node);
+        }
+        for call in std::mem::take(&mut self.calls) {
+            if awake(&call.node) {
+                if cut & (1 << call.node) == 0 {
+                    self.call_platform(&call, true);
+                } else {
+                    let now = self.clock(call.node);
+                    let allot = &mut self.nodes[call.node].allot;
+                    allot.on_lease(TARGET, &LeaseAnswer::Failed, call.sent_at, now);
+                }
+            } else {
+                self.calls.push(call);
+            }
+        }
+        while let Some(i) = self.sent.iter().position(|s| awake(&s.to)) {
+            let sent = self.sent.remove(i);
+            self.deliver(&sent);
+        }
+        self.now += Duration::from_millis(ms.into());
+    }
+
+    fn held(&self) -> u32 {
+        let held = |i: usize| self.nodes[i].credit.held(self.clock(i));
+        (0..NODES).map(held).sum()
+    }
+}
+
+fn listed() -> Listed {
+    Listed {
+        region: "vest".into(),
+        standing: Standing::Serving,
+        capacity: Capacity {
+            limit: 40,
+            cold_limit: COLD_LIMIT,
+            ramp_window: Duration::from_secs(10),
+            kv_tokens: 0,
+        },
+        first_token_band: Duration::from_secs(1),
+        reports_load: true,
+    }
+}
+
+fn node(i: usize) -> Node {
+    let id = MemberId {
+        name: format!("entry-{i}").into(),
+        incarnation: 1,
+    };
+    let clock_ahead = Duration::from_secs(1000 * (i as u64 + 1));
+    let wake = Arc::new(Notify::new());
+    let mut allot = Allot::new(id.clone(), Policy::Credits, LIFE, wake, clock_ahead);
+    Node {
+        credit: allot.credit(TARGET),
+        members: Membership::new(Duration::from_secs(1)),
+        running: Vec::new(),
+        id,
+        clock_ahead,
+        allot,
+    }
+}
+
+struct Credits;
+
+impl StateMachineTest for Credits {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> World {
+        let mut world = World {
+            now: Duration::ZERO,
+            nodes: (0..NODES).map(node).collect(),
+            sent: Vec::new(),
+            calls: Vec::new(),
+            lease: None,
+            granted: 0,
+        };
+        for i in 0..NODES {
+            world.refresh(i, u8::MAX);
+            world.report(i);
+        }
+        world
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        match step {
+            Step::Advance(ms) => world.now += Duration::from_millis(ms.into()),
+            Step::Tick(node) => world.tick(node),
+            Step::TickAll => (0..NODES).for_each(|i| world.tick(i)),
+            Step::Deliver(i) if !world.sent.is_empty() => {
+                let sent = world.sent.remove(i % world.sent.len());
+                world.deliver(&sent);
+            }
+            Step::DeliverAll => {
+                for sent in std::mem::take(&mut world.sent) {
+                    world.deliver(&sent);
+                }
+            }
+            Step::Lose(i) if !world.sent.is_empty() => {
+                world.sent.remove(i % world.sent.len());
+            }
+            Step::Repeat(i) if !world.sent.is_empty() => {
+                let place = i % world.sent.len();
+                let Sent {
+                    from,
+                    to,
+                    sequence,
+                    ref message,
+                } = world.sent[place];
+                let message = message.clone();
+                world.sent.push(Sent {
+                    from,
+                    to,
+                    sequence,
+                    message,
+                });
+            }
+            Step::Take(i) => {
+                let now = world.clock(i);
+                let permit = world.nodes[i].credit.try_take(now);
+                world.nodes[i].running.extend(permit);
+            }
+            Step::Finish(i) => drop(world.nodes[i].running.pop()),
+            Step::Live(i, live) => world.refresh(i, live),
+            Step::Report(i) => world.report(i),
+            Step::CallPlatform(i, is_answered) if !world.calls.is_empty() => {
+                let call = world.calls.remove(i % world.calls.len());
+                world.call_platform(&call, is_answered);
+            }
+            Step::Rounds {
+                paused,
+                cut,
+                ms,
+                times,
+            } => {
+                (0..times).for_each(|_| world.round(paused, cut, ms));
+            }
+            _ => {}
+        }
+        world.granted = world.granted.max(world.held());
+        world
+    }
+
+    fn check_invariants(world: &World, (): &()) {
+        let held: Vec<u32> = (0..NODES)
+            .map(|i| world.nodes[i].credit.held(world.clock(i)))
+            .collect();
+        assert!(world.held() <= COLD_LIMIT, "{held:?} in force at once");
+    }
+
+    fn teardown(world: World, (): ()) {
+        if std::env::var("SHOW_GRANTED").is_ok() {
+            println!("granted at most {}", world.granted);
+        }
+    }
+}
+
+proptest_state_machine::prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn credits_of_a_starting_target_never_exceed_its_limit(sequential 50..250 => Credits);
+}
