An engine that restarts in mid-load or in an outage stays within its cold limit

Cause: daemons learn of a new start from the periodic load report, so an engine that restarted fast got its full share for up to a poll period. Also, the ramp counted time since the first good answer, which a late report of answers from before the restart began too early: the limit had doubled before the engine had done any work.

Ruled out: waiting for the next periodic report (seconds), and asking the engine before each request (a round trip for each).

Change: a broken run voids the holder's credits at once and is told to the owner, which takes back what others hold and gives nothing until the engine has said which start it is. The same goes for the first work of an idle engine, since an idle engine can restart unnoticed. The ramp now counts time with work in flight.

--- a/src/allot.rs
+++ b/src/allot.rs
@@ -51,6 +51,8 @@
     Send(DaemonName, u64, Datagram),
     /// A call on a target's lease, with the value to write.
     Lease(TargetName, LeaseCall, LeaseRecord),
+    /// Ask a target for its load report at once.
+    Probe(TargetName),
 }
 
 /// How a call on a lease ended.
@@ -71,6 +73,10 @@
     lease: Lease,
     /// Present while this daemon is the owner.
     book: Option<Book>,
+    /// Since when the target may have started anew; no credits until it says.
+    doubted_since: Option<BootTime>,
+    /// Asks that wait for the target's word, by sender.
+    deferred: BTreeMap<MemberId, (u64, CreditAsk)>,
 }
 
 /// All targets of the instance list.
@@ -152,6 +158,8 @@
             ramp: Ramp::default(),
             lease: Lease::new(self.me.clone(), self.life * LEASE_LIVES),
             book: None,
+            doubted_since: None,
+            deferred: BTreeMap::new(),
         });
         let was_out = tracked.listed.standing == Standing::ZoneOut;
         if was_out && listed.standing == Standing::Serving {
@@ -196,12 +204,45 @@
         }
     }
 
+    /// Takes the target's answer to a probe sent at `sent_at`; `None` when it
+    /// did not answer. Unlike a periodic report, it ends a doubt.
+    pub fn on_probe(
+        &mut self,
+        target: &str,
+        load: Option<&LoadReport>,
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> Vec<Out> {
+        if let Some(load) = load {
+            self.on_load(target, load, now);
+        }
+        let Some(tracked) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        if load.is_none() {
+            tracked.doubted_since.get_or_insert(now);
+            tracked.deferred.clear();
+            return Vec::new();
+        }
+        if tracked.doubted_since.is_some_and(|since| sent_at < since) {
+            return Vec::new();
+        }
+        tracked.doubted_since = None;
+        let deferred = std::mem::take(&mut tracked.deferred);
+        let answers = deferred.into_iter();
+        let answers = answers.filter_map(|(from, (seq, ask))| self.grant(&from, seq, &ask, now));
+        answers.collect()
+    }
+
     /// One heartbeat period: asks for all targets in use, and leases.
     pub fn tick(&mut self, now: BootTime) -> Vec<Out> {
         self.note_time(now);
         let mut out = self.ask_all(false, now);
         for (name, tracked) in &mut self.targets {
             out.extend(lease_call(&self.me, name, tracked, now));
+            if tracked.doubted_since.is_some() && tracked.book.is_some() {
+                out.push(Out::Probe(name.clone()));
+            }
         }
         out
     }
@@ -235,41 +276,110 @@
             return Vec::new();
         }
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
-        let asks = names.iter().filter_map(|n| self.ask(n, is_urgent, now));
+        let asks = names.iter().flat_map(|n| self.ask(n, is_urgent, now));
         asks.collect()
     }
 
-    fn ask(&mut self, target: &TargetName, is_urgent: bool, now: BootTime) -> Option<Out> {
-        let tracked = self.targets.get(target)?;
-        let owner = tracked.owner.clone()?;
-        if tracked.listed.standing != Standing::Serving {
-            return None;
-        }
-        let sequence = self.sequence + 1;
-        let ask = self.holder.ask(target, &owner, sequence, is_urgent, now)?;
-        self.sequence = sequence;
-        if owner != self.me.name {
-            return Some(Out::Send(owner, sequence, Datagram::CreditAsk(ask)));
+    fn ask(&mut self, target: &TargetName, is_urgent: bool, now: BootTime) -> Vec<Out> {
+        let Some(tracked) = self.targets.get(target) else {
+            return Vec::new();
+        };
+        let is_serving = tracked.listed.standing == Standing::Serving;
+        let Some(owner) = tracked.owner.clone().filter(|_| is_serving) else {
+            return Vec::new();
+        };
+        let sequence = self.next_sequence();
+        let Some(ask) = self.holder.ask(target, &owner, sequence, is_urgent, now) else {
+            return Vec::new();
+        };
+        if owner == self.me.name {
+            let me = self.me.clone();
+            return self.take_ask(&me, sequence, ask, now);
         }
-        let me = self.me.clone();
-        let grant = self.answer(&me, sequence, &ask, now)?;
-        self.holder.on_grant(&owner, &grant);
-        None
+        vec![Out::Send(owner, sequence, Datagram::CreditAsk(ask))]
     }
 
     /// Takes another daemon's ask; answers it as the target's owner.
     pub fn on_ask(
+        &mut self,
+        from: &MemberId,
+        sequence: u64,
+        ask: CreditAsk,
+        now: BootTime,
+    ) -> Vec<Out> {
+        self.note_time(now);
+        self.take_ask(from, sequence, ask, now)
+    }
+
+    /// Answers an ask, or has it wait until the target said whether it started
+    /// anew. A target where nothing is in flight could have done so unnoticed.
+    fn take_ask(
+        &mut self,
+        from: &MemberId,
+        sequence: u64,
+        ask: CreditAsk,
+        now: BootTime,
+    ) -> Vec<Out> {
+        let target = ask.target.clone();
+        let Some(tracked) = self.targets.get_mut(&target) else {
+            return Vec::new();
+        };
+        let Some(book) = &tracked.book else {
+            return Vec::new();
+        };
+        let has_failed = book.tells_of_failure(from, &ask);
+        let is_idle = book.is_idle() && ask.in_flight == 0;
+        let is_new_doubt = has_failed || (is_idle && tracked.doubted_since.is_none());
+        if !tracked.listed.reports_load || (!is_new_doubt && tracked.doubted_since.is_none()) {
+            return self.grant(from, sequence, &ask, now).into_iter().collect();
+        }
+        let granted = book.granted().filter(|_| has_failed);
+        let recalled: Vec<(MemberId, u64)> = granted.map(|(id, seq)| (id.clone(), seq)).collect();
+        tracked.deferred.insert(from.clone(), (sequence, ask));
+        if is_new_doubt {
+            tracked.doubted_since = Some(now);
+        }
+        let recalls = recalled.iter().filter(|(id, _)| id != from);
+        let mut out: Vec<Out> = recalls
+            .filter_map(|(id, answers)| self.recall(&target, id, *answers))
+            .collect();
+        if is_new_doubt {
+            out.push(Out::Probe(target));
+        }
+        out
+    }
+
+    /// Takes back what the answer to an ask gave.
+    fn recall(&mut self, target: &TargetName, from: &MemberId, answers: u64) -> Option<Out> {
+        let grant = CreditGrant {
+            target: target.clone(),
+            credits: 0,
+            life_ms: 0,
+            ramp: None,
+            answers,
+        };
+        self.send_grant(from, grant)
+    }
+
+    fn grant(
         &mut self,
         from: &MemberId,
         sequence: u64,
         ask: &CreditAsk,
         now: BootTime,
     ) -> Option<Out> {
-        self.note_time(now);
         let grant = self.answer(from, sequence, ask, now)?;
+        self.send_grant(from, grant)
+    }
+
+    fn send_grant(&mut self, to: &MemberId, grant: CreditGrant) -> Option<Out> {
+        if *to == self.me {
+            self.holder.on_grant(&to.name, &grant);
+            return None;
+        }
         let sequence = self.next_sequence();
         let message = Datagram::CreditGrant(grant);
-        Some(Out::Send(from.name.clone(), sequence, message))
+        Some(Out::Send(to.name.clone(), sequence, message))
     }
 
     /// Takes a grant of an owner.
@@ -307,7 +417,8 @@
         }
         let (credits, first_tokens) = book.on_ask(from, sequence, ask, limit, now)?;
         let life_ms = book.life_ms();
-        judge(&ask.target, &mut tracked.ramp, first_tokens, capacity, now);
+        let (ramp, has_work) = (&mut tracked.ramp, book.has_work());
+        judge(&ask.target, ramp, has_work, first_tokens, capacity, now);
         Some(CreditGrant {
             target: ask.target.clone(),
             credits,
@@ -348,6 +459,7 @@
 fn judge(
     target: &str,
     ramp: &mut Ramp,
+    has_work: bool,
     first_tokens: FirstTokens,
     capacity: &Capacity,
     now: BootTime,
@@ -355,8 +467,8 @@
     if first_tokens.slow > first_tokens.good && !ramp.is_cold(capacity) {
         log::warn!("event=target_cold_again target={target} reason=first_token");
         ramp.chill(capacity);
-    } else if first_tokens.good > 0 {
-        ramp.on_good_answer(capacity, now);
+    } else {
+        ramp.on_work(has_work, first_tokens.good > 0, capacity, now);
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,7 +19,7 @@
     allot::{Allot, Daemons, LeaseAnswer, Listed, Out},
     clock::{self, BootTime},
     credits::Credit,
-    engine::LoadReport,
+    engine::{EngineClient, LoadReport},
     feeds,
     membership::{Member, Membership},
     owner::TAKEOVER_MARGIN,
@@ -62,6 +62,8 @@
     Ask(Frame, oneshot::Sender<Frame>),
     /// A call on a target's lease, sent at this time, ended.
     Lease(TargetName, LeaseAnswer, BootTime),
+    /// A target answered a probe sent at this time, or did not.
+    Probed(TargetName, Option<LoadReport>, BootTime),
     /// The daemon is stopping.
     Drain,
 }
@@ -133,6 +135,7 @@
     instances: Instances,
     members: Membership,
     allot: Allot,
+    engines: EngineClient,
     /// Notified when a request finds no credit.
     short: Arc<Notify>,
     started_at: BootTime,
@@ -170,6 +173,7 @@
             instances: Instances::new(),
             members: Membership::new(settings.timing.suspect_after),
             allot,
+            engines: EngineClient::open(PEER_TIMEOUT),
             short,
             started_at,
             loads: BTreeMap::new(),
@@ -198,6 +202,11 @@
                 }
                 event = queue.recv() => match event {
                     Some(Event::Packet(from, packet)) => self.on_packet(from, packet).await,
+                    Some(Event::Probed(target, load, sent_at)) => {
+                        let now = clock::now();
+                        let out = self.allot.on_probe(&target, load.as_ref(), sent_at, now);
+                        self.send_all(out).await;
+                    }
                     Some(event) => self.handle(event),
                     None => return,
                 },
@@ -247,6 +256,14 @@
                     let (platform, events) = (self.platform.clone(), self.events.clone());
                     tokio::spawn(feeds::call_lease(platform, events, target, call, record));
                 }
+                Out::Probe(target) => {
+                    let Some(instance) = self.instances.get(&target) else {
+                        continue;
+                    };
+                    let (engines, events) = (self.engines.clone(), self.events.clone());
+                    let address = instance.address.clone();
+                    tokio::spawn(feeds::probe(engines, events, target, address));
+                }
             }
         }
     }
@@ -273,7 +290,7 @@
     fn handle(&mut self, event: Event) {
         let now = clock::now();
         match event {
-            Event::Packet(..) => {}
+            Event::Packet(..) | Event::Probed(..) => {}
             Event::Object(object) => self.spread.on_object(&object),
             Event::Listing(listing) => self.spread.on_listing(&listing),
             Event::Confirmed(revision) => self.spread.on_confirmed(revision, now),
@@ -304,8 +321,8 @@
         match packet.message {
             Datagram::Heartbeat(heartbeat) => self.on_heartbeat(from, &sender, heartbeat, now),
             Datagram::CreditAsk(ask) => {
-                let answer = self.allot.on_ask(&sender, packet.sequence, &ask, now);
-                self.send_all(answer.into_iter().collect()).await;
+                let out = self.allot.on_ask(&sender, packet.sequence, ask, now);
+                self.send_all(out).await;
             }
             Datagram::CreditGrant(grant) => self.allot.on_grant(&sender, &grant),
             Datagram::CellSummary(_) => {}
--- a/src/credits.rs
+++ b/src/credits.rs
@@ -27,6 +27,7 @@
     band_ms: AtomicU64,
     good: AtomicU64,
     slow: AtomicU64,
+    failures: AtomicU64,
 }
 
 impl Credit {
@@ -62,6 +63,12 @@
         (good, self.slow.load(Ordering::Acquire))
     }
 
+    /// Runs that broke: the target may have started anew since.
+    #[must_use]
+    pub fn failures(&self) -> u64 {
+        self.failures.load(Ordering::Acquire)
+    }
+
     /// Replaces the grant: `granted` requests at once, until `lapses_at`.
     pub fn grant(&self, granted: u32, lapses_at: BootTime) {
         // A smaller grant takes effect before its life does, a larger one after.
@@ -144,6 +151,15 @@
         self.credit.held(now) >= 1
     }
 
+    /// Notes that the run broke or could not start. All credits of the target
+    /// are given up until its owner has asked it whether it started anew.
+    pub fn note_failure(&self) {
+        self.credit.failures.fetch_add(1, Ordering::AcqRel);
+        self.credit.grant(0, BootTime::ZERO);
+        self.credit.is_short.store(true, Ordering::Release);
+        self.credit.wake.notify_one();
+    }
+
     /// Notes that the first token came at `now`: late ones tell that the target
     /// has turned cold.
     pub fn note_first_token(&self, now: BootTime) {
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -100,9 +100,12 @@
                 continue;
             }
             for target in targets {
-                if let Ok(load) = engines.load(&target.address).await {
-                    let _ = events.send(Event::Load(target.name.clone(), load)).await;
-                }
+                let (sent_at, name) = (clock::now(), target.name.clone());
+                let event = match engines.load(&target.address).await {
+                    Ok(load) => Event::Load(name, load),
+                    Err(_) => Event::Probed(name, None, sent_at),
+                };
+                let _ = events.send(event).await;
             }
         }
         tokio::time::sleep(period).await;
@@ -136,3 +139,15 @@
     });
     let _ = events.send(Event::Lease(target, answer, sent_at)).await;
 }
+
+/// Asks an engine for its load report.
+pub(crate) async fn probe(
+    engines: EngineClient,
+    events: Events,
+    target: TargetName,
+    address: Box<str>,
+) {
+    let sent_at = clock::now();
+    let load = engines.load(&address).await.ok();
+    let _ = events.send(Event::Probed(target, load, sent_at)).await;
+}
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -99,6 +99,7 @@
                 });
             }
             Err(e) => {
+                chosen.permit.note_failure();
                 log::warn!(
                     "event=start_failed request={} target={} error={:?}",
                     call.id,
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -126,6 +126,7 @@
             wanted,
             good,
             slow,
+            failures: credit.failures(),
             ramp: holding.ramp.clone(),
         })
     }
@@ -140,7 +141,8 @@
             return false;
         };
         let is_last = asked.sequence == grant.answers && &*asked.owner == owner;
-        if !is_last || holding.is_answered {
+        // A second answer may only take back what the first one gave.
+        if !is_last || (holding.is_answered && grant.credits > 0) {
             return false;
         }
         holding.is_answered = true;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -24,6 +24,7 @@
     granted: u32,
     good: u64,
     slow: u64,
+    failures: u64,
 }
 
 impl LastAsk {
@@ -90,6 +91,31 @@
         }
     }
 
+    /// Whether an ask tells of a run that broke since the ask before it.
+    #[must_use]
+    pub fn tells_of_failure(&self, from: &MemberId, ask: &CreditAsk) -> bool {
+        let before = self.holders.get(from).map_or(0, |h| h.failures);
+        ask.failures > before
+    }
+
+    /// Whether no holder has, or may have, a request at the target.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.holders.values().all(|h| h.counted() == 0)
+    }
+
+    /// Whether any holder has a request at the target.
+    #[must_use]
+    pub fn has_work(&self) -> bool {
+        self.holders.values().any(|h| h.in_flight > 0)
+    }
+
+    /// Holders that were given credits, with the sequence of their last ask.
+    pub fn granted(&self) -> impl Iterator<Item = (&MemberId, u64)> {
+        let granted = self.holders.iter().filter(|(_, h)| h.granted > 0);
+        granted.map(|(id, h)| (id, h.sequence))
+    }
+
     /// Sum that holders may have in flight.
     #[must_use]
     pub fn counted(&self, now: BootTime) -> u32 {
@@ -127,6 +153,7 @@
             granted: 0,
             good: ask.good,
             slow: ask.slow,
+            failures: ask.failures,
         };
         self.holders.insert(from.clone(), held);
         let granted = self.share_of(from, limit, now);
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -188,6 +188,7 @@
     loop {
         let Ok(Ok(event)) = timeout(delivered.silence_after, run.events.next()).await else {
             // Silent, or broken: go on with a new connection at the cursor.
+            run.permit.note_failure();
             match resume(engines, run, &cursor).await {
                 Ok(events) => run.events = events,
                 Err(e) => return Ended::Failed(cursor.next(), e),
--- a/src/warmup.rs
+++ b/src/warmup.rs
@@ -10,6 +10,8 @@
 const CUT_PERIOD: Duration = Duration::from_secs(1);
 /// Time without preemption after which a cut limit grows by one.
 const GROW_PERIOD: Duration = Duration::from_secs(1);
+/// Longest time between two signs of work that counts as work.
+const MAX_WORK_GAP: Duration = Duration::from_secs(1);
 
 /// What daemons tell one another of a target's ramp.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,8 +36,11 @@
     chills: u32,
     limit: u32,
     is_warm: bool,
-    /// When the present window began; `None` until an answer was good.
-    window_from: Option<BootTime>,
+    /// Time with work in the present window, and when it was last seen.
+    worked: Duration,
+    worked_at: Option<BootTime>,
+    /// An answer of the present window was good.
+    has_good_answer: bool,
     preemptions: u64,
     changed_at: BootTime,
 }
@@ -94,7 +99,7 @@
         self.chills += 1;
         self.limit = capacity.cold_limit;
         self.is_warm = false;
-        self.window_from = None;
+        self.begin_window();
     }
 
     /// Takes over what another daemon knows of the same start.
@@ -107,28 +112,39 @@
             self.chills = known.chills;
             self.limit = known.limit;
             self.is_warm = known.is_warm;
-            self.window_from = None;
+            self.begin_window();
         } else if !self.is_warm {
             self.limit = self.limit.max(known.limit);
             self.is_warm = known.is_warm;
         }
     }
 
-    /// An answer came within the band: the limit doubles after a whole window.
-    pub fn on_good_answer(&mut self, capacity: &Capacity, now: BootTime) {
+    /// The target has work or not, and an answer came within the band or not.
+    /// After a whole window of work with good answers the limit doubles; time
+    /// without work tells nothing and does not count.
+    pub fn on_work(&mut self, has_work: bool, is_good: bool, capacity: &Capacity, now: BootTime) {
         if self.is_warm || self.boot_id.is_none() {
             return;
         }
-        let from = *self.window_from.get_or_insert(now);
-        if now.saturating_sub(from) < capacity.ramp_window {
+        let gap = self.worked_at.map(|at| now.saturating_sub(at));
+        self.worked += gap.filter(|gap| *gap <= MAX_WORK_GAP).unwrap_or_default();
+        self.worked_at = has_work.then_some(now);
+        self.has_good_answer |= is_good;
+        if self.worked < capacity.ramp_window || !self.has_good_answer {
             return;
         }
-        self.window_from = Some(now);
+        self.begin_window();
         self.limit = self.limit.saturating_mul(2).min(capacity.limit);
         self.is_warm = self.limit >= capacity.limit;
         self.changed_at = now;
     }
 
+    fn begin_window(&mut self) {
+        self.worked = Duration::ZERO;
+        self.worked_at = None;
+        self.has_good_answer = false;
+    }
+
     fn follow_preemptions(&mut self, preemptions: u64, capacity: &Capacity, now: BootTime) {
         let is_preempting = preemptions > self.preemptions;
         self.preemptions = preemptions;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -85,6 +85,8 @@
     pub good: u64,
     /// First tokens later than the band since its start.
     pub slow: u64,
+    /// Runs that broke since its start.
+    pub failures: u64,
     /// What it last heard of the target's ramp, for a new owner.
     pub ramp: Option<RampState>,
 }
--- a/tests/cold_target.rs
+++ b/tests/cold_target.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use common::{Caller, Fleet, ZONES, default_records, history, relay::Relay, wait_for};
+use common::{Caller, Fleet, Process, ZONES, default_records, history, relay::Relay, wait_for};
 use serde_json::{Value, json};
 
 const COLD_LIMIT: usize = 4;
@@ -195,9 +195,73 @@
     let load = Load::start(&fleet);
     start_engine(&mut fleet);
     wait_admitted(&fleet, 2);
-    relays.iter().for_each(|r| r.set_cut(true));
+    for relay in &relays {
+        relay.set_cut(true);
+    }
     wait_admitted(&fleet, 30);
-    relays.iter().for_each(|r| r.set_cut(false));
+    for relay in &relays {
+        relay.set_cut(false);
+    }
     assert_ramped(&fleet);
     drop(load);
 }
+
+#[test]
+fn a_warm_engine_turns_cold_again_in_mid_load() {
+    let mut fleet = fleet();
+    let load = Load::start(&fleet);
+    start_engine(&mut fleet);
+    wait_for("the engine carries its full share", || {
+        (most_at_once(&fleet) >= 20).then_some(())
+    });
+    restart_engine(&mut fleet);
+    wait_admitted(&fleet, 30);
+    drop(load);
+    assert_eq!(count(&fleet, "fell_over"), 0);
+}
+
+#[test]
+fn an_engine_that_starts_while_the_platform_is_down() {
+    let mut fleet = fleet();
+    let load = Load::start(&fleet);
+    start_engine(&mut fleet);
+    wait_for("the engine carries its full share", || {
+        (most_at_once(&fleet) >= 20).then_some(())
+    });
+    fleet.set_faults(&json!({"is_down": true}));
+    restart_engine(&mut fleet);
+    // Without the lease nobody gives it work; the platform comes back later.
+    std::thread::sleep(Duration::from_secs(3));
+    let while_down = count(&fleet, "admitted");
+    fleet.set_faults(&json!({}));
+    wait_admitted(&fleet, 20);
+    drop(load);
+    assert_eq!(count(&fleet, "fell_over"), 0);
+    assert_eq!(while_down, 0, "work without the lease");
+}
+
+/// Ends the engine and starts it anew, cold, at the same address. Its earlier
+/// history is dropped.
+fn restart_engine(fleet: &mut Fleet) {
+    let engine = &mut fleet.targets[0];
+    engine.process.kill();
+    std::fs::remove_file(&engine.history).expect("its history is removed");
+    let (history, bears) = (engine.history.display().to_string(), COLD_LIMIT.to_string());
+    engine.process = Process::standin(&[
+        "engine",
+        "--name",
+        "engine-new",
+        "--zone",
+        ZONES[0].0,
+        "--service",
+        "drafting-desk",
+        "--listen",
+        &engine.address,
+        "--history",
+        &history,
+        "--cold-ms",
+        COLD_MS,
+        "--cold-bears",
+        &bears,
+    ]);
+}
--- a/tests/credits.rs
+++ b/tests/credits.rs
@@ -33,6 +33,10 @@
     Live(usize, u8),
     Report(usize),
     CallPlatform(usize, bool),
+    /// The target answers a probe, or does not.
+    Probe(usize, bool),
+    /// A run breaks.
+    Break(usize),
     /// All nodes do all that is due but those paused, and but the platform
     /// calls of those cut off from it; then time passes. Several times.
     Rounds {
@@ -73,6 +77,8 @@
             4 => (few(), few(), 1..700_u16, 1..8_u8).prop_map(|(paused, cut, ms, times)| {
                 Step::Rounds { paused, cut, ms, times }
             }),
+            2 => (any::<usize>(), any::<bool>()).prop_map(|(i, answered)| Step::Probe(i, answered)),
+            1 => node().prop_map(Step::Break),
             4 => (any::<usize>(), prop::bool::weighted(0.8))
                 .prop_map(|(i, answered)| Step::CallPlatform(i, answered)),
         ]
@@ -111,6 +117,8 @@
     nodes: Vec<Node>,
     sent: Vec<Sent>,
     calls: Vec<PlatformCall>,
+    /// Probes under way: who sent them, and when.
+    probes: Vec<(usize, Duration)>,
     lease: Option<Object>,
     granted: u32,
 }
@@ -133,6 +141,7 @@
                         message,
                     });
                 }
+                Out::Probe(_) => self.probes.push((from, self.clock(from))),
                 Out::Lease(_, call, record) => {
                     let sent_at = self.clock(from);
                     self.calls.push(PlatformCall {
@@ -160,7 +169,7 @@
         }
         match &sent.message {
             Datagram::CreditAsk(ask) => {
-                let out = node.allot.on_ask(&from, sent.sequence, ask, now);
+                let out = node.allot.on_ask(&from, sent.sequence, ask.clone(), now);
                 self.push(sent.to, out);
             }
             Datagram::CreditGrant(grant) => node.allot.on_grant(&from, grant),
@@ -179,17 +188,28 @@
         self.nodes[node].allot.refresh(listed, daemons, now);
     }
 
-    fn report(&mut self, node: usize) {
+    fn load(&self) -> LoadReport {
         let running: usize = self.nodes.iter().map(|n| n.running.len()).sum();
-        let load = LoadReport {
+        LoadReport {
             boot_id: "b1".into(),
             running: u32::try_from(running).expect("a small number"),
             ..LoadReport::default()
-        };
-        let now = self.clock(node);
+        }
+    }
+
+    fn report(&mut self, node: usize) {
+        let (load, now) = (self.load(), self.clock(node));
         self.nodes[node].allot.on_load(TARGET, &load, now);
     }
 
+    fn probe(&mut self, (node, sent_at): (usize, Duration), is_answered: bool) {
+        let (load, now) = (self.load(), self.clock(node));
+        let load = Some(&load).filter(|_| is_answered);
+        let allot = &mut self.nodes[node].allot;
+        let out = allot.on_probe(TARGET, load, sent_at, now);
+        self.push(node, out);
+    }
+
     /// Carries out a platform call; its answer may be lost after that.
     fn call_platform(&mut self, call: &PlatformCall, is_answered: bool) {
         let revision = self.lease.as_ref().map_or(0, |o| o.revision);
@@ -246,9 +266,14 @@
                 self.calls.push(call);
             }
         }
-        while let Some(i) = self.sent.iter().position(|s| awake(&s.to)) {
-            let sent = self.sent.remove(i);
-            self.deliver(&sent);
+        for _ in 0..2 {
+            while let Some(i) = self.sent.iter().position(|s| awake(&s.to)) {
+                let sent = self.sent.remove(i);
+                self.deliver(&sent);
+            }
+            for probe in std::mem::take(&mut self.probes) {
+                self.probe(probe, awake(&probe.0));
+            }
         }
         self.now += Duration::from_millis(ms.into());
     }
@@ -304,6 +329,7 @@
             nodes: (0..NODES).map(node).collect(),
             sent: Vec::new(),
             calls: Vec::new(),
+            probes: Vec::new(),
             lease: None,
             granted: 0,
         };
@@ -353,6 +379,15 @@
                 world.nodes[i].running.extend(permit);
             }
             Step::Finish(i) => drop(world.nodes[i].running.pop()),
+            Step::Probe(i, is_answered) if !world.probes.is_empty() => {
+                let probe = world.probes.remove(i % world.probes.len());
+                world.probe(probe, is_answered);
+            }
+            Step::Break(i) => {
+                if let Some(permit) = world.nodes[i].running.pop() {
+                    permit.note_failure();
+                }
+            }
             Step::Live(i, live) => world.refresh(i, live),
             Step::Report(i) => world.report(i),
             Step::CallPlatform(i, is_answered) if !world.calls.is_empty() => {
