A daemon without the platform learns from peers which targets leave

Cause: only the instance list says that a target is leaving. A daemon that cannot read it, and owns the target, went on sending it work.

Ruled out: refusing to own targets while the list is old. Owners must go on while the platform is down for all.

Change: heartbeats name the targets that are leaving and the age of the sender's list; a target counts as leaving when a peer with a newer list says so, also after that peer has died. Tests of membership, cells and owners.

--- a/src/control.rs
+++ b/src/control.rs
@@ -133,6 +133,8 @@
     events: Events,
     spread: Spread,
     instances: Instances,
+    /// When the instance list was read.
+    listed_at: Option<BootTime>,
     members: Membership,
     allot: Allot,
     engines: EngineClient,
@@ -171,6 +173,7 @@
             events,
             spread: Spread::default(),
             instances: Instances::new(),
+            listed_at: None,
             members: Membership::new(settings.timing.suspect_after),
             allot,
             engines: EngineClient::open(PEER_TIMEOUT),
@@ -297,6 +300,7 @@
             Event::Instances(instances) => {
                 let named = instances.into_iter().map(|i| (i.name.clone(), i));
                 self.instances = named.collect();
+                self.listed_at = Some(now);
             }
             Event::Load(target, load) => {
                 self.allot.on_load(&target, &load, now);
@@ -386,6 +390,8 @@
             revision: self.spread.revision(),
             records_hash: 0,
             confirmed_age_ms: self.spread.confirmed_at().map(age),
+            list_age_ms: self.listed_at.map(age),
+            leaving: self.leaving_targets(),
             silent: Vec::new(),
         }
     }
@@ -451,10 +457,19 @@
         })
     }
 
+    fn leaving_targets(&self) -> Vec<TargetName> {
+        let leaving = self.instances.values();
+        let leaving = leaving.filter(|i| i.state == InstanceState::Leaving);
+        let targets = leaving.filter(|i| i.role != InstanceRole::Daemon);
+        targets.map(|i| i.name.clone()).collect()
+    }
+
     fn standing(&self, instance: &Instance) -> Standing {
         let zone = self.spread.snapshot().zones.get(&instance.zone);
         let is_out = zone.is_some_and(|z| z.state == ZoneState::Out);
-        if instance.state == InstanceState::Leaving {
+        // A daemon that cannot read the list learns from peers who is leaving.
+        let leaves = |m: &Member| m.lists_as_leaving(&instance.name, self.listed_at);
+        if instance.state == InstanceState::Leaving || self.members.all().any(leaves) {
             Standing::Leaving
         } else if is_out {
             Standing::ZoneOut
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -20,6 +20,18 @@
     pub heartbeat: Heartbeat,
 }
 
+impl Member {
+    /// Whether it knows a target to be leaving, by a newer copy of the instance
+    /// list than one read at `listed_at`.
+    #[must_use]
+    pub fn lists_as_leaving(&self, target: &str, listed_at: Option<BootTime>) -> bool {
+        let age = self.heartbeat.list_age_ms.map(Duration::from_millis);
+        let read_at = age.and_then(|age| self.heard_at.checked_sub(age));
+        let is_newer = read_at > listed_at;
+        is_newer && self.heartbeat.leaving.iter().any(|t| **t == *target)
+    }
+}
+
 /// How long a member has been silent, in words.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -103,6 +115,11 @@
         }
     }
 
+    /// All members, dead ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
     /// Members that are not dead at `now`.
     pub fn live(&self, now: BootTime) -> impl Iterator<Item = &Member> {
         let members = self.members.values();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -66,6 +66,10 @@
     /// Age of its last confirmation by the platform, directly or through
     /// peers, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
+    /// Age of its copy of the instance list, in milliseconds.
+    pub list_age_ms: Option<u64>,
+    /// Targets that are leaving by that list.
+    pub leaving: Vec<TargetName>,
     /// Members it suspects or knows to be dead.
     pub silent: Vec<MemberId>,
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use common::{Fleet, ZONES, default_records, history, wait_for};
+use common::{Fleet, ZONES, default_records, history, relay::Relay, wait_for};
 use serde_json::json;
 
 /// Longest time for which a leaving target may still get new work.
@@ -21,15 +21,33 @@
 /// Three daemons and two engines, of which the first is to leave. The policy
 /// can be set from outside, to see what the baseline does.
 fn fleet() -> Fleet {
+    fleet_with(|_| None)
+}
+
+/// The same, with the first daemon's platform behind a relay made from its
+/// address.
+fn fleet_with(relay: impl FnOnce(&str) -> Option<String>) -> Fleet {
     let policy = std::env::var("BLUEBELL_TEST_POLICY").unwrap_or("credits".into());
     let mut fleet = Fleet::start();
     for (i, (zone, _)) in ZONES.iter().enumerate().take(2) {
         fleet.add_engine(&format!("engine-{i}"), zone, &[]);
     }
-    for i in 0..3 {
+    let platform = relay(&fleet.platform_address).unwrap_or(fleet.platform_address.clone());
+    // Peers still confirm its records, so it goes on without the platform.
+    let first = json!({"policy": policy, "platform": {"address": platform},
+                       "timing": {"stale_after": "60s"}});
+    fleet.add_daemon(0, &first);
+    for i in 1..3 {
         fleet.add_daemon(i, &json!({"policy": policy}));
     }
-    fleet.write_records(&default_records());
+    // Without a ramp, so that no lease stands in for what is tested here.
+    let mut records = default_records();
+    for record in records.as_array_mut().expect("a list") {
+        if record["name"] == "drafting-desk" {
+            record["spec"]["cold_limit"] = json!(24);
+        }
+    }
+    fleet.write_records(&records);
     fleet.wait_ready();
     fleet.set_faults(&json!({"instance_lag_ms": 1000}));
     fleet
@@ -127,3 +145,24 @@
     });
     assert_left(&fleet, listed_at);
 }
+
+#[test]
+fn a_daemon_cut_off_from_the_platform_sends_a_leaving_target_nothing_late() {
+    let mut relay = None;
+    let fleet = fleet_with(|platform| {
+        let started = relay.insert(Relay::start(platform));
+        Some(started.address.to_string())
+    });
+    let relay = relay.expect("the relay was started");
+    let listed_at = ask_meanwhile(&fleet, || {
+        wait_for("the engine works", || {
+            let admitted = history::named(&fleet.targets[0].history, "admitted");
+            (admitted.len() > 5).then_some(())
+        });
+        relay.set_cut(true);
+        let listed_at = list_as_leaving(&fleet);
+        wait_past_bound(&fleet, listed_at);
+        listed_at
+    });
+    assert_left(&fleet, listed_at);
+}
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,138 @@
+//! Members, their datagrams, cells and owners, in virtual time.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bluebelldrift::{
+    Daemons, Health, MAX_CELL, Membership, cells_of, owner_of,
+    wire::{Heartbeat, MemberId},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const SUSPECT_AFTER: Duration = Duration::from_millis(400);
+
+fn member(name: &str, incarnation: u64) -> MemberId {
+    MemberId {
+        name: name.into(),
+        incarnation,
+    }
+}
+
+fn heartbeat(leaving: &[&str]) -> Heartbeat {
+    Heartbeat {
+        zone: "vest-bergen".into(),
+        region: "vest".into(),
+        caller_address: "127.0.0.1:1".into(),
+        is_draining: false,
+        revision: 1,
+        records_hash: 0,
+        confirmed_age_ms: None,
+        list_age_ms: Some(100),
+        leaving: leaving.iter().map(|t| (*t).into()).collect(),
+        silent: Vec::new(),
+    }
+}
+
+fn heard(incarnation: u64, at_ms: u64) -> Membership {
+    let mut members = Membership::new(SUSPECT_AFTER);
+    let address = "127.0.0.1:2".parse().expect("an address");
+    let at = Duration::from_millis(at_ms);
+    assert!(members.hear(&member("a", incarnation), address, heartbeat(&["t"]), at));
+    members
+}
+
+#[test]
+fn a_silent_member_is_suspect_then_dead() {
+    let members = heard(1, 1_000);
+    let health = |ms| {
+        let member = members.all().next().expect("the member");
+        members.health(member, Duration::from_millis(ms))
+    };
+    assert_eq!(health(1_399), Health::Alive);
+    assert_eq!(health(1_400), Health::Suspect);
+    assert_eq!(health(1_800), Health::Dead);
+    assert_eq!(members.live(Duration::from_millis(1_799)).count(), 1);
+    assert_eq!(members.live(Duration::from_millis(1_800)).count(), 0);
+}
+
+#[test]
+fn an_older_incarnation_is_not_heard() {
+    let mut members = heard(2, 1_000);
+    let address = "127.0.0.1:2".parse().expect("an address");
+    let later = Duration::from_secs(9);
+    assert!(!members.hear(&member("a", 1), address, heartbeat(&[]), later));
+    assert!(members.hear(&member("a", 3), address, heartbeat(&[]), later));
+}
+
+#[test]
+fn only_a_newer_list_tells_who_is_leaving() {
+    let members = heard(1, 1_000);
+    let member = members.all().next().expect("the member");
+    let read_at = |ms| Some(Duration::from_millis(ms));
+    // The member read its list 100 ms before it was heard.
+    assert!(member.lists_as_leaving("t", read_at(899)));
+    assert!(member.lists_as_leaving("t", None));
+    assert!(!member.lists_as_leaving("t", read_at(900)));
+    assert!(!member.lists_as_leaving("other", read_at(0)));
+}
+
+fn daemons(most: usize) -> impl Strategy<Value = Daemons> {
+    let region = prop::sample::select(vec!["doto", "dohoku", "donan"]);
+    let named = (0..400_u16, region).prop_map(|(i, r)| (format!("entry-{i}").into(), r.into()));
+    prop::collection::vec(named, 1..=most).prop_map(|named| named.into_iter().collect())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn of_one_sender_datagrams_are_taken_once_and_in_order(
+        sent in prop::collection::vec((1..4_u64, 0..30_u64), 1..100),
+    ) {
+        let mut members = Membership::new(SUSPECT_AFTER);
+        let taken = |(i, s): &(u64, u64)| members.is_new(&member("a", *i), *s);
+        let taken: Vec<(u64, u64)> = sent.into_iter().filter(taken).collect();
+        prop_assert!(taken.is_sorted_by(|a, b| a < b), "{taken:?}");
+    }
+
+    #[test]
+    fn each_daemon_is_in_one_small_cell_of_its_region(daemons in daemons(120)) {
+        let cells = cells_of(&daemons);
+        let mut seen = BTreeSet::new();
+        for ((region, _), members) in &cells {
+            prop_assert!(members.len() <= MAX_CELL);
+            for name in members {
+                prop_assert_eq!(&*daemons[*name], *region);
+                prop_assert!(seen.insert(*name));
+            }
+        }
+        prop_assert_eq!(seen.len(), daemons.len());
+    }
+
+    #[test]
+    fn a_target_has_an_owner_in_its_region_while_that_has_a_daemon(daemons in daemons(120)) {
+        for region in ["doto", "dohoku", "donan", "unknown"] {
+            let owner = owner_of("engine-1", region, &daemons).expect("an owner");
+            let has_daemon = daemons.values().any(|r| **r == *region);
+            prop_assert!(!has_daemon || *daemons[owner] == *region);
+        }
+    }
+
+    #[test]
+    fn a_daemon_that_goes_takes_only_its_own_targets_along(daemons in daemons(MAX_CELL)) {
+        prop_assume!(daemons.len() > 1);
+        let (gone, _) = daemons.first_key_value().expect("a daemon");
+        let mut rest = daemons.clone();
+        rest.remove(gone);
+        for target in 0..50 {
+            let target = format!("engine-{target}");
+            let before = owner_of(&target, "doto", &daemons).expect("an owner");
+            let after = owner_of(&target, "doto", &rest).expect("an owner");
+            prop_assert!(before == &**gone || before == after);
+        }
+    }
+}
