--- a/src/control.rs
+++ b/src/control.rs
@@ -275,6 +275,8 @@
         let Some(address) = self.listed_address(to) else {
             return;
         };
+        let kind: &'static str = (&message).into();
+        metrics::counter!("bluebell_datagrams", "kind" => kind).increment(1);
         let packet = Packet {
             from: self.me.clone(),
             sequence,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -36,7 +36,8 @@
 }
 
 /// What datagrams say.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Datagram {
     /// Sent to each member of the cell once a heartbeat period.
     Heartbeat(Heartbeat),
--- a/tests/cold_target.rs
+++ b/tests/cold_target.rs
@@ -14,7 +14,9 @@
     time::{Duration, Instant},
 };
 
-use common::{Caller, Fleet, Process, ZONES, default_records, history, relay::Relay, wait_for};
+use common::{
+    Caller, Fleet, Process, ZONES, client, default_records, history, relay::Relay, wait_for,
+};
 use serde_json::{Value, json};
 
 const COLD_LIMIT: usize = 4;
@@ -134,6 +136,27 @@
     );
 }
 
+/// Prints what control costs under load, for each daemon and second.
+fn print_control_cost(fleet: &Fleet) {
+    let read = |i: usize| {
+        let address = &fleet.daemons[i].caller;
+        let answer = client::call("GET", address, "/metrics", &[], &Value::Null);
+        let lines = answer.body.lines().filter_map(|l| l.rsplit_once(' '));
+        let wanted = lines.filter(|(name, _)| name.starts_with("bluebell_datagrams{"));
+        let counts = wanted.map(|(name, n)| (name.to_owned(), n.parse().unwrap_or(0.0)));
+        counts.collect::<Vec<(String, f64)>>()
+    };
+    let before: Vec<_> = (0..DAEMONS).map(read).collect();
+    std::thread::sleep(Duration::from_secs(2));
+    for (i, before) in before.iter().enumerate() {
+        for (name, after) in read(i) {
+            let earlier = before.iter().find(|(n, _)| *n == name);
+            let grown = after - earlier.map_or(0.0, |(_, n)| *n);
+            println!("daemon {i}: {name} {:.1} a second", grown / 2.0);
+        }
+    }
+}
+
 #[test]
 fn all_daemons_at_once_do_not_overload_a_cold_engine() {
     let mut fleet = fleet();
@@ -148,6 +171,7 @@
         (most_at_once(&fleet) >= 20).then_some(())
     });
     println!("full share after {:?}", started.elapsed());
+    print_control_cost(&fleet);
     drop(load);
     assert_eq!(count(&fleet, "fell_over"), 0);
 }
