--- a/src/control.rs
+++ b/src/control.rs
@@ -11,23 +11,25 @@
 use arc_swap::ArcSwap;
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, oneshot},
+    sync::{Notify, mpsc, oneshot},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    allot::{Allot, Daemons, LeaseAnswer, Listed, Out},
     clock::{self, BootTime},
-    engine::LoadReport,
+    credits::Credit,
+    engine::{EngineClient, LoadReport},
     feeds,
     follow::CellLinks,
     membership::{Member, Membership},
-    owner::Owner,
+    owner::TAKEOVER_MARGIN,
     peer::{self, PeerPort, Seal},
     platform::{Instance, InstanceRole, InstanceState, Listing, Object, Platform, Revision},
     quarantine::SharedQuarantine,
-    records::ZoneState,
+    records::{ServiceType, ZoneState},
     relay::InstanceList,
-    settings::Settings,
+    settings::{Policy, Settings},
     spread::Spread,
     supervisor::supervise,
     view::{LoadHint, PeerDaemon, SharedView, Standing, Target, View},
@@ -63,6 +65,10 @@
     Page(RecordsPage),
     /// Another daemon asks.
     Ask(Frame, oneshot::Sender<Frame>),
+    /// A call on a target's lease, sent at this time, ended.
+    Lease(TargetName, LeaseAnswer, BootTime),
+    /// A target answered a probe sent at this time, or did not.
+    Probed(TargetName, Option<LoadReport>, BootTime),
     /// The daemon is stopping.
     Drain,
 }
@@ -131,7 +137,6 @@
     pub settings: Arc<Settings>,
     pub me: MemberId,
     caller_address: Box<str>,
-    sequence: u64,
     udp: Arc<UdpSocket>,
     pub seal: Seal,
     pub platform: Platform,
@@ -141,7 +146,11 @@
     pub cell: CellLinks,
     pub instances: InstanceList,
     pub members: Membership,
-    owner: Owner,
+    allot: Allot,
+    engines: EngineClient,
+    /// Notified when a request finds no credit.
+    short: Arc<Notify>,
+    started_at: BootTime,
     loads: BTreeMap<TargetName, LoadReport>,
     is_draining: bool,
     quarantine: SharedQuarantine,
@@ -162,10 +171,12 @@
             incarnation: u64::try_from(incarnation).unwrap_or(u64::MAX),
         };
         let address = settings.platform.address.clone();
+        let (short, started_at) = (Arc::new(Notify::new()), clock::now());
+        let (policy, life) = (settings.policy, settings.timing.credit_life);
+        let allot = Allot::new(me.clone(), policy, life, short.clone(), started_at);
         Self {
             me,
             caller_address: caller_address.to_string().into(),
-            sequence: 0,
             udp,
             seal: Seal::new(&settings.keys.peer),
             platform: Platform::open(address, settings.platform.timeout),
@@ -175,7 +186,10 @@
             cell: CellLinks::default(),
             instances: InstanceList::default(),
             members: Membership::new(settings.timing.suspect_after),
-            owner: Owner::new(settings.timing.credit_life),
+            allot,
+            engines: EngineClient::open(PEER_TIMEOUT),
+            short,
+            started_at,
             loads: BTreeMap::new(),
             is_draining: false,
             quarantine: SharedQuarantine::default(),
@@ -192,11 +206,22 @@
         self.supervise_tasks(port, &stop);
         let mut heartbeat = tokio::time::interval(self.settings.timing.heartbeat);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let short = self.short.clone();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = heartbeat.tick() => self.tick().await,
+                () = short.notified() => {
+                    let out = self.allot.ask_urgent(clock::now());
+                    self.send_all(out).await;
+                }
                 event = queue.recv() => match event {
+                    Some(Event::Packet(from, packet)) => self.on_packet(from, packet).await,
+                    Some(Event::Probed(target, load, sent_at)) => {
+                        let now = clock::now();
+                        let out = self.allot.on_probe(&target, load.as_ref(), sent_at, now);
+                        self.send_all(out).await;
+                    }
                     Some(event) => self.handle(event),
                     None => return,
                 },
@@ -240,19 +265,65 @@
         self.choose_role(now);
         self.publish(now);
         self.send_heartbeats(now).await;
+        let out = self.allot.tick(now);
+        self.send_all(out).await;
+    }
+
+    async fn send_all(&self, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Send(to, sequence, message) => self.send(&to, sequence, message).await,
+                Out::Lease(target, call, record) => {
+                    let (platform, events) = (self.platform.clone(), self.events.clone());
+                    tokio::spawn(feeds::call_lease(platform, events, target, call, record));
+                }
+                Out::Probe(target) => {
+                    let Some(instance) = self.instances.instances.get(&target) else {
+                        continue;
+                    };
+                    let (engines, events) = (self.engines.clone(), self.events.clone());
+                    let address = instance.address.clone();
+                    tokio::spawn(feeds::probe(engines, events, target, address));
+                }
+            }
+        }
+    }
+
+    async fn send(&self, to: &str, sequence: u64, message: Datagram) {
+        let Some(address) = self.listed_address(to) else {
+            return;
+        };
+        self.send_to(address, sequence, message).await;
+    }
+
+    async fn send_to(&self, address: SocketAddr, sequence: u64, message: Datagram) {
+        let kind: &'static str = (&message).into();
+        metrics::counter!("bluebell_datagrams", "kind" => kind).increment(1);
+        let packet = Packet {
+            from: self.me.clone(),
+            sequence,
+            message,
+        };
+        peer::send_packet(&self.udp, &self.seal, address, &packet).await;
     }
 
     fn handle(&mut self, event: Event) {
         let now = clock::now();
         match event {
-            Event::Packet(from, packet) => self.on_packet(from, packet, now),
+            Event::Packet(..) | Event::Probed(..) => {}
             Event::Object(object) => self.spread.on_watched(&object),
             Event::Listing(listing) => self.spread.on_listing(&listing),
             Event::Written(object) => self.on_written(&object),
             Event::Confirmed(revision, asked_at) => self.spread.on_confirmed(revision, asked_at),
             Event::Instances(list, asked_at) => self.instances.on_read(list, asked_at),
             Event::InstancesPage(page) => self.instances.on_page(&page, now),
-            Event::Load(target, load) => drop(self.loads.insert(target, load)),
+            Event::Load(target, load) => {
+                self.allot.on_load(&target, &load, now);
+                self.loads.insert(target, load);
+            }
+            Event::Lease(target, answer, sent_at) => {
+                self.allot.on_lease(&target, &answer, sent_at, now);
+            }
             Event::Page(page) => self.spread.on_page(&page),
             Event::Ask(frame, reply) => drop(reply.send(self.answer(&frame, now))),
             Event::Drain => self.is_draining = true,
@@ -260,34 +331,55 @@
         self.publish(now);
     }
 
-    fn on_packet(&mut self, from: SocketAddr, packet: Packet, now: BootTime) {
+    async fn on_packet(&mut self, from: SocketAddr, packet: Packet) {
+        let now = clock::now();
+        if !self.members.is_new(&packet.from, packet.sequence) {
+            return metrics::counter!("bluebell_datagrams_old").increment(1);
+        }
+        let sender = packet.from;
         match packet.message {
             Datagram::Heartbeat(heartbeat) => {
-                if !self.cell.exchange.hear(&packet.from, packet.sequence, now) {
-                    return;
-                }
-                let from = self.listed_address(&packet.from.name).unwrap_or(from);
-                let said = heartbeat.clone();
-                if self.members.hear(&packet.from, from, heartbeat, now) {
-                    self.on_digest(from, &said, now);
-                }
+                self.on_heartbeat(from, &sender, packet.sequence, heartbeat, now);
+            }
+            Datagram::CreditAsk(ask) => {
+                let out = self.allot.on_ask(&sender, packet.sequence, ask, now);
+                self.send_all(out).await;
             }
-            Datagram::CreditAsk(_) | Datagram::CreditGrant(_) | Datagram::CellSummary(_) => {}
+            Datagram::CreditGrant(grant) => self.allot.on_grant(&sender, &grant),
+            Datagram::CellSummary(_) => {}
         }
     }
 
+    fn on_heartbeat(
+        &mut self,
+        from: SocketAddr,
+        sender: &MemberId,
+        sequence: u64,
+        heartbeat: Heartbeat,
+        now: BootTime,
+    ) {
+        // A peer is reached where it is listed; until then, where it sent from.
+        let address = self.listed_address(&sender.name).unwrap_or(from);
+        self.cell.exchange.hear(sender, sequence, now);
+        let said = heartbeat.clone();
+        if self.members.hear(sender, address, heartbeat, now) {
+            self.on_digest(address, &said, now);
+        }
+        self.publish(now);
+    }
+
     fn answer(&mut self, frame: &Frame, now: BootTime) -> Frame {
         match frame {
             Frame::RecordsAfter(after) => Frame::Records(self.spread.page_after(*after)),
-            Frame::CrashMark(mark) => {
-                self.quarantine.lock().hear(mark, now);
-                Frame::Done
-            }
             Frame::Records(page) => {
                 self.spread.on_page(page);
                 Frame::Done
             }
             Frame::InstancesAsk => Frame::Instances(self.instances.page(now)),
+            Frame::CrashMark(mark) => {
+                self.quarantine.lock().hear(mark, now);
+                Frame::Done
+            }
             _ => Frame::Refused("not understood".into()),
         }
     }
@@ -296,14 +388,10 @@
         for (name, to) in self.heartbeat_receivers(now) {
             let mut heartbeat = self.heartbeat(now);
             heartbeat.echo = name.and_then(|name| self.cell.exchange.echo_for(&name, now));
-            self.sequence += 1;
-            self.cell.exchange.on_sent(self.sequence, clock::now());
-            let packet = Packet {
-                from: self.me.clone(),
-                sequence: self.sequence,
-                message: Datagram::Heartbeat(heartbeat),
-            };
-            peer::send_packet(&self.udp, &self.seal, to, &packet).await;
+            let sequence = self.allot.next_sequence();
+            self.cell.exchange.on_sent(sequence, clock::now());
+            self.send_to(to, sequence, Datagram::Heartbeat(heartbeat))
+                .await;
         }
     }
 
@@ -318,6 +406,8 @@
             newest: self.spread.newest(),
             records_hash: self.spread.hash(),
             confirmed_age_ms: self.spread.confirmed_at().map(age),
+            list_age_ms: self.instances.read_at().map(age),
+            leaving: self.leaving_targets(),
             silent: Vec::new(),
             instances_hash: self.instances.hash(),
             instances_age_ms: self.instances.own_age_ms(now),
@@ -327,13 +417,12 @@
 
     fn publish(&mut self, now: BootTime) {
         let peers: Vec<PeerDaemon> = self.members.live(now).map(peer_daemon).collect();
-        let snapshot = self.spread.snapshot();
-        self.owner
-            .renew(&self.instances.instances, snapshot, peers.len() + 1, now);
+        self.allot.refresh(self.listed(), self.daemons(now), now);
         let mut targets: BTreeMap<Box<str>, Vec<Arc<Target>>> = BTreeMap::new();
         for instance in self.instances.instances.values() {
             if let InstanceRole::Target { service } = &instance.role {
-                let target = Arc::new(self.target(instance));
+                let credit = self.allot.credit(&instance.name);
+                let target = Arc::new(self.target(instance, credit));
                 targets.entry(service.clone()).or_default().push(target);
             }
         }
@@ -343,28 +432,81 @@
             targets,
             peers,
             confirmed_at: self.current_as_of(),
-            is_ready: self.spread.has_whole_set() && !self.is_draining,
+            is_ready: self.spread.has_whole_set() && self.owns_fully(now) && !self.is_draining,
         }));
     }
 
-    fn target(&self, instance: &Instance) -> Target {
+    /// Whether earlier owners' grants have lapsed since this daemon started.
+    fn owns_fully(&self, now: BootTime) -> bool {
+        let life = self.settings.timing.credit_life;
+        let since = now.saturating_sub(self.started_at);
+        self.settings.policy != Policy::Credits || since >= life + TAKEOVER_MARGIN
+    }
+
+    /// Live daemons with their regions, this one included.
+    fn daemons(&self, now: BootTime) -> Daemons {
+        let live = self.members.live(now);
+        let mut daemons: Daemons = live
+            .map(|m| (m.id.name.clone(), m.heartbeat.region.clone()))
+            .collect();
+        daemons.insert(self.me.name.clone(), self.settings.region.clone());
+        daemons
+    }
+
+    fn listed(&self) -> BTreeMap<TargetName, Listed> {
+        let instances = self.instances.instances.values();
+        let listed = instances.filter_map(|i| Some((i.name.clone(), self.listed_target(i)?)));
+        listed.collect()
+    }
+
+    fn listed_target(&self, instance: &Instance) -> Option<Listed> {
+        let InstanceRole::Target { service } = &instance.role else {
+            return None;
+        };
+        let snapshot = self.spread.snapshot();
+        let service = snapshot.services.get(service)?;
+        let model = service.model.as_ref().and_then(|m| snapshot.models.get(m));
+        let zone = snapshot.zones.get(&instance.zone);
+        Some(Listed {
+            region: zone.map(|z| z.region.clone()).unwrap_or_default(),
+            standing: self.standing(instance),
+            capacity: service.capacity.clone(),
+            first_token_band: model.map_or(Duration::MAX, |m| m.first_token_band),
+            reports_load: service.kind == ServiceType::Generation,
+        })
+    }
+
+    fn leaving_targets(&self) -> Vec<TargetName> {
+        let leaving = self.instances.instances.values();
+        let leaving = leaving.filter(|i| i.state == InstanceState::Leaving);
+        let targets = leaving.filter(|i| i.role != InstanceRole::Daemon);
+        targets.map(|i| i.name.clone()).collect()
+    }
+
+    fn standing(&self, instance: &Instance) -> Standing {
         let zone = self.spread.snapshot().zones.get(&instance.zone);
         let is_out = zone.is_some_and(|z| z.state == ZoneState::Out);
-        let standing = if instance.state == InstanceState::Leaving {
+        // A daemon that cannot read the list learns from peers who is leaving.
+        let leaves = |m: &Member| m.lists_as_leaving(&instance.name, self.instances.read_at());
+        if instance.state == InstanceState::Leaving || self.members.all().any(leaves) {
             Standing::Leaving
         } else if is_out {
             Standing::ZoneOut
         } else {
             Standing::Serving
-        };
+        }
+    }
+
+    fn target(&self, instance: &Instance, credit: Arc<Credit>) -> Target {
+        let zone = self.spread.snapshot().zones.get(&instance.zone);
         let load = self.loads.get(&instance.name);
         Target {
             name: instance.name.clone(),
             zone: instance.zone.clone(),
             region: zone.map(|z| z.region.clone()).unwrap_or_default(),
             address: instance.address.clone(),
-            standing,
-            credit: self.owner.credit(&instance.name),
+            standing: self.standing(instance),
+            credit,
             load: load.map(load_hint).unwrap_or_default(),
         }
     }
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -10,16 +10,18 @@
 };
 
 use crate::{
+    allot::LeaseAnswer,
     clock,
     control::{Event, Events, PEER_TIMEOUT},
     engine::EngineClient,
     follow::Duties,
+    lease::{LeaseCall, LeaseRecord, TARGET_LEASES},
     peer::{self, Seal},
     platform::{Condition, Object, Platform, PlatformError, Revision},
     records::{RECORD_PREFIX, RecordSet, ServiceType},
     relay::Role,
     view::SharedView,
-    wire::{Frame, RecordsPage},
+    wire::{Frame, RecordsPage, TargetName},
 };
 
 /// Prefix of status objects in the platform's object API.
@@ -285,11 +287,54 @@
                 continue;
             }
             for target in targets {
-                if let Ok(load) = engines.load(&target.address).await {
-                    let _ = events.send(Event::Load(target.name.clone(), load)).await;
-                }
+                let (sent_at, name) = (clock::now(), target.name.clone());
+                let event = match engines.load(&target.address).await {
+                    Ok(load) => Event::Load(name, load),
+                    Err(_) => Event::Probed(name, None, sent_at),
+                };
+                let _ = events.send(event).await;
             }
         }
         tokio::time::sleep(period).await;
     }
 }
+
+/// Makes one call on a target's lease.
+pub(crate) async fn call_lease(
+    platform: Platform,
+    events: Events,
+    target: TargetName,
+    call: LeaseCall,
+    record: LeaseRecord,
+) {
+    let sent_at = clock::now();
+    let key = format!("{TARGET_LEASES}{target}");
+    let called = match call {
+        LeaseCall::Read => platform.get(&key).await.map(LeaseAnswer::Read),
+        LeaseCall::Write(condition) => {
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            let put = platform.put(&key, &value, condition).await;
+            put.map(LeaseAnswer::Put)
+        }
+    };
+    let answer = called.unwrap_or_else(|e| {
+        log::warn!(
+            "event=lease_failed target={target} error={:?}",
+            e.to_string()
+        );
+        LeaseAnswer::Failed
+    });
+    let _ = events.send(Event::Lease(target, answer, sent_at)).await;
+}
+
+/// Asks an engine for its load report.
+pub(crate) async fn probe(
+    engines: EngineClient,
+    events: Events,
+    target: TargetName,
+    address: Box<str>,
+) {
+    let sent_at = clock::now();
+    let load = engines.load(&address).await.ok();
+    let _ = events.send(Event::Probed(target, load, sent_at)).await;
+}
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -125,6 +125,7 @@
                 });
             }
             Err(e) => {
+                chosen.permit.note_failure();
                 log::warn!(
                     "event=start_failed request={} target={} error={:?}",
                     call.id,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -212,6 +212,12 @@
         Some(clock::millis(now.saturating_sub(at)))
     }
 
+    /// When the list in use was read at the platform.
+    #[must_use]
+    pub fn read_at(&self) -> Option<BootTime> {
+        self.read_at
+    }
+
     /// Whether any list was taken yet.
     #[must_use]
     pub fn is_known(&self) -> bool {
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -203,6 +203,7 @@
     loop {
         let Ok(Ok(event)) = timeout(delivered.silence_after, run.events.next()).await else {
             // Silent, or broken: go on with a new connection at the cursor.
+            run.permit.note_failure();
             match resume(engines, run, &cursor).await {
                 Ok(events) => run.events = events,
                 Err(e) => return Ended::Failed(cursor.next(), e),
@@ -226,6 +227,9 @@
                 if cursor.next() == TRIAL_TOKENS {
                     run.in_flight.survived();
                 }
+                if index == 0 {
+                    run.permit.note_first_token(clock::now());
+                }
                 if tx
                     .send(token_event(&delivered.id_prefix, index, &data))
                     .await
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::Revision;
+use crate::{platform::Revision, warmup::RampState};
 
 /// Name of a daemon's instance.
 pub type DaemonName = Box<str>;
@@ -36,7 +36,8 @@
 }
 
 /// What datagrams say.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Datagram {
     /// Sent to each member of the cell once a heartbeat period.
     Heartbeat(Heartbeat),
@@ -68,6 +69,10 @@
     /// Age of its last confirmation by the platform, directly or through
     /// peers, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
+    /// Age of its copy of the instance list, in milliseconds.
+    pub list_age_ms: Option<u64>,
+    /// Targets that are leaving by that list.
+    pub leaving: Vec<TargetName>,
     /// Members it suspects or knows to be dead.
     pub silent: Vec<MemberId>,
     /// Hash of the instance list it uses.
@@ -100,6 +105,14 @@
     pub in_flight: u32,
     /// Credits it could use now.
     pub wanted: u32,
+    /// First tokens within the model's band since its start.
+    pub good: u64,
+    /// First tokens later than the band since its start.
+    pub slow: u64,
+    /// Runs that broke since its start.
+    pub failures: u64,
+    /// What it last heard of the target's ramp, for a new owner.
+    pub ramp: Option<RampState>,
 }
 
 /// Credits handed to one holder; replaces its earlier grant for the target.
@@ -109,8 +122,10 @@
     pub target: TargetName,
     /// Requests, or tokens of engine memory, that the holder may have there.
     pub credits: u32,
-    /// Life of the grant from its arrival, in milliseconds.
+    /// Life of the grant from the sending of the ask, in milliseconds.
     pub life_ms: u32,
+    /// What the owner knows of the target's ramp.
+    pub ramp: Option<RampState>,
     /// Sequence of the ask it answers, so that a late grant is known.
     pub answers: u64,
 }
