--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -29,6 +29,10 @@
         list_age_ms: Some(100),
         leaving: leaving.iter().map(|t| (*t).into()).collect(),
         silent: Vec::new(),
+        newest: 0,
+        instances_hash: 0,
+        instances_age_ms: None,
+        echo: None,
     }
 }
 
