One crash that several daemons see counts once against a request

Cause: a daemon that hears another's notice before it sees the same crash took the notice for an earlier crash, and kept the request out after one target fell. Found by tests/cold_target.rs, whose callers send one body at once: an engine that was killed once had them refused as quarantined. Ruled out: telling crashes apart by boot id, which a daemon may not know yet. Failed first: one_crash_that_two_daemons_see_counts_once ('only one target fell'); cold_target a_warm_engine_turns_cold_again_in_mid_load (timed out). After: both pass; cold_target 6 passed.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -75,7 +75,10 @@
 struct Running {
     number: RunNumber,
     fingerprint: Fingerprint,
-    /// It is marked and has not shown yet that it does no harm.
+    /// It was marked when it began. A mark that came later may tell of the
+    /// very crash that ends this run, seen by another daemon.
+    began_marked: bool,
+    /// It began marked and has not shown yet that it does no harm.
     is_on_trial: bool,
 }
 
@@ -121,6 +124,7 @@
         let running = Running {
             number: self.last,
             fingerprint,
+            began_marked: is_on_trial,
             is_on_trial,
         };
         let there = self.in_flight.entry(target.into()).or_default();
@@ -163,7 +167,7 @@
         let mut there = self.in_flight.remove(target).unwrap_or_default();
         there.sort_by_key(|r| r.fingerprint);
         there.dedup_by_key(|r| r.fingerprint);
-        let suspects = self.suspects(&there, now);
+        let suspects = suspects(&there);
         let known = there.iter().map(|r| {
             let mark = self.mark(&r.fingerprint, now);
             let is_alone = suspects == [r.fingerprint];
@@ -196,18 +200,6 @@
         self.forget_oldest(now);
     }
 
-    /// Who may have caused a crash: those on trial, or else all that are
-    /// marked.
-    fn suspects(&self, there: &[Running], now: BootTime) -> Vec<Fingerprint> {
-        let on_trial = there.iter().filter(|r| r.is_on_trial);
-        let on_trial: Vec<Fingerprint> = on_trial.map(|r| r.fingerprint).collect();
-        if !on_trial.is_empty() {
-            return on_trial;
-        }
-        let marked = there.iter().map(|r| r.fingerprint);
-        marked.filter(|f| self.mark(f, now).is_some()).collect()
-    }
-
     fn has_trial(&self, fingerprint: &Fingerprint, target: &str) -> bool {
         self.in_flight.iter().any(|(name, there)| {
             let mut trials = there.iter().filter(|r| r.is_on_trial);
@@ -235,6 +227,17 @@
     }
 }
 
+/// Who may have caused a crash: those on trial, or else all that began marked.
+fn suspects(there: &[Running]) -> Vec<Fingerprint> {
+    let on_trial = there.iter().filter(|r| r.is_on_trial);
+    let on_trial: Vec<Fingerprint> = on_trial.map(|r| r.fingerprint).collect();
+    if !on_trial.is_empty() {
+        return on_trial;
+    }
+    let marked = there.iter().filter(|r| r.began_marked);
+    marked.map(|r| r.fingerprint).collect()
+}
+
 /// The quarantine that all parts of one daemon share.
 #[derive(Clone, Default)]
 pub(crate) struct SharedQuarantine(Arc<Mutex<Quarantine>>);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -205,3 +205,22 @@
     quarantine.survived("engine-1", first);
     assert!(quarantine.begin(print(1), "engine-1", now).is_ok());
 }
+
+#[test]
+fn one_crash_that_two_daemons_see_counts_once() {
+    let now = Duration::from_secs(1);
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    for daemon in [&mut one, &mut other] {
+        daemon.begin(print(1), "t", now).expect("it may run");
+    }
+    for notice in one.crashed("t", now) {
+        other.hear(&notice, now);
+    }
+    for notice in other.crashed("t", now) {
+        one.hear(&notice, now);
+    }
+    for daemon in [&one, &other] {
+        assert!(daemon.is_marked(&print(1), now));
+        assert!(!daemon.is_kept_out(&print(1), now), "only one target fell");
+    }
+}
