--- a/src/answer.rs
+++ b/src/answer.rs
@@ -8,7 +8,7 @@
 use tokio::{
     runtime::Handle,
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
-    time::Instant,
+    time::{Instant, timeout_at},
 };
 
 use crate::{
@@ -139,7 +139,7 @@
         answer
     }
 
-    /// Starts a run; returns once an engine has it.
+    /// Starts a run; returns once an engine has it, or is late.
     ///
     /// # Errors
     /// A truthful refusal when none took it.
@@ -148,12 +148,18 @@
             let placing = place(&self.entry, &self.call, &self.wanted.service, &self.tried);
             let chosen = placing.await.map_err(|refusal| self.refusal_of(refusal))?;
             let cx = self.connecting();
+            let hedge_at = Instant::now() + self.entry.settings.timing.hedge_after;
+            self.hedge_at = Some(hedge_at);
             let run = self.new_run(chosen.target, chosen.permit);
-            let opened = run.open(&cx).await;
-            let Err(e) = opened else {
-                self.ran = Ran::Ran;
-                self.hedge_at = Some(Instant::now() + self.entry.settings.timing.hedge_after);
-                return Ok(());
+            // An engine that is late to answer is hedged like one that is late
+            // to speak: the run is opened further on the way.
+            let e = match timeout_at(hedge_at, run.open(&cx)).await {
+                Ok(Err(e)) => e,
+                Ok(Ok(())) => {
+                    self.ran = Ran::Ran;
+                    return Ok(());
+                }
+                Err(_) => return Ok(()),
             };
             if let Some(run) = self.runs.pop() {
                 self.may_replace(run, &e)?;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -71,6 +71,8 @@
 struct State {
     batch: Batch,
     generations: BTreeMap<GenerationId, Generation>,
+    /// Ids cancelled of late: a start that arrives after its cancel is refused.
+    cancelled: BTreeMap<GenerationId, BootTime>,
     /// Reports of the last moments, oldest first.
     reports: Vec<(BootTime, LoadReport)>,
 }
@@ -124,6 +126,7 @@
         state: Mutex::new(State {
             batch: Batch::new(limits_of(args)),
             generations: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
             reports: Vec::new(),
         }),
         name: args.target.name.clone(),
@@ -192,14 +195,20 @@
         return status(StatusCode::BAD_REQUEST);
     };
     let id = request.generation_id.clone();
-    let is_new = !shared.state().generations.contains_key(&id);
+    // One lock for look and admission: a repeated start may come at once.
+    let mut state = shared.state();
+    if state.cancelled.contains_key(&id) {
+        return status(StatusCode::GONE);
+    }
+    let is_new = !state.generations.contains_key(&id);
     if is_new {
-        admit(shared, &request);
+        admit(shared, &mut state, &request);
     }
+    drop(state);
     stream_from(shared, &id, 0, is_new).unwrap_or_else(|| status(StatusCode::NOT_FOUND))
 }
 
-fn admit(shared: &Shared, request: &GenerationRequest) {
+fn admit(shared: &Shared, state: &mut State, request: &GenerationRequest) {
     let id = &request.generation_id;
     let mark = directive(&request.prompt, "mark").unwrap_or("t");
     let length = directive(&request.prompt, "n").and_then(|n| n.parse().ok());
@@ -224,7 +233,6 @@
         readers: 0,
         unread_since: Some(clock::now()),
     };
-    let mut state = shared.state();
     state.generations.insert(id.clone(), generation);
     let sequence = Sequence::new(prompt_tokens, length, request.priority);
     if !state.batch.add(id.clone(), sequence) {
@@ -262,9 +270,10 @@
 fn cancel_generation(shared: &Shared, id: &str, if_unread: bool) {
     let mut state = shared.state();
     let found = state.generations.get(id);
-    if found.is_none_or(|g| g.is_deaf || (if_unread && g.readers > 0)) {
+    if found.is_some_and(|g| g.is_deaf || (if_unread && g.readers > 0)) {
         return;
     }
+    state.cancelled.insert(id.into(), clock::now());
     state.batch.remove(id);
     if let Some(generation) = state.generations.remove(id) {
         generation.progress.send_modify(|p| p.is_cancelled = true);
@@ -405,6 +414,10 @@
 /// Drops generations that nobody has read for a while.
 fn drop_unread(shared: &Shared, state: &mut State) {
     let now = clock::now();
+    let keep = shared.keep;
+    state
+        .cancelled
+        .retain(|_, at| now.saturating_sub(*at) <= keep);
     let is_forgotten = |g: &Generation| {
         let unread_since = g.unread_since;
         unread_since.is_some_and(|at| now.saturating_sub(at) > shared.keep)
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -3,9 +3,9 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
-use common::{Answer, CUSTOMER_KEY, Fleet, client, history, wait_for};
+use common::{Answer, CUSTOMER_KEY, Fleet, Process, client, history, wait_for};
 use serde_json::{Value, json};
 
 const NEAR: &str = "engine-kushiro-a";
@@ -29,11 +29,10 @@
 }
 
 /// A completion as one JSON body.
-fn whole_body(fleet: &Fleet, prompt: &str) -> Answer {
+fn whole_body(address: &str, prompt: &str) -> Answer {
     let key = format!("Bearer {CUSTOMER_KEY}");
     let headers = [("authorization", key.as_str())];
     let body = json!({"model": "drafting-desk", "prompt": prompt});
-    let address = &fleet.daemons[0].caller;
     client::call("POST", address, "/v1/completions", &headers, &body)
 }
 
@@ -56,7 +55,7 @@
                 _ => String::new(),
             };
             let prompt = format!("[mark=m{i}x] [n={}] {fault}", 10 + i);
-            std::thread::spawn(move || caller.generate(&prompt, &json!({}), &[]))
+            thread::spawn(move || caller.generate(&prompt, &json!({}), &[]))
         })
         .collect();
     for (i, caller) in callers.into_iter().enumerate() {
@@ -66,49 +65,52 @@
     }
 }
 
-#[test]
-fn whole_delivery_survives_the_death_of_its_engine() {
-    let mut fleet = fleet(1);
-    let caller = fleet.caller(0);
-    let whole = json!({"delivery": "whole"});
-    let prompt = "[mark=a] [n=150]";
-    let events = std::thread::spawn(move || caller.generate(prompt, &whole, &[]));
-    wait_for("the near engine runs it", || {
-        let admitted = history::named(&fleet.targets[0].history, "admitted");
-        (!admitted.is_empty()).then_some(())
-    });
-    let body = std::thread::scope(|scope| {
-        let body = scope.spawn(|| whole_body(&fleet, "[mark=b] [n=150]"));
-        wait_for("the near engine runs both", || {
-            let admitted = history::named(&fleet.targets[0].history, "admitted");
-            (admitted.len() == 2).then_some(())
-        });
-        std::thread::sleep(Duration::from_millis(500));
-        let pid = &fleet.targets[0].process;
-        pid.pause();
-        body.join().expect("a caller")
+/// Two whole answers, as events and as a body; the near engine is struck when it
+/// has made a part of both.
+fn assert_survives(fleet: &mut Fleet, strike: impl Fn(&mut Process)) {
+    let admitted = |fleet: &Fleet| history::named(&fleet.targets[0].history, "admitted").len();
+    let before = admitted(fleet);
+    let (caller, whole) = (fleet.caller(0), json!({"delivery": "whole"}));
+    let events = thread::spawn(move || caller.generate("[mark=a] [n=150]", &whole, &[]));
+    let address = fleet.daemons[0].caller.clone();
+    let body = thread::spawn(move || whole_body(&address, "[mark=b] [n=150]"));
+    wait_for("the near engine runs both", || {
+        (admitted(fleet) == before + 2).then_some(())
     });
-    fleet.targets[0].process.kill();
-    let generated = events.join().expect("a caller");
-    assert!(generated.is_whole, "{generated:?}");
-    assert_eq!(generated.texts.concat(), text("a", 150));
+    thread::sleep(Duration::from_millis(500));
+    strike(&mut fleet.targets[0].process);
+    let (events, body) = (
+        events.join().expect("a caller"),
+        body.join().expect("a caller"),
+    );
+    assert!(events.is_whole, "{events:?}");
+    assert_eq!(events.texts.concat(), text("a", 150));
+    assert!(!events.ids[0].contains(NEAR), "made elsewhere");
     assert_eq!(body.status, 200, "{body:?}");
     let choice = &body.json()["choices"][0];
     assert_eq!(choice["text"], json!(text("b", 150)));
     assert_eq!(choice["finish_reason"], json!("stop"));
 }
 
+#[test]
+fn whole_delivery_survives_the_silence_and_the_death_of_its_engine() {
+    let mut fleet = fleet(1);
+    assert_survives(&mut fleet, |engine| engine.pause());
+    fleet.targets[0].process.unpause();
+    assert_survives(&mut fleet, Process::kill);
+}
+
 #[test]
 fn what_cannot_be_finished_ends_with_an_explicit_error() {
     let mut fleet = fleet(1);
     // Over the cap of the buffer.
     let prompt = format!("[mark={}] [n=80]", "a".repeat(1024));
-    let over = whole_body(&fleet, &prompt);
+    let over = whole_body(&fleet.daemons[0].caller, &prompt);
     assert_eq!(over.status, 413, "{over:?}");
     assert_eq!(over.header("x-bluebell-ran"), Some("ran"));
     // No engine left to start again at.
     let (caller, whole) = (fleet.caller(0), json!({"delivery": "whole"}));
-    let generating = std::thread::spawn(move || caller.generate("[mark=a] [n=400]", &whole, &[]));
+    let generating = thread::spawn(move || caller.generate("[mark=a] [n=400]", &whole, &[]));
     wait_for("admitted", || {
         let admitted = history::named(&fleet.targets[0].history, "admitted");
         (admitted.len() == 2).then_some(())
@@ -123,7 +125,7 @@
     assert_eq!(error["error"]["ran"], json!("ran"));
     assert_eq!(error["error"]["tokens_delivered"], json!(0));
     // Nothing listens any more: nothing ran.
-    let refused = whole_body(&fleet, "[n=3]");
+    let refused = whole_body(&fleet.daemons[0].caller, "[n=3]");
     assert_eq!(
         refused.header("x-bluebell-ran"),
         Some("not-run"),
