--- a/src/control.rs
+++ b/src/control.rs
@@ -29,7 +29,7 @@
     quarantine::SharedQuarantine,
     records::{ServiceType, ZoneState},
     relay::InstanceList,
-    settings::{Policy, Settings},
+    settings::{CutOff, Policy, Settings},
     spread::Spread,
     supervisor::supervise,
     view::{LoadHint, PeerDaemon, SharedView, Standing, Target, View},
@@ -432,10 +432,17 @@
             targets,
             peers,
             confirmed_at: self.current_as_of(),
-            is_ready: self.spread.has_whole_set() && self.owns_fully(now) && !self.is_draining,
+            is_ready: self.takes_requests() && self.owns_fully(now) && !self.is_draining,
         }));
     }
 
+    /// Whether requests would be taken: ready is not said before.
+    fn takes_requests(&self) -> bool {
+        let is_confirmed = self.current_as_of().is_some();
+        let serves_on = self.settings.cut_off == CutOff::Serve;
+        self.spread.has_whole_set() && (is_confirmed || serves_on)
+    }
+
     /// Whether earlier owners' grants have lapsed since this daemon started.
     fn owns_fully(&self, now: BootTime) -> bool {
         let life = self.settings.timing.credit_life;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,8 +13,10 @@
 
 use crate::{
     admission::{self, CustomerName},
+    budget::Budget,
     clock::{self, BootTime},
     decisions::Decisions,
+    drain,
     engine::EngineClient,
     generate,
     http::{self, HttpClient},
@@ -23,6 +25,7 @@
     quarantine::SharedQuarantine,
     records::{Service, ServiceType},
     refusal::{REQUEST_HEADER, Refusal, RefusalKind},
+    resume::ResumeKey,
     service,
     settings::{CutOff, Settings},
     view::{SharedView, View},
@@ -42,6 +45,10 @@
     pub decisions: Decisions,
     /// Requests that crashed targets.
     pub quarantine: SharedQuarantine,
+    /// Pays for retries and hedges.
+    pub budget: Budget,
+    /// Makes and checks resume tokens.
+    pub resume: ResumeKey,
     /// Requests being served.
     pub active: AtomicUsize,
     /// The daemon is stopping.
@@ -57,6 +64,8 @@
             services: http::client(ENGINE_TIMEOUT, None),
             decisions: Decisions::default(),
             quarantine,
+            budget: Budget::new(clock::now()),
+            resume: ResumeKey::new(&settings.keys.resume),
             active: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             settings,
@@ -115,11 +124,17 @@
         })
         .post("/v1/completions", move |req: Request| {
             let entry = completions.clone();
-            async move { Ok(generate::complete(entry, req).await) }
+            async move {
+                let res = generate::complete(entry.clone(), req).await;
+                Ok(drain::mark(&entry, res))
+            }
         })
         .any("/services/:service/*", move |req: Request| {
             let entry = any.clone();
-            async move { Ok(service::serve(entry, req).await) }
+            async move {
+                let res = service::serve(entry.clone(), req).await;
+                Ok(drain::mark(&entry, res))
+            }
         })
 }
 
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -1,28 +1,25 @@
-//! Completions: from the caller's request to a running generation.
+//! Completions: from the caller's request to an answer in the making.
 
 use std::{sync::Arc, time::Duration};
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
-use viz::{Request, Response};
+use tokio::time::Instant;
+use viz::{Request, RequestExt, Response};
 
 use crate::{
-    clock,
+    answer::{Answer, Wanted},
     engine::{EngineError, GenerationRequest},
     entry::{Active, Call, Entry, accept, finish, new_id, service_of},
     http,
-    place::place,
-    quarantine::{self, Fingerprint, Held},
-    records::ServiceType,
+    quarantine::{self, Fingerprint},
+    records::{Delivery, ServiceType},
     refusal::{Ran, Refusal, RefusalKind},
-    stream::{Delivered, Run, deliver},
+    resume::{ResumeError, ResumePoint},
+    run::Run,
+    stream, whole,
 };
 
-/// Most targets tried for one request.
-const MAX_TRIES: usize = 3;
-/// Pause before a marked request looks at all targets again.
-const APART_PAUSE: Duration = Duration::from_millis(20);
-
 /// A completion as callers ask for it: the usual fields and ours.
 #[derive(Debug, Deserialize)]
 struct Completion {
@@ -31,8 +28,15 @@
     prompt: Box<str>,
     #[serde(default)]
     max_tokens: Option<u32>,
+    /// Events as they come, or one JSON body at the end.
     #[serde(default)]
     stream: bool,
+    /// How events come; the service's own way when absent.
+    #[serde(default)]
+    delivery: Option<Delivery>,
+    /// Time after which the caller does not want the answer any more.
+    #[serde(default)]
+    deadline_ms: Option<u64>,
     /// Everything else goes to the engine as it is.
     #[serde(flatten)]
     parameters: Map<String, Value>,
@@ -41,143 +45,113 @@
 /// Serves one completion.
 pub(crate) async fn complete(entry: Arc<Entry>, mut req: Request) -> Response {
     let id = new_id();
+    let _active = Active::new(&entry);
+    let last_event: Option<String> = req.header("last-event-id");
     let served = match accept(&entry, &mut req, id.clone()).await {
-        Ok((call, body)) => generate(&entry, &call, &body).await,
+        Ok((call, body)) => match last_event {
+            Some(token) => go_on(&entry, call, &token).await,
+            None => generate(&entry, call, &body).await,
+        },
         Err(refusal) => Err(refusal),
     };
     finish(served, &id)
 }
 
-async fn generate(entry: &Arc<Entry>, call: &Call, body: &[u8]) -> Result<Response, Refusal> {
+async fn generate(entry: &Arc<Entry>, call: Call, body: &[u8]) -> Result<Response, Refusal> {
     let completion: Completion = serde_json::from_slice(body)
         .map_err(|e| Refusal::not_run(RefusalKind::BadRequest, e.to_string()))?;
-    service_of(&call.view, &completion.model, ServiceType::Generation)?;
-    if !completion.stream {
-        let message = "only \"stream\": true is served so far";
-        return Err(Refusal::not_run(RefusalKind::BadRequest, message));
-    }
-    let print = quarantine::fingerprint(&call.customer, body);
-    let run = start_run(entry, call, completion, print).await?;
-    let delivered = Delivered {
-        entry: entry.clone(),
-        request: call.id.clone(),
-        id_prefix: run.generation.generation_id.clone(),
-        silence_after: entry.settings.timing.silence_after,
-        arrived: call.arrived,
+    let service = service_of(&call.view, &completion.model, ServiceType::Generation)?;
+    let chosen = completion.delivery.unwrap_or(service.delivery);
+    let delivery = if completion.stream {
+        chosen
+    } else {
+        Delivery::Whole
     };
-    let active = Active::new(entry);
-    let events = deliver(entry.engines.clone(), run, delivered);
-    let events = futures::StreamExt::map(events, move |event| {
-        let _held_while_streaming = &active;
-        event
-    });
-    Ok(http::event_stream(events))
-}
-
-/// Finds a target and starts the generation there; tries another target when
-/// one certainly did not run it.
-async fn start_run(
-    entry: &Entry,
-    call: &Call,
-    completion: Completion,
-    print: Fingerprint,
-) -> Result<Run, Refusal> {
-    let service = completion.model;
-    let mut tried = Vec::new();
-    let mut apart = Vec::new();
-    let generation = GenerationRequest {
-        generation_id: new_id(),
-        prompt: completion.prompt,
-        max_tokens: completion.max_tokens,
-        priority: 0,
-        parameters: completion.parameters,
+    let is_stream = completion.stream;
+    let deadline = completion.deadline_ms.map(Duration::from_millis);
+    let wanted = Wanted {
+        service: completion.model,
+        generation: GenerationRequest {
+            generation_id: new_id(),
+            prompt: completion.prompt,
+            max_tokens: completion.max_tokens,
+            priority: 0,
+            parameters: completion.parameters,
+        },
+        delivery,
+        deadline: deadline.and_then(|after| Instant::now().checked_add(after)),
+        print: quarantine::fingerprint(&call.customer, body),
     };
-    loop {
-        let left_out = quarantine::left_out(entry, &print, &service);
-        let skipped = [tried.as_slice(), &apart, &left_out].concat();
-        let chosen = place(entry, call, &service, &skipped).await?;
-        let target = chosen.target;
-        if !chosen.permit.is_current(clock::now()) {
-            continue;
-        }
-        let in_flight = match entry.quarantine.begin(print, &target.name) {
-            Ok(in_flight) => in_flight,
-            Err(Held::Apart) => {
-                drop(chosen.permit);
-                apart.push(target.name.clone());
-                let skipped = tried.len() + left_out.len();
-                wait_apart(entry, call, &service, skipped, &mut apart).await?;
-                continue;
-            }
-            Err(Held::Quarantined) => {
-                let message = "this request crashed two targets and is kept out for a while";
-                return Err(Refusal::not_run(RefusalKind::Quarantined, message));
-            }
-        };
-        match entry.engines.start(&target.address, &generation).await {
-            Ok(events) => {
-                return Ok(Run {
-                    target,
-                    generation,
-                    permit: chosen.permit,
-                    events,
-                    in_flight,
-                });
-            }
-            Err(e) => {
-                chosen.permit.note_failure();
-                log::warn!(
-                    "event=start_failed request={} target={} error={:?}",
-                    call.id,
-                    target.name,
-                    e.to_string()
-                );
-                tried.push(target.name.clone());
-                if !e.is_not_run() && is_gone(entry, &target.address).await {
-                    quarantine::tell(entry, in_flight.crashed()).await;
-                }
-                refuse_if_final(&e, tried.len())?;
-            }
-        }
+    entry.budget.deposit();
+    let request = call.id.clone();
+    let mut answer = Answer::new(entry, call, wanted);
+    answer.start().await?;
+    if is_stream {
+        Ok(events_of(entry, answer, request))
+    } else {
+        let collected = whole::collect(answer.deliver()).await;
+        collected.map_err(|refusal| refusal.unwrap_or_else(lost_answer))
     }
 }
 
-/// Lets a marked request look at all targets again once each has been found
-/// busy with another marked one, until its place in the queue is over.
-async fn wait_apart(
-    entry: &Entry,
-    call: &Call,
-    service: &str,
-    skipped: usize,
-    apart: &mut Vec<Box<str>>,
-) -> Result<(), Refusal> {
-    if skipped + apart.len() < call.view.targets_of(service).len() {
-        return Ok(());
-    }
-    if clock::now().saturating_sub(call.arrived) > entry.settings.timing.queue_timeout {
-        let message = "no target is free to run this request apart from others";
-        return Err(Refusal::not_run(RefusalKind::NoRoom, message));
-    }
-    apart.clear();
-    tokio::time::sleep(APART_PAUSE).await;
-    Ok(())
+/// Goes on with a generation after the token that the caller has.
+async fn go_on(entry: &Arc<Entry>, call: Call, token: &str) -> Result<Response, Refusal> {
+    let checked = entry.resume.check(token, &call.customer);
+    let ResumePoint {
+        generation,
+        target,
+        index,
+    } = checked.map_err(|e| {
+        let kind = match e {
+            ResumeError::Malformed => RefusalKind::BadRequest,
+            ResumeError::Forged => RefusalKind::Unauthorized,
+        };
+        Refusal::not_run(kind, format!("resume token: {e}"))
+    })?;
+    let gone = |reason: &str| {
+        let message = format!("generation {generation} cannot be resumed: {reason}");
+        Refusal::new(RefusalKind::TargetFailed, Ran::Ran, message)
+    };
+    let Some(target) = call.view.target(&target).cloned() else {
+        return Err(gone("its target left"));
+    };
+    let Some(next) = index.checked_add(1) else {
+        return Err(gone("no such token"));
+    };
+    let request = call.id.clone();
+    let wanted = Wanted {
+        service: Box::default(),
+        generation: GenerationRequest {
+            generation_id: generation.clone(),
+            prompt: Box::default(),
+            max_tokens: None,
+            priority: 0,
+            parameters: Map::new(),
+        },
+        delivery: Delivery::Stream,
+        deadline: None,
+        print: Fingerprint::default(),
+    };
+    // It runs there already, so it counts whatever the grant.
+    let permit = target.credit.take_running();
+    let run = Run::running(target, permit, wanted.generation.clone(), next);
+    let mut answer = Answer::running(entry, call, wanted, run);
+    let taken_up = answer.take_up().await;
+    taken_up.map_err(|e: EngineError| gone(&e.to_string()))?;
+    Ok(events_of(entry, answer, request))
 }
 
-/// Whether an engine refuses connections, so that it has certainly ended.
-async fn is_gone(entry: &Entry, address: &str) -> bool {
-    let asked = entry.engines.load(address).await;
-    matches!(asked, Err(EngineError::Call { source }) if source.is_unsent())
+fn events_of(entry: &Arc<Entry>, answer: Answer, request: Box<str>) -> Response {
+    let active = Active::new(entry);
+    let events = stream::events(answer.deliver(), request);
+    let events = futures::StreamExt::map(events, move |event| {
+        let _held_while_streaming = &active;
+        event
+    });
+    http::event_stream(events)
 }
 
-fn refuse_if_final(error: &EngineError, tries: usize) -> Result<(), Refusal> {
-    let ran = if error.is_not_run() {
-        Ran::NotRun
-    } else {
-        Ran::Unknown
-    };
-    if ran == Ran::NotRun && tries < MAX_TRIES {
-        return Ok(());
-    }
-    let message = error.to_string();
-    Err(Refusal::new(RefusalKind::TargetFailed, ran, message))
+fn lost_answer() -> Refusal {
+    let message = "the answer was lost inside the daemon";
+    Refusal::new(RefusalKind::TargetFailed, Ran::Ran, message)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod admission;
 mod allot;
+mod answer;
+mod budget;
 mod cell;
 mod choose;
 pub mod cli;
@@ -14,6 +16,7 @@
 pub mod ctl;
 mod daemon;
 mod decisions;
+mod drain;
 mod engine;
 mod entry;
 mod feeds;
@@ -36,6 +39,8 @@
 pub mod records;
 mod refusal;
 mod relay;
+mod resume;
+mod run;
 mod service;
 mod settings;
 mod settle;
@@ -43,14 +48,17 @@
 pub mod standin;
 mod stream;
 mod supervisor;
+mod trial;
 mod view;
 mod warmup;
+mod whole;
 pub mod wire;
 mod write;
 
 pub use crate::{
     admission::hash_key,
     allot::{Allot, Daemons, LeaseAnswer, Listed, Out},
+    budget::Budget,
     cell::{MAX_CELL, cells_of, owner_of},
     clock::{BootTime, now},
     credits::{Credit, Permit},
@@ -67,6 +75,7 @@
     },
     refusal::{RAN_HEADER, REQUEST_HEADER, Ran, RefusalKind},
     relay::{Contacts, Exchange, InstanceList, Role, choose_relays},
+    resume::{ResumeError, ResumeKey, ResumePoint},
     settings::{Policy, Settings, SettingsError, settings_schemas},
     spread::{Spread, page_of},
     stream::{Cursor, Verdict},
