Each target has one daemon that tries marked requests, whatever targets there are

Cause: the assignment went by the target's place in the sorted list, so that two daemons whose instance lists differed tried two marked requests at one target; an innocent one was then the only suspect of the other's crash. Change: rendezvous hashing of target and daemon names; nobody else tries there. Ruled out: trying anywhere when a daemon has no such target, which was the hole.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -18,6 +18,7 @@
 use futures::future::join_all;
 
 use crate::{
+    cell,
     clock::{self, BootTime},
     entry::Entry,
     peer::{self, Seal},
@@ -302,33 +303,34 @@
     }
 }
 
-/// Whether the `target`-th of all targets is where the `daemon`-th of so many
-/// `daemons` tries marked requests. Each target has one such daemon, so that
-/// two daemons do not try two marked requests at one target.
+/// Whether `me`, one of `daemons`, is the one that tries marked requests at
+/// `target`: each target has one such daemon, whatever other targets there
+/// are, so that two marked requests never meet there.
 #[must_use]
-pub fn is_trial_target(target: usize, daemon: usize, daemons: usize) -> bool {
-    target % daemons.max(1) == daemon
+pub fn is_trial_target<'a>(
+    target: &str,
+    me: &str,
+    daemons: impl IntoIterator<Item = &'a str>,
+) -> bool {
+    let weight = |daemon: &&str| cell::score(target, daemon);
+    daemons.into_iter().max_by_key(weight) == Some(me)
 }
 
 /// The targets at which a request should not be tried by this daemon: for a
-/// marked one, those of other daemons. A daemon with none of its own tries it
-/// anywhere.
+/// marked one, those of other daemons.
 pub(crate) fn left_out(entry: &Entry, print: &Fingerprint, service: &str) -> Vec<Box<str>> {
     if !entry.quarantine.lock().is_marked(print, clock::now()) {
         return Vec::new();
     }
     let view = entry.view.load();
     let me = &*entry.settings.name;
-    let earlier = view.peers.iter().filter(|p| *p.name < *me).count();
-    let daemons = view.peers.len() + 1;
-    let mut names: Vec<_> = view.targets_of(service).iter().map(|t| &t.name).collect();
-    names.sort();
-    if earlier >= names.len() {
-        return Vec::new();
-    }
-    let others = names.into_iter().enumerate();
-    let others = others.filter(|(i, _)| !is_trial_target(*i, earlier, daemons));
-    others.map(|(_, name)| name.clone()).collect()
+    let is_own = |target: &str| {
+        let peers = view.peers.iter().map(|p| &*p.name);
+        is_trial_target(target, me, peers.chain([me]))
+    };
+    let targets = view.targets_of(service).iter();
+    let others = targets.filter(|t| !is_own(&t.name));
+    others.map(|t| t.name.clone()).collect()
 }
 
 /// Tells the live daemons of crashes. It returns when all have answered or
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -106,6 +106,8 @@
 
 /// A request of the model: 0 crashes its target, the others do no harm.
 const CULPRIT: u8 = 0;
+/// Daemons of the model.
+const DAEMONS: [&str; 3] = ["entry-0", "entry-1", "entry-2"];
 
 fn print(request: u8) -> [u8; 16] {
     fingerprint("clinic", &[request])
@@ -140,7 +142,7 @@
                 continue;
             }
             let is_marked = daemons[daemon].is_marked(&print(request), now);
-            if is_marked && !is_trial_target(target, daemon, 3) {
+            if is_marked && !is_trial_target(&name, DAEMONS[daemon], DAEMONS) {
                 continue;
             }
             match daemons[daemon].begin(print(request), &name, now) {
