An owner hands its targets over when it stops or another daemon is ready

Cause: a new owner waits a credit life before it hands out more than holders report, so each planned replacement of a daemon would refuse requests at the targets whose owner changed.

Ruled out: a shorter wait, since an earlier owner's grants may be in force for as long; asking the old owner, which costs a round trip more than being told.

Change: daemons own targets only when they are ready and not stopping, and the last owner sends what it counts for each holder, unless it was itself still taking over. After a pause of the process handovers are not relied on.

Conclusion: planned changes cost no request at a warm target. A killed owner still does: its credits lapse before it counts as dead.

--- a/src/allot.rs
+++ b/src/allot.rs
@@ -18,7 +18,7 @@
     settings::Policy,
     view::Standing,
     warmup::Ramp,
-    wire::{CreditAsk, CreditGrant, DaemonName, Datagram, MemberId, TargetName},
+    wire::{CreditAsk, CreditGrant, DaemonName, Datagram, Handover, MemberId, TargetName},
 };
 
 /// Start that a target without load reports is taken to have.
@@ -89,6 +89,10 @@
     daemons: Daemons,
     sequence: u64,
     called_at: BootTime,
+    /// When the process last went on after a pause.
+    paused_at: Option<BootTime>,
+    /// Handovers to send with the next heartbeat period.
+    handovers: Vec<(DaemonName, Handover)>,
 }
 
 impl Allot {
@@ -110,6 +114,8 @@
             daemons: Daemons::new(),
             sequence: 0,
             called_at: now,
+            paused_at: None,
+            handovers: Vec::new(),
         }
     }
 
@@ -171,8 +177,12 @@
         }
         if is_mine && tracked.book.is_none() {
             tracked.book = Some(Book::new(self.life, now));
-        } else if !is_mine && tracked.book.take().is_some() {
+        } else if !is_mine && let Some(book) = tracked.book.take() {
             tracked.lease.release();
+            let (target, next) = (name.clone(), owner.clone());
+            if let (Some(holders), Some(next)) = (book.hand_over(now), next) {
+                self.handovers.push((next, Handover { target, holders }));
+            }
         }
         if tracked.owner != owner {
             let owner = owner.as_deref().unwrap_or_default();
@@ -237,7 +247,8 @@
     /// One heartbeat period: asks for all targets in use, and leases.
     pub fn tick(&mut self, now: BootTime) -> Vec<Out> {
         self.note_time(now);
-        let mut out = self.ask_all(false, now);
+        let mut out = self.send_handovers();
+        out.extend(self.ask_all(false, now));
         for (name, tracked) in &mut self.targets {
             out.extend(lease_call(&self.me, name, tracked, now));
             if tracked.doubted_since.is_some() && tracked.book.is_some() {
@@ -247,6 +258,29 @@
         out
     }
 
+    fn send_handovers(&mut self) -> Vec<Out> {
+        let handovers = std::mem::take(&mut self.handovers).into_iter();
+        let sent = handovers.map(|(to, handover)| {
+            let sequence = self.next_sequence();
+            Out::Send(to, sequence, Datagram::Handover(handover))
+        });
+        sent.collect()
+    }
+
+    /// Takes a target over from its last owner. What arrives right after a
+    /// pause may be old, and is not relied on.
+    pub fn on_handover(&mut self, handover: &Handover, now: BootTime) {
+        self.note_time(now);
+        let is_doubtful = |at| now.saturating_sub(at) < self.life;
+        if self.paused_at.is_some_and(is_doubtful) {
+            return;
+        }
+        let tracked = self.targets.get_mut(&handover.target);
+        if let Some(book) = tracked.and_then(|t| t.book.as_mut()) {
+            book.on_handover(&handover.holders, now);
+        }
+    }
+
     /// Asks at once for targets where a request found no credit.
     pub fn ask_urgent(&mut self, now: BootTime) -> Vec<Out> {
         self.note_time(now);
@@ -263,6 +297,8 @@
             return;
         }
         log::warn!("event=paused gap_ms={}", gap.as_millis());
+        self.paused_at = Some(now);
+        self.handovers.clear();
         self.holder.revoke_all(now);
         for tracked in self.targets.values_mut() {
             if let Some(book) = &mut tracked.book {
--- a/src/control.rs
+++ b/src/control.rs
@@ -331,6 +331,7 @@
                 self.send_all(out).await;
             }
             Datagram::CreditGrant(grant) => self.allot.on_grant(&sender, &grant),
+            Datagram::Handover(handover) => self.allot.on_handover(&handover, now),
             Datagram::CellSummary(_) => {}
         }
     }
@@ -389,6 +390,7 @@
             region: self.settings.region.clone(),
             caller_address: self.caller_address.clone(),
             is_draining: self.is_draining,
+            can_own: self.can_own(now),
             revision: self.spread.revision(),
             records_hash: 0,
             confirmed_age_ms: self.spread.confirmed_at().map(age),
@@ -415,10 +417,15 @@
             targets,
             peers,
             confirmed_at: self.spread.confirmed_at(),
-            is_ready: self.spread.has_whole_set() && self.owns_fully(now) && !self.is_draining,
+            is_ready: self.can_own(now),
         }));
     }
 
+    /// Whether this daemon is ready, and may own targets.
+    fn can_own(&self, now: BootTime) -> bool {
+        self.spread.has_whole_set() && self.owns_fully(now) && !self.is_draining
+    }
+
     /// Whether earlier owners' grants have lapsed since this daemon started.
     fn owns_fully(&self, now: BootTime) -> bool {
         let life = self.settings.timing.credit_life;
@@ -426,14 +433,19 @@
         self.settings.policy != Policy::Credits || since >= life + TAKEOVER_MARGIN
     }
 
-    /// Live daemons with their regions, this one included.
+    /// Live daemons that may own targets, with their regions; all live ones
+    /// while none may.
     fn daemons(&self, now: BootTime) -> Daemons {
         let live = self.members.live(now);
-        let mut daemons: Daemons = live
-            .map(|m| (m.id.name.clone(), m.heartbeat.region.clone()))
-            .collect();
-        daemons.insert(self.me.name.clone(), self.settings.region.clone());
-        daemons
+        let lines = live.map(|m| (&m.id.name, &m.heartbeat.region, m.heartbeat.can_own));
+        let me = (&self.me.name, &self.settings.region, self.can_own(now));
+        let lines: Vec<_> = lines.chain([me]).collect();
+        let is_shared = self.settings.policy == Policy::LeastInFlight;
+        let none_may = is_shared || lines.iter().all(|(_, _, can_own)| !can_own);
+        let owners = lines.into_iter().filter(|line| line.2 || none_may);
+        owners
+            .map(|line| (line.0.clone(), line.1.clone()))
+            .collect()
     }
 
     fn listed(&self) -> BTreeMap<TargetName, Listed> {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::{BootTime, millis},
-    wire::{CreditAsk, MemberId},
+    wire::{CreditAsk, HolderLine, MemberId},
 };
 
 /// Time for which the work of a silent holder counts: engines keep a
@@ -73,7 +73,7 @@
     /// Whether grants of an earlier owner may still be in force.
     #[must_use]
     pub fn is_taking_over(&self, now: BootTime) -> bool {
-        now < self.since + self.life + TAKEOVER_MARGIN
+        self.since > BootTime::ZERO && now < self.since + self.life + TAKEOVER_MARGIN
     }
 
     /// Counts as the owner from `since` on: after a pause, or from when the
@@ -82,6 +82,43 @@
         self.since = since;
     }
 
+    /// What the next owner must know; nothing while this one may not know all.
+    #[must_use]
+    pub fn hand_over(&self, now: BootTime) -> Option<Vec<HolderLine>> {
+        let line = |(holder, last): (&MemberId, &LastAsk)| HolderLine {
+            holder: holder.clone(),
+            in_flight: last.in_flight,
+            counted: last.counted(),
+            failures: last.failures,
+        };
+        let knows_all = !self.is_taking_over(now);
+        knows_all.then(|| self.holders.iter().map(line).collect())
+    }
+
+    /// Takes over from an owner that knew all. A holder that has already asked
+    /// this daemon takes no earlier grant any more, so its own ask counts.
+    pub fn on_handover(&mut self, lines: &[HolderLine], now: BootTime) {
+        if !self.is_taking_over(now) {
+            return;
+        }
+        for line in lines {
+            let last = LastAsk {
+                sequence: 0,
+                heard_at: now,
+                in_flight: line.in_flight,
+                held: line.counted,
+                desired: line.in_flight,
+                granted: 0,
+                good: u64::MAX,
+                slow: u64::MAX,
+                failures: line.failures,
+            };
+            self.holders.entry(line.holder.clone()).or_insert(last);
+        }
+        self.unaccounted = (0, BootTime::ZERO);
+        self.since = BootTime::ZERO;
+    }
+
     /// The engine's own count. While taking over, what holders do not account
     /// for is work of holders that are gone.
     pub fn on_report(&mut self, running: u32, now: BootTime) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -45,6 +45,8 @@
     CreditAsk(CreditAsk),
     /// An owner hands out credits.
     CreditGrant(CreditGrant),
+    /// An owner leaves a target to another daemon.
+    Handover(Handover),
     /// One cell tells another how much room it has.
     CellSummary(CellSummary),
 }
@@ -60,6 +62,8 @@
     pub caller_address: Box<str>,
     /// It is stopping and takes no new work.
     pub is_draining: bool,
+    /// It may own targets.
+    pub can_own: bool,
     /// Revision of the records in force.
     pub revision: Revision,
     /// Hash of the records in force.
@@ -111,6 +115,29 @@
     pub answers: u64,
 }
 
+/// All that the last owner of a target knew of its holders, so that the next
+/// one need not wait until their grants have lapsed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Target concerned.
+    pub target: TargetName,
+    /// One line for each holder.
+    pub holders: Vec<HolderLine>,
+}
+
+/// One holder, as the last owner of a target knew it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HolderLine {
+    /// The holder.
+    pub holder: MemberId,
+    /// Requests it had in flight when it last asked.
+    pub in_flight: u32,
+    /// Most requests that it may have in flight.
+    pub counted: u32,
+    /// Runs that broke since its start.
+    pub failures: u64,
+}
+
 /// Room in a cell, by service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CellSummary {
--- a/tests/credits.rs
+++ b/tests/credits.rs
@@ -172,6 +172,7 @@
                 let out = node.allot.on_ask(&from, sent.sequence, ask.clone(), now);
                 self.push(sent.to, out);
             }
+            Datagram::Handover(handover) => node.allot.on_handover(handover, now),
             Datagram::CreditGrant(grant) => node.allot.on_grant(&from, grant),
             _ => {}
         }
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,86 @@
+//! A target's owner changes without a refused request: a daemon joins, takes
+//! the target over, and leaves it again when it stops.
+
+mod common;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use common::{Caller, Fleet, ZONES, default_records, wait_for};
+use serde_json::json;
+
+/// Pause of the callers; long enough for credits to be given back meanwhile.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Fleet of two daemons and one engine, in the zone of a third daemon. Without
+/// a ramp: a starting target would change its owner through the lease.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::start();
+    fleet.add_engine("engine-1", ZONES[2].0, &["--step-us", "5000"]);
+    for i in 0..2 {
+        fleet.add_daemon(i, &json!({}));
+    }
+    let mut records = default_records();
+    for record in records.as_array_mut().expect("a list") {
+        if record["name"] == "drafting-desk" {
+            record["spec"]["cold_limit"] = json!(24);
+        }
+    }
+    fleet.write_records(&records);
+    fleet.wait_ready();
+    fleet
+}
+
+/// Asks until stopped; returns how many were answered, and the other statuses.
+fn ask(caller: &Caller, stop: &AtomicBool) -> (usize, Vec<u16>) {
+    let (mut answered, mut refused) = (0, Vec::new());
+    while !stop.load(Ordering::SeqCst) {
+        let generated = caller.generate("[n=3] short", &json!({}), &[]);
+        if generated.is_whole {
+            answered += 1;
+        } else {
+            refused.push(generated.status);
+        }
+        std::thread::sleep(PAUSE);
+    }
+    (answered, refused)
+}
+
+#[test]
+fn an_owner_that_joins_and_stops_costs_no_request() {
+    let mut fleet = fleet();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..2).map(|daemon| {
+        let (caller, stop) = (fleet.caller(daemon), stop.clone());
+        std::thread::spawn(move || ask(&caller, &stop))
+    });
+    let callers: Vec<JoinHandle<_>> = callers.collect();
+    let joined = fleet.add_daemon(2, &json!({}));
+    fleet.wait_ready();
+    wait_for_owner(&fleet, 0, "entry-2");
+    std::thread::sleep(Duration::from_secs(4));
+    fleet.daemons[joined].process.terminate();
+    wait_for("the owner stops", || fleet.daemons[joined].process.ended());
+    std::thread::sleep(Duration::from_secs(4));
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let (answered, refused) = caller.join().expect("the caller ends");
+        assert!(refused.is_empty(), "refused: {refused:?}");
+        assert!(answered > 0);
+    }
+}
+
+fn wait_for_owner(fleet: &Fleet, daemon: usize, owner: &str) {
+    wait_for("the target has its new owner", || {
+        let log = std::fs::read_to_string(&fleet.daemons[daemon].log).unwrap_or_default();
+        let mut changes = log.lines().filter(|l| l.contains("event=target_owner"));
+        let last = changes.next_back()?;
+        last.ends_with(&format!("owner={owner}")).then_some(())
+    });
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -23,6 +23,7 @@
         region: "vest".into(),
         caller_address: "127.0.0.1:1".into(),
         is_draining: false,
+        can_own: true,
         revision: 1,
         records_hash: 0,
         confirmed_age_ms: None,
