A warm target turns cold by its report or by late first tokens

Cause: late first tokens of a full engine looked like those of a cold one and would have cut its limit to the cold one; the engine's own word that it is warming up was not used.

Ruled out: a longer band for full engines. How long requests wait for memory has no bound.

Change: late first tokens count only while nothing waits for the engine's memory; good ones count towards the ramp only while the engine does not report that it is warming up; a warm target that reports so is cold again. Tests of the ramp in virtual time.

Conclusion: as a process, only restarts are tested; the stand-in cannot yet turn cold without one.

--- a/src/allot.rs
+++ b/src/allot.rs
@@ -73,6 +73,9 @@
     lease: Lease,
     /// Present while this daemon is the owner.
     book: Option<Book>,
+    /// By its last report it is warming up, or requests wait for its memory.
+    is_warming: bool,
+    has_queue: bool,
     /// Since when the target may have started anew; no credits until it says.
     doubted_since: Option<BootTime>,
     /// Asks that wait for the target's word, by sender.
@@ -164,6 +167,8 @@
             ramp: Ramp::default(),
             lease: Lease::new(self.me.clone(), self.life * LEASE_LIVES),
             book: None,
+            is_warming: false,
+            has_queue: false,
             doubted_since: None,
             deferred: BTreeMap::new(),
         });
@@ -209,6 +214,11 @@
                 tracked.ramp.limit(capacity)
             );
         }
+        (tracked.is_warming, tracked.has_queue) = (load.is_cold, load.waiting > 0);
+        if load.is_cold && tracked.ramp.is_ramped_up(capacity) {
+            log::warn!("event=target_cold_again target={target} reason=report");
+            tracked.ramp.chill(capacity);
+        }
         if let Some(book) = &mut tracked.book {
             book.on_report(load.running + load.waiting, now);
         }
@@ -453,8 +463,8 @@
         }
         let (credits, first_tokens) = book.on_ask(from, sequence, ask, limit, now)?;
         let life_ms = book.life_ms();
-        let (ramp, has_work) = (&mut tracked.ramp, book.has_work());
-        judge(&ask.target, ramp, has_work, first_tokens, capacity, now);
+        let has_work = book.has_work();
+        judge(&ask.target, tracked, has_work, first_tokens, now);
         Some(CreditGrant {
             target: ask.target.clone(),
             credits,
@@ -491,21 +501,25 @@
     }
 }
 
-/// Moves a ramp on by the first tokens that a holder saw.
+/// Moves a ramp on by the first tokens that a holder saw. Late ones tell that
+/// the target is cold again, unless requests wait for its memory; good ones do
+/// not count while it reports that it is warming up.
 fn judge(
     target: &str,
-    ramp: &mut Ramp,
+    tracked: &mut Tracked,
     has_work: bool,
     first_tokens: FirstTokens,
-    capacity: &Capacity,
     now: BootTime,
 ) {
-    if first_tokens.slow > first_tokens.good && !ramp.is_cold(capacity) {
+    let capacity = &tracked.listed.capacity;
+    let is_late = first_tokens.slow > first_tokens.good && !tracked.has_queue;
+    if is_late && tracked.ramp.is_ramped_up(capacity) {
         log::warn!("event=target_cold_again target={target} reason=first_token");
-        ramp.chill(capacity);
-    } else {
-        ramp.on_work(has_work, first_tokens.good > 0, capacity, now);
+        tracked.ramp.chill(capacity);
+        return;
     }
+    let is_good = first_tokens.good > 0 && !tracked.is_warming;
+    tracked.ramp.on_work(has_work, is_good, capacity, now);
 }
 
 /// The call on the lease of a target that this daemon owns, if one is due.
--- a/src/warmup.rs
+++ b/src/warmup.rs
@@ -62,6 +62,12 @@
         !self.is_warm && capacity.cold_limit < capacity.limit
     }
 
+    /// Whether the target went through its ramp and could turn cold again.
+    #[must_use]
+    pub fn is_ramped_up(&self, capacity: &Capacity) -> bool {
+        self.is_warm && capacity.cold_limit < capacity.limit
+    }
+
     /// What other daemons should know.
     #[must_use]
     pub fn state(&self) -> Option<RampState> {
--- /dev/null
+++ b/tests/warmup.rs
@@ -0,0 +1,256 @@
+//! The ramp of a starting target, in virtual time.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bluebelldrift::{
+    Allot, LeaseAnswer, LeaseRecord, Listed, LoadReport, Object, Out, Policy, Ramp, RampState,
+    Standing,
+    records::Capacity,
+    wire::{CreditAsk, Datagram, MemberId},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use tokio::sync::Notify;
+
+const COLD_LIMIT: u32 = 3;
+const LIMIT: u32 = 40;
+const WINDOW: Duration = Duration::from_secs(2);
+
+fn capacity() -> Capacity {
+    Capacity {
+        limit: LIMIT,
+        cold_limit: COLD_LIMIT,
+        ramp_window: WINDOW,
+        kv_tokens: 0,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    Work { has_work: bool, is_good: bool },
+    Report { boot: u8, preemptions: u64 },
+    Chill,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..1_500_u64).prop_map(Step::Advance),
+        8 => (any::<bool>(), any::<bool>())
+            .prop_map(|(has_work, is_good)| Step::Work { has_work, is_good }),
+        1 => (0..2_u8, 0..9_u64)
+            .prop_map(|(boot, preemptions)| Step::Report { boot, preemptions }),
+        1 => Just(Step::Chill),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_limit_doubles_no_faster_than_work_allows(
+        steps in prop::collection::vec(step(), 1..300),
+    ) {
+        let (capacity, mut ramp) = (capacity(), Ramp::default());
+        let mut now = Duration::from_secs(100);
+        // Time that passed right after a sign of work, since the last chill.
+        let (mut worked, mut works_since) = (Duration::ZERO, None);
+        let mut boot_now = None;
+        for step in steps {
+            match step {
+                Step::Advance(ms) => now += Duration::from_millis(ms),
+                Step::Work { has_work, is_good } => {
+                    worked += works_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+                    works_since = has_work.then_some(now);
+                    ramp.on_work(has_work, is_good, &capacity, now);
+                }
+                Step::Report { boot, preemptions } => {
+                    let name = format!("b{boot}");
+                    ramp.on_report(&name, preemptions, &capacity, now);
+                    if boot_now.replace(boot) != Some(boot) {
+                        (worked, works_since) = (Duration::ZERO, None);
+                    }
+                }
+                Step::Chill => {
+                    ramp.chill(&capacity);
+                    (worked, works_since) = (Duration::ZERO, None);
+                }
+            }
+            let windows = u32::try_from(worked.as_millis() / WINDOW.as_millis()).expect("few");
+            let most = COLD_LIMIT.saturating_mul(2_u32.saturating_pow(windows)).min(LIMIT);
+            let limit = ramp.limit(&capacity);
+            prop_assert!(limit <= most, "limit {limit} after {worked:?} of work");
+        }
+    }
+}
+
+#[test]
+fn an_older_word_of_the_ramp_does_not_undo_a_chill() {
+    let (capacity, now) = (capacity(), Duration::from_secs(100));
+    let mut ramp = Ramp::default();
+    ramp.on_report("b1", 0, &capacity, now);
+    let warm = RampState {
+        boot_id: "b1".into(),
+        chills: 0,
+        limit: LIMIT,
+        is_warm: true,
+    };
+    ramp.adopt(&warm);
+    assert_eq!(ramp.limit(&capacity), LIMIT);
+    ramp.chill(&capacity);
+    ramp.adopt(&warm);
+    assert_eq!(ramp.limit(&capacity), COLD_LIMIT);
+    let other = RampState {
+        boot_id: "b2".into(),
+        chills: 9,
+        ..warm
+    };
+    ramp.adopt(&other);
+    assert_eq!(ramp.limit(&capacity), COLD_LIMIT);
+}
+
+#[test]
+fn preemptions_shrink_the_limit_and_quiet_lets_it_grow_to_the_record() {
+    let (capacity, mut ramp) = (capacity(), Ramp::default());
+    let at = Duration::from_secs;
+    ramp.on_report("b1", 0, &capacity, at(100));
+    ramp.adopt(&RampState {
+        boot_id: "b1".into(),
+        chills: 0,
+        limit: LIMIT,
+        is_warm: true,
+    });
+    ramp.on_report("b1", 5, &capacity, at(102));
+    assert_eq!(ramp.limit(&capacity), 30);
+    // Not twice within a second, however many there were.
+    ramp.on_report("b1", 9, &capacity, at(102));
+    assert_eq!(ramp.limit(&capacity), 30);
+    for second in 103..200 {
+        ramp.on_report("b1", 9, &capacity, at(second));
+        assert!(ramp.limit(&capacity) <= LIMIT);
+    }
+    assert_eq!(ramp.limit(&capacity), LIMIT);
+}
+
+/// An owner of one warm target, which took that from the target's lease.
+struct Owner {
+    allot: Allot,
+    now: Duration,
+    sequence: u64,
+}
+
+fn member(name: &str) -> MemberId {
+    MemberId {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn report(waiting: u32, is_cold: bool) -> LoadReport {
+    LoadReport {
+        boot_id: "b1".into(),
+        waiting,
+        is_cold,
+        ..LoadReport::default()
+    }
+}
+
+impl Owner {
+    fn of_warm_target() -> Self {
+        let now = Duration::from_secs(100);
+        let life = Duration::from_secs(2);
+        let wake = Arc::new(Notify::new());
+        let mut allot = Allot::new(member("a"), Policy::Credits, life, wake, now);
+        let listed = Listed {
+            region: "vest".into(),
+            standing: Standing::Serving,
+            capacity: capacity(),
+            first_token_band: Duration::from_secs(1),
+            reports_load: true,
+        };
+        let daemons = BTreeMap::from([("a".into(), "vest".into())]);
+        allot.refresh(BTreeMap::from([("t".into(), listed)]), daemons, now);
+        allot.on_load("t", &report(0, false), now);
+        let ramp = RampState {
+            boot_id: "b1".into(),
+            chills: 0,
+            limit: LIMIT,
+            is_warm: true,
+        };
+        let holder = member("gone");
+        let record = LeaseRecord {
+            holder,
+            ramp: Some(ramp),
+        };
+        let object = Object {
+            key: "lease/target/t".into(),
+            revision: 7,
+            value: serde_json::to_value(record).ok(),
+        };
+        allot.on_lease("t", &LeaseAnswer::Read(Some(object)), now, now);
+        let mut owner = Self {
+            allot,
+            now,
+            sequence: 0,
+        };
+        owner.pass(4);
+        owner
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.now += Duration::from_secs(1);
+            self.allot.tick(self.now);
+        }
+    }
+
+    /// Credits that a holder with this work gets; `None` without an answer.
+    fn ask(&mut self, in_flight: u32, good: u64, slow: u64) -> Option<u32> {
+        self.sequence += 1;
+        let ask = CreditAsk {
+            target: "t".into(),
+            held: 0,
+            in_flight,
+            wanted: LIMIT,
+            good,
+            slow,
+            failures: 0,
+            ramp: None,
+        };
+        let from = member("b");
+        let mut out = self.allot.on_ask(&from, self.sequence, ask, self.now);
+        if let [Out::Probe(_)] = out[..] {
+            let load = report(0, false);
+            out = self.allot.on_probe("t", Some(&load), self.now, self.now);
+        }
+        match out.first() {
+            Some(Out::Send(_, _, Datagram::CreditGrant(grant))) => Some(grant.credits),
+            _ => None,
+        }
+    }
+}
+
+#[test]
+fn late_first_tokens_make_a_target_cold_unless_requests_queue_there() {
+    let mut owner = Owner::of_warm_target();
+    assert_eq!(owner.ask(1, 1, 0), Some(LIMIT));
+    owner.allot.on_load("t", &report(3, false), owner.now);
+    owner.ask(1, 1, 2);
+    assert_eq!(owner.ask(1, 1, 2), Some(LIMIT), "a queue explains them");
+    owner.allot.on_load("t", &report(0, false), owner.now);
+    owner.ask(1, 1, 4);
+    // Cold: nothing without the lease.
+    assert_eq!(owner.ask(1, 1, 4), None);
+}
+
+#[test]
+fn a_target_that_reports_to_be_cold_is_cold() {
+    let mut owner = Owner::of_warm_target();
+    assert_eq!(owner.ask(1, 1, 0), Some(LIMIT));
+    owner.allot.on_load("t", &report(0, true), owner.now);
+    assert_eq!(owner.ask(1, 1, 0), None);
+}
