--- a/src/allot.rs
+++ b/src/allot.rs
@@ -18,7 +18,7 @@
     settings::Policy,
     view::Standing,
     warmup::Ramp,
-    wire::{CreditAsk, CreditGrant, DaemonName, Datagram, MemberId, TargetName},
+    wire::{CreditAsk, CreditGrant, DaemonName, Datagram, Handover, MemberId, TargetName},
 };
 
 /// Start that a target without load reports is taken to have.
@@ -73,6 +73,9 @@
     lease: Lease,
     /// Present while this daemon is the owner.
     book: Option<Book>,
+    /// By its last report it is warming up, or requests wait for its memory.
+    is_warming: bool,
+    has_queue: bool,
     /// Since when the target may have started anew; no credits until it says.
     doubted_since: Option<BootTime>,
     /// Asks that wait for the target's word, by sender.
@@ -89,6 +92,10 @@
     daemons: Daemons,
     sequence: u64,
     called_at: BootTime,
+    /// When the process last went on after a pause.
+    paused_at: Option<BootTime>,
+    /// Handovers to send with the next heartbeat period.
+    handovers: Vec<(DaemonName, Handover)>,
 }
 
 impl Allot {
@@ -110,6 +117,8 @@
             daemons: Daemons::new(),
             sequence: 0,
             called_at: now,
+            paused_at: None,
+            handovers: Vec::new(),
         }
     }
 
@@ -158,6 +167,8 @@
             ramp: Ramp::default(),
             lease: Lease::new(self.me.clone(), self.life * LEASE_LIVES),
             book: None,
+            is_warming: false,
+            has_queue: false,
             doubted_since: None,
             deferred: BTreeMap::new(),
         });
@@ -171,8 +182,12 @@
         }
         if is_mine && tracked.book.is_none() {
             tracked.book = Some(Book::new(self.life, now));
-        } else if !is_mine && tracked.book.take().is_some() {
+        } else if !is_mine && let Some(book) = tracked.book.take() {
             tracked.lease.release();
+            let (target, next) = (name.clone(), owner.clone());
+            if let (Some(holders), Some(next)) = (book.hand_over(now), next) {
+                self.handovers.push((next, Handover { target, holders }));
+            }
         }
         if tracked.owner != owner {
             let owner = owner.as_deref().unwrap_or_default();
@@ -199,6 +214,11 @@
                 tracked.ramp.limit(capacity)
             );
         }
+        (tracked.is_warming, tracked.has_queue) = (load.is_cold, load.waiting > 0);
+        if load.is_cold && tracked.ramp.is_ramped_up(capacity) {
+            log::warn!("event=target_cold_again target={target} reason=report");
+            tracked.ramp.chill(capacity);
+        }
         if let Some(book) = &mut tracked.book {
             book.on_report(load.running + load.waiting, now);
         }
@@ -237,7 +257,8 @@
     /// One heartbeat period: asks for all targets in use, and leases.
     pub fn tick(&mut self, now: BootTime) -> Vec<Out> {
         self.note_time(now);
-        let mut out = self.ask_all(false, now);
+        let mut out = self.send_handovers();
+        out.extend(self.ask_all(false, now));
         for (name, tracked) in &mut self.targets {
             out.extend(lease_call(&self.me, name, tracked, now));
             if tracked.doubted_since.is_some() && tracked.book.is_some() {
@@ -247,6 +268,29 @@
         out
     }
 
+    fn send_handovers(&mut self) -> Vec<Out> {
+        let handovers = std::mem::take(&mut self.handovers).into_iter();
+        let sent = handovers.map(|(to, handover)| {
+            let sequence = self.next_sequence();
+            Out::Send(to, sequence, Datagram::Handover(handover))
+        });
+        sent.collect()
+    }
+
+    /// Takes a target over from its last owner. What arrives right after a
+    /// pause may be old, and is not relied on.
+    pub fn on_handover(&mut self, handover: &Handover, now: BootTime) {
+        self.note_time(now);
+        let is_doubtful = |at| now.saturating_sub(at) < self.life;
+        if self.paused_at.is_some_and(is_doubtful) {
+            return;
+        }
+        let tracked = self.targets.get_mut(&handover.target);
+        if let Some(book) = tracked.and_then(|t| t.book.as_mut()) {
+            book.on_handover(&handover.holders, now);
+        }
+    }
+
     /// Asks at once for targets where a request found no credit.
     pub fn ask_urgent(&mut self, now: BootTime) -> Vec<Out> {
         self.note_time(now);
@@ -263,6 +307,8 @@
             return;
         }
         log::warn!("event=paused gap_ms={}", gap.as_millis());
+        self.paused_at = Some(now);
+        self.handovers.clear();
         self.holder.revoke_all(now);
         for tracked in self.targets.values_mut() {
             if let Some(book) = &mut tracked.book {
@@ -417,8 +463,8 @@
         }
         let (credits, first_tokens) = book.on_ask(from, sequence, ask, limit, now)?;
         let life_ms = book.life_ms();
-        let (ramp, has_work) = (&mut tracked.ramp, book.has_work());
-        judge(&ask.target, ramp, has_work, first_tokens, capacity, now);
+        let has_work = book.has_work();
+        judge(&ask.target, tracked, has_work, first_tokens, now);
         Some(CreditGrant {
             target: ask.target.clone(),
             credits,
@@ -455,21 +501,25 @@
     }
 }
 
-/// Moves a ramp on by the first tokens that a holder saw.
+/// Moves a ramp on by the first tokens that a holder saw. Late ones tell that
+/// the target is cold again, unless requests wait for its memory; good ones do
+/// not count while it reports that it is warming up.
 fn judge(
     target: &str,
-    ramp: &mut Ramp,
+    tracked: &mut Tracked,
     has_work: bool,
     first_tokens: FirstTokens,
-    capacity: &Capacity,
     now: BootTime,
 ) {
-    if first_tokens.slow > first_tokens.good && !ramp.is_cold(capacity) {
+    let capacity = &tracked.listed.capacity;
+    let is_late = first_tokens.slow > first_tokens.good && !tracked.has_queue;
+    if is_late && tracked.ramp.is_ramped_up(capacity) {
         log::warn!("event=target_cold_again target={target} reason=first_token");
-        ramp.chill(capacity);
-    } else {
-        ramp.on_work(has_work, first_tokens.good > 0, capacity, now);
+        tracked.ramp.chill(capacity);
+        return;
     }
+    let is_good = first_tokens.good > 0 && !tracked.is_warming;
+    tracked.ramp.on_work(has_work, is_good, capacity, now);
 }
 
 /// The call on the lease of a target that this daemon owns, if one is due.
--- a/src/control.rs
+++ b/src/control.rs
@@ -346,6 +346,7 @@
                 self.send_all(out).await;
             }
             Datagram::CreditGrant(grant) => self.allot.on_grant(&sender, &grant),
+            Datagram::Handover(handover) => self.allot.on_handover(&handover, now),
             Datagram::CellSummary(_) => {}
         }
     }
@@ -402,6 +403,7 @@
             region: self.settings.region.clone(),
             caller_address: self.caller_address.clone(),
             is_draining: self.is_draining,
+            can_own: self.can_own(now),
             revision: self.spread.revision(),
             newest: self.spread.newest(),
             records_hash: self.spread.hash(),
@@ -432,10 +434,15 @@
             targets,
             peers,
             confirmed_at: self.current_as_of(),
-            is_ready: self.takes_requests() && self.owns_fully(now) && !self.is_draining,
+            is_ready: self.can_own(now),
         }));
     }
 
+    /// Whether this daemon is ready, and may own targets.
+    fn can_own(&self, now: BootTime) -> bool {
+        self.takes_requests() && self.owns_fully(now) && !self.is_draining
+    }
+
     /// Whether requests would be taken: ready is not said before.
     fn takes_requests(&self) -> bool {
         let is_confirmed = self.current_as_of().is_some();
@@ -450,14 +457,19 @@
         self.settings.policy != Policy::Credits || since >= life + TAKEOVER_MARGIN
     }
 
-    /// Live daemons with their regions, this one included.
+    /// Live daemons that may own targets, with their regions; all live ones
+    /// while none may.
     fn daemons(&self, now: BootTime) -> Daemons {
         let live = self.members.live(now);
-        let mut daemons: Daemons = live
-            .map(|m| (m.id.name.clone(), m.heartbeat.region.clone()))
-            .collect();
-        daemons.insert(self.me.name.clone(), self.settings.region.clone());
-        daemons
+        let lines = live.map(|m| (&m.id.name, &m.heartbeat.region, m.heartbeat.can_own));
+        let me = (&self.me.name, &self.settings.region, self.can_own(now));
+        let lines: Vec<_> = lines.chain([me]).collect();
+        let is_shared = self.settings.policy == Policy::LeastInFlight;
+        let none_may = is_shared || lines.iter().all(|(_, _, can_own)| !can_own);
+        let owners = lines.into_iter().filter(|line| line.2 || none_may);
+        owners
+            .map(|line| (line.0.clone(), line.1.clone()))
+            .collect()
     }
 
     fn listed(&self) -> BTreeMap<TargetName, Listed> {
