Listeners rely only on relays that the instance list names

Ruled out: stating the own peer address in the heartbeat; a daemon behind another address does not know it.

Change: only listed members count for the choice of relays; a listener whose list was not confirmed for two periods reads the platform itself; a newer reading of the same list confirms it. A daemon is ready only while its configuration is current. Tests run in one cell of four, so that listeners exist.

--- a/src/control.rs
+++ b/src/control.rs
@@ -329,7 +329,7 @@
             targets,
             peers,
             confirmed_at: self.current_as_of(),
-            is_ready: self.spread.has_whole_set() && !self.is_draining,
+            is_ready: self.can_serve(now) && !self.is_draining,
         }));
     }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -77,7 +77,10 @@
     pub(crate) fn choose_role(&mut self, now: BootTime) {
         let region = &self.settings.region;
         let live: Vec<_> = self.members.live(now).collect();
-        let cell = live.iter().filter(|m| m.heartbeat.region == *region);
+        // An address that is not listed may not be one to fetch from.
+        let cell = live
+            .iter()
+            .filter(|m| m.heartbeat.region == *region && self.listed_address(&m.id.name).is_some());
         let with_me = |others: Vec<DaemonName>| others.into_iter().chain([self.me.name.clone()]);
         let relays = choose_relays(region, with_me(cell.map(|m| m.id.name.clone()).collect()));
         let all = with_me(live.iter().map(|m| m.id.name.clone()).collect());
@@ -88,7 +91,7 @@
         let is_fresh = confirmed_at.is_some_and(|at| now.saturating_sub(at) <= patience);
         let role = if relays.contains(&self.me.name) || !self.spread.has_whole_set() {
             Role::Relay
-        } else if is_fresh && self.instances.is_known() {
+        } else if is_fresh && self.instances.is_fresh(now, patience * 2) {
             Role::Listener
         } else {
             Role::Fallback
@@ -231,6 +234,15 @@
         let contact = contact.filter(|_| self.spread.has_whole_set());
         self.spread.confirmed_at().max(contact)
     }
+
+    /// Whether it holds a configuration that is current enough for new work.
+    pub(crate) fn can_serve(&self, now: BootTime) -> bool {
+        let stale_after = self.settings.timing.stale_after;
+        let as_of = self.current_as_of();
+        let is_current = as_of.is_some_and(|at| now.saturating_sub(at) <= stale_after);
+        let serves_on = self.settings.cut_off == CutOff::Serve;
+        self.spread.has_whole_set() && (is_current || serves_on)
+    }
 }
 
 fn log_failure(step: &str, peer: SocketAddr, error: Option<PeerError>) {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -182,12 +182,19 @@
         self.hash = u64::from_be_bytes(start);
     }
 
-    /// Whether a relay that wrote `heartbeat` has a newer list, another one.
-    #[must_use]
-    pub fn is_behind(&self, heartbeat: &Heartbeat, now: BootTime) -> bool {
+    /// Whether a relay that wrote `heartbeat` has a newer list, another one. A
+    /// newer reading of the same list confirms it.
+    pub fn is_behind(&mut self, heartbeat: &Heartbeat, now: BootTime) -> bool {
         let age = heartbeat.instances_age_ms.map(Duration::from_millis);
         let read_at = age.map(|age| now.saturating_sub(age));
-        read_at > self.read_at && heartbeat.instances_hash != self.hash
+        if read_at <= self.read_at {
+            return false;
+        }
+        let differs = heartbeat.instances_hash != self.hash;
+        if !differs {
+            self.read_at = read_at;
+        }
+        differs
     }
 
     /// The list, for another daemon.
@@ -212,10 +219,11 @@
         Some(clock::millis(now.saturating_sub(at)))
     }
 
-    /// Whether any list was taken yet.
+    /// Whether the list was read less than `patience` before `now`.
     #[must_use]
-    pub fn is_known(&self) -> bool {
-        self.read_at.is_some()
+    pub fn is_fresh(&self, now: BootTime, patience: Duration) -> bool {
+        let read_at = self.read_at;
+        read_at.is_some_and(|at| now.saturating_sub(at) <= patience)
     }
 
     fn text(&self) -> String {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -300,3 +300,33 @@
         (value, more) => *value = more.clone(),
     }
 }
+
+impl Fleet {
+    /// Like [`Fleet::with_daemons`], with all daemons in the first zone, so
+    /// that they are one cell.
+    pub fn one_cell(daemons: usize) -> Self {
+        let mut fleet = Self::start();
+        for (zone, _) in ZONES {
+            fleet.add_engine(&format!("engine-{zone}"), zone, &[]);
+        }
+        fleet.add_service("ledger-1", ZONES[0].0);
+        for i in 0..daemons {
+            fleet.add_cell_daemon(i, &json!({}));
+        }
+        fleet.write_records(&default_records());
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// Starts the `i`-th daemon, in the first zone.
+    pub fn add_cell_daemon(&mut self, i: usize, overrides: &Value) -> usize {
+        let (zone, region) = ZONES[0];
+        let mut place = json!({"zone": zone, "region": region});
+        merge(&mut place, overrides);
+        let at = self.add_daemon(i, &place);
+        let daemon = &self.daemons[at];
+        self.set_instance(&json!({"name": daemon.name, "zone": zone, "state": "live",
+                                  "address": daemon.peer, "role": "daemon"}));
+        at
+    }
+}
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -69,6 +69,44 @@
     Instant::now()
 }
 
+/// Writes the zone's record at the platform, past all daemons.
+fn write_directly(fleet: &Fleet, state: &str) -> Instant {
+    let path = format!("/v1/objects/records/AvailabilityZone/{ZONE}");
+    let platform = &fleet.platform_address;
+    let stored = client::call("GET", platform, &path, &[], &Value::Null).json();
+    let to = format!("{path}?if_revision={}", stored["revision"]);
+    let answer = client::call("PUT", platform, &to, &[], &zone_record(ZONE, state));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    Instant::now()
+}
+
+fn role_of(daemon: &Daemon) -> String {
+    let text = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+    let mut roles = text.lines().rev();
+    let line = roles.find(|l| l.contains("event=platform_role"));
+    let role = line.and_then(|l| l.rsplit_once("role="));
+    role.map(|(_, role)| role.to_owned()).unwrap_or_default()
+}
+
+/// Waits until the daemons of one cell have chosen two relays; returns relays
+/// and listeners.
+fn wait_roles(fleet: &Fleet) -> (Vec<usize>, Vec<usize>) {
+    wait_for("the cell has two relays", || {
+        let all = 0..fleet.daemons.len();
+        let is_relay = |i: &usize| role_of(&fleet.daemons[*i]) == "relay";
+        let (relays, others): (Vec<usize>, Vec<usize>) = all.partition(is_relay);
+        let listens = |i: &usize| role_of(&fleet.daemons[*i]) == "listener";
+        (relays.len() == 2 && others.iter().all(listens)).then_some((relays, others))
+    })
+}
+
+fn zone_of(fleet: &Fleet, i: usize) -> Value {
+    let path = fleet.folder.path().join(format!("entry-{i}.json"));
+    let settings = std::fs::read(path).expect("its settings");
+    let settings: Value = serde_json::from_slice(&settings).expect("its settings");
+    settings["zone"].clone()
+}
+
 /// Daemons behind relays: others reach them only through these.
 fn relayed(fleet: &Fleet) -> Vec<Relay> {
     let relays: Vec<Relay> = fleet
@@ -77,9 +115,10 @@
         .map(|d| Relay::start(&d.peer))
         .collect();
     for (i, (daemon, relay)) in fleet.daemons.iter().zip(&relays).enumerate() {
-        let zone = common::ZONES[i % 3].0;
-        fleet.set_instance(&json!({"name": daemon.name, "zone": zone, "state": "live",
-                                   "address": relay.address.to_string(), "role": "daemon"}));
+        fleet.set_instance(
+            &json!({"name": daemon.name, "zone": zone_of(fleet, i), "state": "live",
+                                   "address": relay.address.to_string(), "role": "daemon"}),
+        );
     }
     for (i, daemon) in fleet.daemons.iter().enumerate() {
         wait_for("all are heard through their relays", || {
@@ -217,15 +256,15 @@
 
 #[test]
 fn the_platform_fails_right_after_the_write_and_a_daemon_starts_from_peers() {
-    let mut fleet = Fleet::with_daemons(3);
+    let mut fleet = Fleet::one_cell(3);
     fleet.set_faults(&json!({"down_after_writes": 1}));
     let accepted = zone_out(&fleet, 0);
     wait_in_force(&fleet, &[0, 1, 2], "out", accepted);
     // One of four seeds is a daemon that knows nothing; a majority counts.
     let mut seeds: Vec<String> = fleet.daemons.iter().map(|d| d.peer.clone()).collect();
-    let stale = fleet.add_daemon(3, &json!({}));
+    let stale = fleet.add_cell_daemon(3, &json!({}));
     seeds.push(fleet.daemons[stale].peer.clone());
-    let new = fleet.add_daemon(4, &json!({"peers": seeds}));
+    let new = fleet.add_cell_daemon(4, &json!({"peers": seeds}));
     wait_in_force(&fleet, &[new], "out", Instant::now());
     wait_for("it is ready", || {
         (fleet.operator(new).status()["is_ready"] == json!(true)).then_some(())
@@ -242,7 +281,7 @@
 
 #[test]
 fn a_daemon_paused_during_the_write_catches_up_before_it_serves() {
-    let fleet = Fleet::with_daemons(3);
+    let fleet = Fleet::one_cell(3);
     fleet.daemons[2].process.pause();
     zone_out(&fleet, 0);
     thread::sleep(Duration::from_secs(5));
@@ -253,35 +292,45 @@
 
 #[test]
 fn a_silent_watch_is_found_by_the_revision_read() {
-    let fleet = Fleet::with_daemons(3);
+    let fleet = Fleet::one_cell(4);
+    wait_roles(&fleet);
     fleet.set_faults(&json!({"silent_watches": true}));
-    let mut value = zone_record(ZONE, "out");
-    value["operation"] = json!("by-hand");
-    let path = format!("/v1/objects/records/AvailabilityZone/{ZONE}");
-    let stored = client::call("GET", &fleet.platform_address, &path, &[], &Value::Null).json();
-    let to = format!("{path}?if_revision={}", stored["revision"]);
-    let answer = client::call("PUT", &fleet.platform_address, &to, &[], &value);
-    assert_eq!(answer.status, 200, "{answer:?}");
-    wait_in_force(&fleet, &[0, 1, 2], "out", Instant::now());
+    let written = write_directly(&fleet, "out");
+    wait_in_force(&fleet, &[0, 1, 2, 3], "out", written);
+    fleet.set_faults(&json!({}));
+    let written = write_directly(&fleet, "serving");
+    wait_in_force(&fleet, &[0, 1, 2, 3], "serving", written);
+    check_monotone(&fleet.daemons);
+}
+
+#[test]
+fn listeners_take_over_when_both_relays_die() {
+    let mut fleet = Fleet::one_cell(4);
+    let (relays, listeners) = wait_roles(&fleet);
+    for i in relays {
+        fleet.daemons[i].process.kill();
+    }
+    let written = write_directly(&fleet, "out");
+    wait_in_force(&fleet, &listeners, "out", written);
     check_monotone(&fleet.daemons);
 }
 
 #[test]
 fn lost_datagrams_and_a_stalled_link_delay_but_do_not_stop_a_write() {
-    let fleet = Fleet::with_daemons(3);
+    let fleet = Fleet::one_cell(4);
     let relays = relayed(&fleet);
+    let (_, listeners) = wait_roles(&fleet);
     for relay in &relays {
         relay.set_loss_percent(30);
     }
-    let accepted = zone_out(&fleet, 0);
-    wait_in_force(&fleet, &[0, 1, 2], "out", accepted);
-    relays[1].set_stalled(true);
-    let answer = fleet
-        .operator(0)
-        .put_records(&json!([zone_record(ZONE, "serving")]));
-    assert_eq!(answer.status, 200, "{answer:?}");
-    wait_in_force(&fleet, &[0, 1, 2], "serving", Instant::now());
-    relays[1].set_stalled(false);
+    let accepted = zone_out(&fleet, listeners[0]);
+    wait_in_force(&fleet, &[0, 1, 2, 3], "out", accepted);
+    // Past the daemons: listeners hear of it from peers only.
+    let written = write_directly(&fleet, "serving");
+    wait_in_force(&fleet, &[0, 1, 2, 3], "serving", written);
+    relays[listeners[0]].set_stalled(true);
+    let accepted = zone_out(&fleet, listeners[1]);
+    wait_in_force(&fleet, &[0, 1, 2, 3], "out", accepted);
     check_monotone(&fleet.daemons);
 }
 
