--- a/src/control.rs
+++ b/src/control.rs
@@ -29,7 +29,7 @@
     quarantine::SharedQuarantine,
     records::{ServiceType, ZoneState},
     relay::InstanceList,
-    settings::{CutOff, Policy, Settings},
+    settings::{Policy, Settings},
     spread::Spread,
     supervisor::supervise,
     view::{LoadHint, PeerDaemon, SharedView, Standing, Target, View},
@@ -440,14 +440,7 @@
 
     /// Whether this daemon is ready, and may own targets.
     fn can_own(&self, now: BootTime) -> bool {
-        self.takes_requests() && self.owns_fully(now) && !self.is_draining
-    }
-
-    /// Whether requests would be taken: ready is not said before.
-    fn takes_requests(&self) -> bool {
-        let is_confirmed = self.current_as_of().is_some();
-        let serves_on = self.settings.cut_off == CutOff::Serve;
-        self.spread.has_whole_set() && (is_confirmed || serves_on)
+        self.can_serve(now) && self.owns_fully(now) && !self.is_draining
     }
 
     /// Whether earlier owners' grants have lapsed since this daemon started.
