Load tool, fleet in one process, batch model with prefix cache

Cause: nothing measured what the decisions do, and the engine stand-in scanned all sequences per eviction and knew no prefixes. Change: bluebell-load (run, fleet, compare) draws all requests from a seed before it starts and sends each when due; histograms, summary, table, plot. The quickstart and the load tool share standin/fleet.rs. The batch keeps its sums, steps grow with the batch, and a block-hash LRU spares prefill; cache events are late and one in fifty is lost. Length curves and expected footprints for the choice; short requests go first at the engine. Ruled out: one histogram per customer (too coarse at few requests); counts of endings per customer instead.

--- a/src/choose.rs
+++ b/src/choose.rs
@@ -5,10 +5,20 @@
 use crate::{
     clock::BootTime,
     credits::Permit,
+    footprint::{Footprints, Need},
+    prefix::PrefixHints,
     records::RoutingIntent,
+    settings::Policy,
     view::{Standing, Target},
 };
 
+/// One in this many credits of a target is kept for short requests.
+const SHORT_RESERVE: u32 = 8;
+/// Part of a daemon's share of an engine's memory that long requests may fill.
+const LONG_PERCENT: u64 = 90;
+/// What a cached prompt token counts against a token of expected memory.
+const CACHED_WEIGHT: u64 = 2;
+
 /// What the choice depends on besides the targets.
 pub(crate) struct Choosing<'a> {
     /// Availability zone of this daemon.
@@ -19,6 +29,22 @@
     pub intent: Option<&'a RoutingIntent>,
     /// Targets already tried for this request.
     pub tried: &'a [Box<str>],
+    /// What the request needs, where the policy looks at it.
+    pub fit: Option<Fit<'a>>,
+}
+
+/// What a request needs and what is known of the engines.
+pub(crate) struct Fit<'a> {
+    /// What the request needs.
+    pub need: &'a Need,
+    /// What this daemon's runs are expected to take.
+    pub footprints: &'a Footprints,
+    /// What engines are believed to have cached.
+    pub prefixes: &'a PrefixHints,
+    /// Whether memory is limited by expected lengths, or credits alone count.
+    pub policy: Policy,
+    /// Live daemons, this one included.
+    pub daemons: u64,
 }
 
 /// A target with a permit to use it.
@@ -38,14 +64,18 @@
 }
 
 /// Takes a credit of the best target: preferred zone first, then own zone, own
-/// region, and fewest requests in flight.
+/// region, and fewest requests in flight; or, where the request's need counts,
+/// the least expected memory per target in place of the fewest requests.
 pub(crate) fn choose(targets: &[Arc<Target>], cx: &Choosing<'_>, now: BootTime) -> Choice {
     let mut ranked: Vec<&Arc<Target>> = targets.iter().collect();
-    ranked.sort_by_cached_key(|t| (rank(t, cx), t.credit.in_flight(), t.name.clone()));
+    ranked.sort_by_cached_key(|t| {
+        let load = cx.fit.as_ref().map_or(0, |fit| fit.load(t));
+        (rank(t, cx), load, t.credit.in_flight(), t.name.clone())
+    });
     let mut reasons = String::new();
     let mut chosen = None;
     for target in ranked {
-        let reason = match unusable(target, cx) {
+        let reason = match unusable(target, cx).or_else(|| unfit(target, cx, now)) {
             Some(reason) => reason,
             None if chosen.is_some() => "behind",
             None => match target.credit.try_take(now) {
@@ -77,6 +107,45 @@
     (is_abroad && cx.intent.is_some_and(|i| !i.cross_region)).then_some("other_region")
 }
 
+/// Why a target that has credits is still not for this request.
+fn unfit(target: &Target, cx: &Choosing<'_>, now: BootTime) -> Option<&'static str> {
+    let fit = cx.fit.as_ref()?;
+    let held = target.credit.held(now);
+    if !fit.need.is_short && target.credit.free(now) <= held / SHORT_RESERVE {
+        return Some(if held == 0 {
+            "no_credit"
+        } else {
+            "short_reserve"
+        });
+    }
+    if fit.policy == Policy::TokenCredits && !fit.has_memory(target) {
+        return Some("no_memory");
+    }
+    None
+}
+
+impl Fit<'_> {
+    /// Expected memory of a target with this request, less what is cached.
+    fn load(&self, target: &Target) -> u64 {
+        let reserved = self.footprints.reserved(&target.name);
+        let cached = self.prefixes.cached_tokens(&target.name, &self.need.blocks);
+        (reserved + self.need.tokens).saturating_sub(CACHED_WEIGHT * cached)
+    }
+
+    /// Whether the request's expected memory fits into this daemon's share of
+    /// the engine's, and the engine does not report that others wait.
+    fn has_memory(&self, target: &Target) -> bool {
+        let load = &target.load;
+        if load.kv_total == 0 || self.need.is_short {
+            return true;
+        }
+        let reserved = self.footprints.reserved(&target.name);
+        let share = load.kv_total * LONG_PERCENT / 100 / self.daemons.max(1);
+        let fits = reserved == 0 || reserved + self.need.tokens <= share;
+        fits && load.waiting == 0
+    }
+}
+
 /// Place of a target's zone in the order of preference; lower is better.
 fn rank(target: &Target, cx: &Choosing<'_>) -> usize {
     let preferred = cx.intent.map_or(&[][..], |i| &i.prefer_zones);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -225,6 +225,12 @@
     /// Time of one decoding step, in microseconds.
     #[arg(long, default_value_t = 20_000)]
     pub step_us: u64,
+    /// What each further sequence adds to a step, in microseconds.
+    #[arg(long, default_value_t = 0)]
+    pub step_growth_us: u64,
+    /// Blocks of prompts that the prefix cache keeps.
+    #[arg(long, default_value_t = 1024)]
+    pub cache_blocks: usize,
     /// Tokens of prompt taken in per millisecond.
     #[arg(long, default_value_t = 20)]
     pub prefill_per_ms: u64,
@@ -249,3 +255,128 @@
     #[command(flatten)]
     pub target: TargetArgs,
 }
+
+/// Open-loop load, measured.
+///
+/// Exit codes: 0 done, 1 failed, 2 bad usage.
+#[derive(Debug, Parser)]
+#[command(name = "bluebell-load", version)]
+pub struct LoadCli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: LoadCommand,
+}
+
+/// Commands of `bluebell-load`.
+#[derive(Debug, Subcommand)]
+pub enum LoadCommand {
+    /// Put load on daemons that run.
+    Run(LoadRunArgs),
+    /// Start a fleet in this process and put load on it.
+    Fleet(Box<LoadFleetArgs>),
+    /// Compare two runs by the ratio of their figures.
+    Compare {
+        /// Folder of the first run.
+        before: PathBuf,
+        /// Folder of the second run.
+        after: PathBuf,
+    },
+}
+
+/// The traffic of a run; the same seed gives the same requests.
+#[derive(Clone, Debug, Args)]
+pub struct TrafficArgs {
+    /// Requests a second.
+    #[arg(long, default_value_t = 20.0)]
+    pub rate: f64,
+    /// Seconds in which requests arrive.
+    #[arg(long, default_value_t = 10)]
+    pub duration: u64,
+    /// Seed of arrivals, sorts, lengths and customers.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Weights of long reports, short answers, bookings and status lookups.
+    #[arg(long, value_delimiter = ',', num_args = 4, default_values_t = [3, 5, 1, 1])]
+    pub mix: Vec<u32>,
+    /// How much faster than real the engines run; figures are scaled back.
+    #[arg(long, default_value_t = 1)]
+    pub time_scale: u32,
+    /// What lengths of long reports are divided by.
+    #[arg(long, default_value_t = 1)]
+    pub length_scale: u64,
+    /// What the first customer's part of the traffic is multiplied by.
+    #[arg(long, default_value_t = 1.0)]
+    pub flood: f64,
+    /// Seconds to wait for answers after the last arrival.
+    #[arg(long, default_value_t = 60)]
+    pub patience: u64,
+    /// Folder for histograms, summary and plot.
+    #[arg(long)]
+    pub out: PathBuf,
+}
+
+/// Arguments of a run against daemons that run.
+#[derive(Debug, Args)]
+pub struct LoadRunArgs {
+    /// The traffic.
+    #[command(flatten)]
+    pub traffic: TrafficArgs,
+    /// Callers' address of a daemon; used in turn.
+    #[arg(long = "address", required = true)]
+    pub addresses: Vec<Box<str>>,
+    /// Customer as `NAME=KEY`, the largest first.
+    #[arg(long = "customer", required = true)]
+    pub customers: Vec<Box<str>>,
+    /// Service that generates.
+    #[arg(long, default_value = "rensmodell")]
+    pub generation: Box<str>,
+    /// Plain service that takes bookings.
+    #[arg(long, default_value = "ordrebok")]
+    pub plain: Box<str>,
+    /// Engine whose preemptions are counted.
+    #[arg(long = "engine")]
+    pub engines: Vec<Box<str>>,
+}
+
+/// Arguments of a run against a fleet in this process.
+#[derive(Debug, Args)]
+pub struct LoadFleetArgs {
+    /// The traffic.
+    #[command(flatten)]
+    pub traffic: TrafficArgs,
+    /// Policy of all daemons: `least_in_flight`, `credits` or `token_credits`.
+    #[arg(long, default_value = "credits")]
+    pub policy: Box<str>,
+    /// Customers.
+    #[arg(long, default_value_t = 10)]
+    pub customers: usize,
+    /// Share of a service that a customer may fill while others wait.
+    #[arg(long, default_value_t = 100)]
+    pub share_percent: u32,
+    /// Engines in each zone.
+    #[arg(long, default_value_t = 2)]
+    pub engines: usize,
+    /// Tokens that fit in an engine's memory.
+    #[arg(long, default_value_t = 6_000)]
+    pub kv_tokens: u64,
+    /// Most sequences in an engine's batch.
+    #[arg(long, default_value_t = 64)]
+    pub max_batch: usize,
+    /// Requests that an engine runs at once, as its record says.
+    #[arg(long, default_value_t = 24)]
+    pub limit: u32,
+    /// Time of a step, in microseconds of unscaled time.
+    #[arg(long, default_value_t = 25_000)]
+    pub step_us: u64,
+    /// What each further sequence adds to a step, in microseconds of unscaled
+    /// time.
+    #[arg(long, default_value_t = 400)]
+    pub step_growth_us: u64,
+    /// Blocks that an engine's prefix cache keeps.
+    #[arg(long, default_value_t = 256)]
+    pub cache_blocks: usize,
+    /// Takes a zone out or brings it back: `ZONE:out:SECOND` or
+    /// `ZONE:serving:SECOND`.
+    #[arg(long = "zone-event")]
+    pub zone_events: Vec<Box<str>>,
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -364,6 +364,8 @@
 fn load_hint(load: &LoadReport) -> LoadHint {
     LoadHint {
         kv_free: load.kv_total.saturating_sub(load.kv_used),
+        kv_total: load.kv_total,
         running: load.running,
+        waiting: load.waiting,
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,7 +13,7 @@
 use crate::{
     control::{self, ControlHandle, Event},
     entry::{self, Entry},
-    http, metrics, operator,
+    feeds, http, metrics, operator,
     settings::Settings,
 };
 
@@ -74,6 +74,7 @@
             address: listen.peer.clone(),
         })?;
         let entry = Arc::new(Entry::open(settings.clone(), control.view.clone()));
+        feeds::supervise_cache_events(&entry, &stop_control);
         let stop_ports = CancellationToken::new();
         let limits = settings.limits.port();
         let caller_port = http::serve(
@@ -106,6 +107,12 @@
         self.entry.view.load().is_ready
     }
 
+    /// Live daemons that it sees besides itself.
+    #[must_use]
+    pub fn peers(&self) -> usize {
+        self.entry.view.load().peers.len()
+    }
+
     /// Stops gracefully: first not ready, then accepting for the balancer's
     /// lag, then finishing everything that runs.
     pub async fn stop(self) {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     http::{self, CallError, HttpClient},
+    prefix::CacheEvent,
     wire::{BootId, GenerationId},
 };
 
@@ -218,6 +219,24 @@
             status: res.status().as_u16(),
         })
     }
+
+    /// Reads the engine's cache events after a sequence number.
+    ///
+    /// # Errors
+    /// See [`EngineError`].
+    pub async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, EngineError> {
+        let path = format!("/v1/cache_events?after={after}");
+        let req = http::request(&Method::GET, address, &path, Bytes::new());
+        let res = http::call(&self.client, req, self.timeout, MAX_ANSWER_BYTES).await?;
+        serde_json::from_slice(res.body()).map_err(|_| EngineError::Failed {
+            peer: address.into(),
+            status: res.status().as_u16(),
+        })
+    }
 }
 
 fn stream_of(address: &str, res: hyper::Response<Incoming>) -> Result<EngineStream, EngineError> {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,10 +16,12 @@
     clock::{self, BootTime},
     decisions::Decisions,
     engine::EngineClient,
+    footprint::Footprints,
     generate,
     http::{self, HttpClient},
     metrics,
     platform::Platform,
+    prefix::PrefixHints,
     records::{Service, ServiceType},
     refusal::{REQUEST_HEADER, Refusal, RefusalKind},
     service,
@@ -39,6 +41,10 @@
     /// Client for plain services: a new connection for each call.
     pub services: HttpClient,
     pub decisions: Decisions,
+    /// What runs of this daemon are expected to take at each target.
+    pub footprints: Arc<Footprints>,
+    /// What engines are believed to have cached.
+    pub prefixes: Arc<PrefixHints>,
     /// Requests being served.
     pub active: AtomicUsize,
     /// The daemon is stopping.
@@ -53,6 +59,8 @@
             engines: EngineClient::open(ENGINE_TIMEOUT),
             services: http::client(ENGINE_TIMEOUT, None),
             decisions: Decisions::default(),
+            footprints: Arc::default(),
+            prefixes: Arc::default(),
             active: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             settings,
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -7,13 +7,16 @@
     net::{TcpListener, UdpSocket},
     sync::oneshot,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     control::{Event, Events, PEER_TIMEOUT},
     engine::EngineClient,
+    entry::Entry,
     peer::{self, Seal},
     platform::Platform,
     records::{RECORD_PREFIX, ServiceType},
+    supervisor::supervise,
     view::SharedView,
     wire::Frame,
 };
@@ -105,3 +108,30 @@
         tokio::time::sleep(period).await;
     }
 }
+
+/// Follows the cache events of all engines, once a period, until `stop`.
+pub(crate) fn supervise_cache_events(entry: &Arc<Entry>, stop: &CancellationToken) {
+    let entry = entry.clone();
+    supervise("cache_events", stop.clone(), move || {
+        poll_cache_events(entry.clone())
+    });
+}
+
+async fn poll_cache_events(entry: Arc<Entry>) {
+    loop {
+        let view = entry.view.load_full();
+        for (service, targets) in &view.targets {
+            let service = view.snapshot.services.get(service);
+            if service.is_none_or(|s| s.kind != ServiceType::Generation) {
+                continue;
+            }
+            for target in targets {
+                let after = entry.prefixes.seen(&target.name);
+                if let Ok(events) = entry.engines.cache_events(&target.address, after).await {
+                    entry.prefixes.learn(&target.name, &events);
+                }
+            }
+        }
+        tokio::time::sleep(entry.settings.timing.platform_poll).await;
+    }
+}
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -10,10 +10,13 @@
     clock,
     engine::{EngineError, GenerationRequest},
     entry::{Active, Call, Entry, accept, finish, new_id, service_of},
+    footprint::{Footprint, Need},
     http,
+    lengths::LengthKey,
     place::place,
     records::ServiceType,
     refusal::{Ran, Refusal, RefusalKind},
+    settings::Policy,
     stream::{Delivered, Run, deliver},
 };
 
@@ -76,15 +79,23 @@
 async fn start_run(entry: &Entry, call: &Call, completion: Completion) -> Result<Run, Refusal> {
     let service = completion.model;
     let mut tried = Vec::new();
-    let generation = GenerationRequest {
+    let mut generation = GenerationRequest {
         generation_id: new_id(),
         prompt: completion.prompt,
         max_tokens: completion.max_tokens,
         priority: 0,
         parameters: completion.parameters,
     };
+    let need = Need::new(
+        &entry.footprints,
+        LengthKey::new(&service, &call.customer, generation.max_tokens),
+        &generation.prompt,
+    );
+    let is_baseline = entry.settings.policy == Policy::LeastInFlight;
+    generation.priority = i32::from(need.is_short && !is_baseline);
     loop {
-        let chosen = place(entry, call, &service, &tried).await?;
+        let chosen = place(entry, call, &service, &tried, Some(&need)).await?;
+        let footprint = Footprint::open(&entry.footprints, &chosen.target.name, &need);
         let target = chosen.target;
         if !chosen.permit.is_current(clock::now()) {
             continue;
@@ -95,6 +106,7 @@
                     target,
                     generation,
                     permit: chosen.permit,
+                    footprint,
                     events,
                 });
             }
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,209 @@
+//! What a run leaves behind: histograms, a summary, a table and a plot.
+
+use std::{fs, io, path::Path};
+
+use comfy_table::{Table, presets::UTF8_BORDERS_ONLY};
+use hdrhistogram::{
+    Histogram,
+    serialization::{Serializer, V2Serializer},
+};
+use serde::{Deserialize, Serialize};
+
+use super::tally::{Endings, Histograms, Tally};
+
+/// File of the summary in a run's folder.
+const SUMMARY_FILE: &str = "summary.json";
+
+/// A run's figures and what it was.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The command line.
+    pub command: Box<str>,
+    /// Seed of the traffic.
+    pub seed: u64,
+    /// Requests a second, in the run's own time.
+    pub rate: f64,
+    /// What times were multiplied by.
+    pub time_scale: u32,
+    /// What lengths of long reports were divided by.
+    pub length_scale: u64,
+    /// Evicted and recomputed sequences, over all engines.
+    pub preemptions: u64,
+    /// Tokens a second that callers received while requests arrived, in the
+    /// run's own time.
+    pub tokens_per_second: f64,
+    /// The whole run.
+    pub whole: Tally,
+    /// Parts of the run between zone events.
+    pub parts: Vec<Tally>,
+}
+
+/// Writes histograms and summary into a folder.
+pub(crate) fn write(out: &Path, summary: &Summary, histograms: &Histograms) -> io::Result<()> {
+    fs::create_dir_all(out)?;
+    let text = serde_json::to_string_pretty(summary)?;
+    fs::write(out.join(SUMMARY_FILE), text + "\n")?;
+    write_histogram(
+        &out.join("first_token_long.hdr"),
+        &histograms.first_token_long,
+    )?;
+    write_histogram(
+        &out.join("first_token_short.hdr"),
+        &histograms.first_token_short,
+    )?;
+    write_histogram(&out.join("gap.hdr"), &histograms.gap)
+}
+
+fn write_histogram(path: &Path, histogram: &Histogram<u64>) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    let written = V2Serializer::new().serialize(histogram, &mut bytes);
+    written.map_err(|e| io::Error::other(format!("{e:?}")))?;
+    fs::write(path, bytes)
+}
+
+/// Reads the summary of an earlier run.
+///
+/// # Errors
+/// The file is not there, or is no summary.
+pub fn read(folder: &Path) -> io::Result<Summary> {
+    let text = fs::read(folder.join(SUMMARY_FILE))?;
+    Ok(serde_json::from_slice(&text)?)
+}
+
+/// The figures of a tally, by name.
+fn figures(tally: &Tally) -> Vec<(String, f64)> {
+    let mut figures = vec![
+        (
+            "first token, long, p50 ms".into(),
+            tally.first_token_long.p50,
+        ),
+        (
+            "first token, long, p95 ms".into(),
+            tally.first_token_long.p95,
+        ),
+        (
+            "first token, long, p99 ms".into(),
+            tally.first_token_long.p99,
+        ),
+        (
+            "first token, short, p50 ms".into(),
+            tally.first_token_short.p50,
+        ),
+        (
+            "first token, short, p95 ms".into(),
+            tally.first_token_short.p95,
+        ),
+        (
+            "first token, short, p99 ms".into(),
+            tally.first_token_short.p99,
+        ),
+        ("gap p50 ms".into(), tally.gap.p50),
+        ("gap p99 ms".into(), tally.gap.p99),
+        ("stall ms per 1000 tokens".into(), tally.stall_ms_per_1000),
+        ("share of streams stalled".into(), tally.stalled_streams),
+    ];
+    for (sort, endings) in &tally.sorts {
+        let counts = [
+            ("offered", endings.offered),
+            ("whole", endings.whole),
+            ("cut", endings.cut),
+            ("lost", endings.lost),
+            ("doubled or wrong", endings.wrong),
+        ];
+        figures.extend(counts.map(|(name, n)| (format!("{sort} {name}"), number(n))));
+        let refused = endings.refused.iter();
+        figures.extend(refused.map(|(kind, n)| (format!("{sort} refused {kind}"), number(*n))));
+    }
+    figures
+}
+
+fn number(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn all_figures(summary: &Summary) -> Vec<(String, f64)> {
+    let mut all = vec![
+        ("preemptions".into(), number(summary.preemptions)),
+        ("tokens per second".into(), summary.tokens_per_second),
+    ];
+    all.extend(figures(&summary.whole));
+    all
+}
+
+/// A run's figures as a table, with a column for each part.
+#[must_use]
+pub fn table(summary: &Summary) -> String {
+    let mut table = Table::new();
+    table.load_style(UTF8_BORDERS_ONLY);
+    let mut header = vec!["figure".to_owned(), "run".to_owned()];
+    header.extend((1..=summary.parts.len()).map(|part| format!("part {part}")));
+    table.set_header(header);
+    let parts: Vec<_> = summary.parts.iter().map(figures).collect();
+    for (name, value) in all_figures(summary) {
+        let mut row = vec![name.clone(), format!("{value:.2}")];
+        row.extend(parts.iter().map(|part| value_of(part, &name)));
+        table.add_row(row);
+    }
+    format!(
+        "times x{} (scaled back), lengths of reports 1/{}, seed {}, {} requests/s\n{table}\n{}",
+        summary.time_scale,
+        summary.length_scale,
+        summary.seed,
+        summary.rate,
+        customers(&summary.whole)
+    )
+}
+
+fn value_of(figures: &[(String, f64)], name: &str) -> String {
+    let found = figures.iter().find(|(n, _)| n == name);
+    found.map_or_else(|| "-".into(), |(_, value)| format!("{value:.2}"))
+}
+
+fn customers(tally: &Tally) -> String {
+    let line = |(customer, endings): (&usize, &Endings)| {
+        let (whole, offered) = (endings.whole, endings.offered);
+        format!("{customer}:{whole}/{offered}")
+    };
+    let customers: Vec<String> = tally.customers.iter().map(line).collect();
+    format!("whole of offered by customer: {}", customers.join(" "))
+}
+
+/// Two runs side by side, with the ratio of their figures.
+#[must_use]
+pub fn compare(before: &Summary, after: &Summary) -> String {
+    let mut table = Table::new();
+    table.load_style(UTF8_BORDERS_ONLY);
+    table.set_header(["figure", "before", "after", "ratio"]);
+    let (old, new) = (all_figures(before), all_figures(after));
+    for (name, was) in &old {
+        let is = new.iter().find(|(n, _)| n == name).map_or(0.0, |(_, v)| *v);
+        table.add_row([
+            name.clone(),
+            format!("{was:.2}"),
+            format!("{is:.2}"),
+            ratio(*was, is),
+        ]);
+    }
+    for (name, is) in &new {
+        if old.iter().all(|(n, _)| n != name) {
+            table.add_row([
+                name.clone(),
+                "0.00".into(),
+                format!("{is:.2}"),
+                ratio(0.0, *is),
+            ]);
+        }
+    }
+    format!(
+        "before: {}\nafter: {}\n{table}",
+        before.command, after.command
+    )
+}
+
+fn ratio(was: f64, is: f64) -> String {
+    if was > 0.0 {
+        format!("{:.2}", is / was)
+    } else {
+        "-".into()
+    }
+}
--- a/src/place.rs
+++ b/src/place.rs
@@ -3,15 +3,20 @@
 use std::time::Duration;
 
 use crate::{
-    choose::{self, Choice, Choosing, Chosen},
-    clock,
+    choose::{self, Choice, Choosing, Chosen, Fit},
+    clock::{self, BootTime},
     decisions::Decision,
     entry::{Call, Entry},
+    footprint::Need,
     refusal::{Refusal, RefusalKind},
+    settings::Policy,
+    view::View,
 };
 
 /// Pause between looks for a free credit.
 const QUEUE_POLL: Duration = Duration::from_millis(5);
+/// Long requests are refused at once while one waits for every so many credits.
+const CREDITS_PER_WAITING: u32 = 8;
 
 /// Takes a credit at the best target, waiting a short while for one.
 pub(crate) async fn place(
@@ -19,19 +24,24 @@
     call: &Call,
     service: &str,
     tried: &[Box<str>],
+    need: Option<&Need>,
 ) -> Result<Chosen, Refusal> {
+    let need = need.filter(|_| entry.settings.policy != Policy::LeastInFlight);
     let deadline = clock::now() + entry.settings.timing.queue_timeout;
+    let mut waiting = None;
     loop {
         let view = entry.view.load_full();
-        let cx = Choosing {
-            zone: &entry.settings.zone,
-            region: &entry.settings.region,
-            intent: view.snapshot.intent_of(service),
-            tried,
-        };
         let now = clock::now();
-        let Choice { chosen, reasons } = choose::choose(view.targets_of(service), &cx, now);
-        let is_last = now >= deadline;
+        let Choice { chosen, reasons } = match need {
+            Some(need) if is_over_share(entry, &view, need, now) => Choice {
+                chosen: None,
+                reasons: "all:over_share".into(),
+            },
+            need => choose_now(entry, &view, service, tried, need, now),
+        };
+        let is_crowded =
+            waiting.is_none() && need.is_some_and(|n| is_crowded(entry, &view, n, now));
+        let is_last = now >= deadline || is_crowded;
         if chosen.is_some() || is_last {
             entry.decisions.note(Decision {
                 request: call.id.clone(),
@@ -47,7 +57,61 @@
                 let message = format!("no target of {service:?} has room");
                 return Err(Refusal::not_run(RefusalKind::NoRoom, message));
             }
-            None => tokio::time::sleep(QUEUE_POLL).await,
+            None => {
+                if let Some(need) = need {
+                    waiting.get_or_insert_with(|| entry.footprints.wait(&need.key));
+                }
+                tokio::time::sleep(QUEUE_POLL).await;
+            }
         }
     }
 }
+
+fn choose_now(
+    entry: &Entry,
+    view: &View,
+    service: &str,
+    tried: &[Box<str>],
+    need: Option<&Need>,
+    now: BootTime,
+) -> Choice {
+    let fit = need.map(|need| Fit {
+        need,
+        footprints: &entry.footprints,
+        prefixes: &entry.prefixes,
+        policy: entry.settings.policy,
+        daemons: view.peers.len() as u64 + 1,
+    });
+    let cx = Choosing {
+        zone: &entry.settings.zone,
+        region: &entry.settings.region,
+        intent: view.snapshot.intent_of(service),
+        tried,
+        fit,
+    };
+    choose::choose(view.targets_of(service), &cx, now)
+}
+
+/// Credits that this daemon holds for a service.
+fn credits_of(view: &View, service: &str, now: BootTime) -> u32 {
+    let targets = view.targets_of(service).iter();
+    targets.map(|t| t.credit.held(now)).sum()
+}
+
+/// Whether the customer fills its share while another waits.
+fn is_over_share(entry: &Entry, view: &View, need: &Need, now: BootTime) -> bool {
+    let customer = need.key.customer.as_deref().unwrap_or_default();
+    let customer = view.snapshot.customers.get(customer);
+    let Some(percent) = customer.map(|c| c.share_percent).filter(|p| *p < 100) else {
+        return false;
+    };
+    let share = credits_of(view, &need.key.service, now) * percent / 100;
+    entry.footprints.running(&need.key) >= share && entry.footprints.others_wait(&need.key)
+}
+
+/// Whether so many wait already that a long request had better be refused.
+fn is_crowded(entry: &Entry, view: &View, need: &Need, now: BootTime) -> bool {
+    let service = &need.key.service;
+    let most = 1 + credits_of(view, service, now) / CREDITS_PER_WAITING;
+    !need.is_short && entry.footprints.waiting(service) >= most
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -188,7 +188,7 @@
     tried: &mut Vec<Box<str>>,
 ) -> Result<Result<Outcome, CallError>, Refusal> {
     let chosen = loop {
-        let chosen = place(entry, call, &plain.service, tried).await?;
+        let chosen = place(entry, call, &plain.service, tried, None).await?;
         if chosen.permit.is_current(clock::now()) {
             break chosen;
         }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -30,6 +30,7 @@
     clock::{self, BootTime},
     engine::{GenerationRequest, LoadReport},
     http,
+    prefix::{CacheEvent, blocks_of},
     wire::GenerationId,
 };
 
@@ -41,6 +42,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Pause of the batch loop while there is nothing to do.
 const IDLE_PAUSE: Duration = Duration::from_millis(2);
+/// Each event of the prefix cache with such a sequence number is lost.
+const LOST_CACHE_EVENT: u64 = 50;
 /// Output length when neither prompt nor caller sets one.
 const DEFAULT_LENGTH: u64 = 16;
 
@@ -65,6 +68,8 @@
     generations: BTreeMap<GenerationId, Generation>,
     /// Reports of the last moments, oldest first.
     reports: Vec<(BootTime, LoadReport)>,
+    /// Last cache event at each of the last moments, oldest first.
+    cached: Vec<(BootTime, u64)>,
 }
 
 struct Shared {
@@ -116,6 +121,7 @@
             batch: Batch::new(limits_of(args)),
             generations: BTreeMap::new(),
             reports: Vec::new(),
+            cached: Vec::new(),
         }),
         boot_id: format!("{:016x}", rand::random::<u64>()).into(),
         report_lag: Duration::from_millis(args.report_lag_ms),
@@ -136,14 +142,17 @@
         kv_tokens: args.kv_tokens,
         max_batch: args.max_batch,
         step: Duration::from_micros(args.step_us),
+        step_growth: Duration::from_micros(args.step_growth_us),
         prefill_per_ms: args.prefill_per_ms,
         cold: Duration::from_millis(args.cold_ms),
         cold_bears: args.cold_bears,
+        cache_blocks: args.cache_blocks,
     }
 }
 
 fn router(shared: &Arc<Shared>) -> Router {
-    let (start, resume, cancel, load) = (
+    let (start, resume, cancel, load, cache) = (
+        shared.clone(),
         shared.clone(),
         shared.clone(),
         shared.clone(),
@@ -168,6 +177,10 @@
             let report = lagging_report(&load);
             async move { Ok(http::json(StatusCode::OK, &report)) }
         })
+        .get("/v1/cache_events", move |req: Request| {
+            let events = lagging_cache_events(&cache, &req);
+            async move { Ok(http::json(StatusCode::OK, &events)) }
+        })
 }
 
 fn status(status: StatusCode) -> Response {
@@ -211,7 +224,8 @@
     };
     let mut state = shared.state();
     state.generations.insert(id.clone(), generation);
-    let sequence = Sequence::new(prompt_tokens, length, request.priority);
+    let sequence = Sequence::new(prompt_tokens, length, request.priority)
+        .with_blocks(blocks_of(&request.prompt));
     if !state.batch.add(id.clone(), sequence) {
         shared.history.note("fell_over", &json!({"generation": id}));
         shared.fallen.cancel();
@@ -396,6 +410,21 @@
     let seen = now.saturating_sub(shared.report_lag);
     let outdated = state.reports.partition_point(|(at, _)| *at <= seen);
     state.reports.drain(..outdated.saturating_sub(1));
+    let cached = state.batch.cache.sequence();
+    state.cached.push((now, cached));
+    let outdated = state.cached.partition_point(|(at, _)| *at <= seen);
+    state.cached.drain(..outdated.saturating_sub(1));
+}
+
+/// Cache events, as late as load reports and with some lost.
+fn lagging_cache_events(shared: &Shared, req: &Request) -> Vec<CacheEvent> {
+    let after = req.query_string().and_then(|q| q.strip_prefix("after="));
+    let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
+    let state = shared.state();
+    let published = state.cached.first().map_or(0, |(_, sequence)| *sequence);
+    let mut events = state.batch.cache.events_after(after);
+    events.retain(|e| e.sequence <= published && e.sequence % LOST_CACHE_EVENT != 0);
+    events
 }
 
 fn lagging_report(shared: &Shared) -> LoadReport {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,7 +1,8 @@
 //! Small stand-ins for the outside systems, for tests and first tries.
 
-pub(crate) mod batch;
+pub mod batch;
 pub mod engine;
+pub(crate) mod fleet;
 mod history;
 pub mod platform;
 pub mod quickstart;
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -12,6 +12,7 @@
     engine::{
         EndOfGeneration, EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest,
     },
+    footprint::Footprint,
     refusal::{Ran, Refusal, RefusalKind},
     view::Target,
     wire::GenerationId,
@@ -102,6 +103,8 @@
     pub generation: GenerationRequest,
     /// Held until the run ends.
     pub permit: Permit,
+    /// Memory it is expected to take at the target.
+    pub footprint: Footprint,
     /// Events of the run.
     pub events: EngineStream,
 }
@@ -155,6 +158,7 @@
     );
     match ended {
         Ended::Whole(end) => {
+            run.footprint.end_whole(end.tokens);
             let _ = tx.send(end_event(&generation, &end)).await;
         }
         Ended::CallerLeft => {
@@ -208,6 +212,7 @@
             },
             Verdict::Deliver => {
                 gaps.note();
+                run.footprint.grow();
                 if tx
                     .send(token_event(&delivered.id_prefix, index, &data))
                     .await
--- a/src/view.rs
+++ b/src/view.rs
@@ -48,8 +48,12 @@
 pub(crate) struct LoadHint {
     /// Tokens of engine memory that were free.
     pub kv_free: u64,
+    /// Tokens that fit in engine memory; 0 when it has not reported.
+    pub kv_total: u64,
     /// Sequences that ran.
     pub running: u32,
+    /// Sequences that waited for memory.
+    pub waiting: u32,
 }
 
 /// A daemon that requests can be forwarded to.
