--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -127,8 +127,12 @@
             }
             for target in targets {
                 let after = entry.prefixes.seen(&target.name);
-                if let Ok(events) = entry.engines.cache_events(&target.address, after).await {
+                let events = entry.engines.cache_events(&target.address, after).await;
+                let events = events.unwrap_or_default();
+                if let Some(last) = events.last() {
                     entry.prefixes.learn(&target.name, &events);
+                    let (name, sequence) = (&target.name, last.sequence);
+                    log::debug!("event=cache_events target={name} sequence={sequence}");
                 }
             }
         }
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -15,6 +15,9 @@
 
 /// Quantile of the remaining length that a run is counted with.
 const COUNTED_QUANTILE: f64 = 0.75;
+/// Part of the remaining length that counts, in per cent: while a run grows,
+/// others end.
+const COUNTED_PERCENT: u64 = 100;
 /// Quantile of the length that must be short for a request to count as short.
 const SHORT_QUANTILE: f64 = 0.9;
 /// Longest output of a short request, in tokens.
@@ -46,13 +49,18 @@
         Self {
             prompt_tokens,
             blocks: blocks_of(prompt),
-            tokens: prompt_tokens + lengths.remaining(&key, 0, COUNTED_QUANTILE),
+            tokens: prompt_tokens + counted_remaining(lengths, &key, 0),
             is_short: lengths.remaining(&key, 0, SHORT_QUANTILE) <= SHORT_TOKENS,
             key,
         }
     }
 }
 
+/// Tokens to count for what a run will still produce.
+fn counted_remaining(lengths: &Lengths, key: &LengthKey, produced: u64) -> u64 {
+    lengths.remaining(key, produced, COUNTED_QUANTILE) * COUNTED_PERCENT / 100
+}
+
 /// Names one customer's use of one service.
 type Use = (Box<str>, CustomerName);
 
@@ -176,7 +184,7 @@
         }
         self.review_at = self.produced + REVIEW_TOKENS.max(self.produced / REVIEW_PART);
         let lengths = &self.footprints.lengths;
-        let remaining = lengths.remaining(&self.key, self.produced, COUNTED_QUANTILE);
+        let remaining = counted_remaining(lengths, &self.key, self.produced);
         self.count(self.prompt_tokens + self.produced + remaining);
     }
 
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -145,6 +145,10 @@
         ended = pass_tokens(&engines, &mut run, &delivered, &tx) => ended,
         () = tx.closed() => Ended::CallerLeft,
     };
+    if let Ended::Whole(end) = &ended {
+        run.footprint.end_whole(end.tokens);
+    }
+    drop(run.footprint);
     drop(run.permit);
     let outcome = match &ended {
         Ended::Whole(_) => "whole",
@@ -158,7 +162,6 @@
     );
     match ended {
         Ended::Whole(end) => {
-            run.footprint.end_whole(end.tokens);
             let _ = tx.send(end_event(&generation, &end)).await;
         }
         Ended::CallerLeft => {
--- a/tests/common/client.rs
+++ b/tests/common/client.rs
@@ -304,3 +304,11 @@
         self.call("GET", "/v1/status", &Value::Null).json()
     }
 }
+
+/// A caller with another customer's key.
+pub fn caller_with_key(address: &str, key: &str) -> Caller {
+    Caller {
+        address: address.to_owned(),
+        authorization: format!("Bearer {key}"),
+    }
+}
