Expected memory up to 125% of a daemon's share; waiting counts only when memory is short

Change: LONG_PERCENT 125; a report of waiting requests stops long ones only while less than a sixteenth of the memory is free. Result: tests/choose.rs 5, batch 6, lengths 4 passed.

--- a/src/choose.rs
+++ b/src/choose.rs
@@ -14,8 +14,12 @@
 
 /// One in this many credits of a target is kept for short requests.
 const SHORT_RESERVE: u32 = 8;
-/// Part of a daemon's share of an engine's memory that long requests may fill.
-const LONG_PERCENT: u64 = 90;
+/// Expected memory that long requests may take up, in per cent of a daemon's
+/// share of the engine's: above 100, since some end while others still grow.
+const LONG_PERCENT: u64 = 125;
+/// An engine whose requests wait and whose free memory is below this part of
+/// it takes no more long ones.
+const STARVED_PART: u64 = 16;
 /// What a cached prompt token counts against a token of expected memory.
 const CACHED_WEIGHT: u64 = 2;
 
@@ -133,7 +137,7 @@
     }
 
     /// Whether the request's expected memory fits into this daemon's share of
-    /// the engine's, and the engine does not report that others wait.
+    /// the engine's, and the engine does not report that others wait for memory.
     fn has_memory(&self, target: &Target) -> bool {
         let load = &target.load;
         if load.kv_total == 0 || self.need.is_short {
@@ -142,7 +146,8 @@
         let reserved = self.footprints.reserved(&target.name);
         let share = load.kv_total * LONG_PERCENT / 100 / self.daemons.max(1);
         let fits = reserved == 0 || reserved + self.need.tokens <= share;
-        fits && load.waiting == 0
+        let is_starved = load.waiting > 0 && load.kv_free < load.kv_total / STARVED_PART;
+        fits && !is_starved
     }
 }
 
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -15,9 +15,6 @@
 
 /// Quantile of the remaining length that a run is counted with.
 const COUNTED_QUANTILE: f64 = 0.75;
-/// Part of the remaining length that counts, in per cent: while a run grows,
-/// others end.
-const COUNTED_PERCENT: u64 = 100;
 /// Quantile of the length that must be short for a request to count as short.
 const SHORT_QUANTILE: f64 = 0.9;
 /// Longest output of a short request, in tokens.
@@ -58,7 +55,7 @@
 
 /// Tokens to count for what a run will still produce.
 fn counted_remaining(lengths: &Lengths, key: &LengthKey, produced: u64) -> u64 {
-    lengths.remaining(key, produced, COUNTED_QUANTILE) * COUNTED_PERCENT / 100
+    lengths.remaining(key, produced, COUNTED_QUANTILE)
 }
 
 /// Names one customer's use of one service.
