Survival curves that count outputs still running

Cause: curves learned only from outputs that ended, so after a start they saw the short ones alone and expected too little: 104 preemptions at load 1.0 and 64 at 0.7.

--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -154,6 +154,8 @@
     prompt_tokens: u64,
     produced: u64,
     review_at: u64,
+    /// Tokens that the curves have taken in.
+    learned: u64,
     counted: u64,
 }
 
@@ -169,6 +171,7 @@
             prompt_tokens: need.prompt_tokens,
             produced: 0,
             review_at: REVIEW_TOKENS,
+            learned: 0,
             counted: need.tokens,
         }
     }
@@ -187,7 +190,7 @@
 
     /// Learns the length of the whole output.
     pub fn end_whole(&self, tokens: u64) {
-        self.footprints.lengths.observe(&self.key, tokens);
+        self.footprints.lengths.end(&self.key, self.learned, tokens);
     }
 
     fn count(&mut self, tokens: u64) {
--- a/src/lengths.rs
+++ b/src/lengths.rs
@@ -21,10 +21,16 @@
 /// Expected length while nothing is known.
 const UNKNOWN_LENGTH: u64 = 256;
 
-/// Distribution of the lengths of one sort of output.
+/// Survival curve of the lengths of one sort of output.
+///
+/// It counts outputs that still run as well as those that ended: otherwise,
+/// after a start, only the short ones would have been seen.
 #[derive(Clone, Debug)]
 pub struct Curve {
-    mass: [f64; BUCKETS],
+    /// Weight of the outputs that ended in each bucket.
+    ended: [f64; BUCKETS],
+    /// Weight of the outputs that went on beyond each bucket.
+    passed: [f64; BUCKETS],
     weight: f64,
     observed: u64,
 }
@@ -32,7 +38,8 @@
 impl Default for Curve {
     fn default() -> Self {
         Self {
-            mass: [0.0; BUCKETS],
+            ended: [0.0; BUCKETS],
+            passed: [0.0; BUCKETS],
             weight: 1.0,
             observed: 0,
         }
@@ -40,19 +47,33 @@
 }
 
 impl Curve {
-    /// Takes in the length of an output that ended.
-    pub fn observe(&mut self, length: u64) {
-        self.mass[bucket_of(length)] += self.weight;
+    /// Takes in the length of an output that ended, all buckets included that
+    /// it passed after its first `counted` tokens.
+    pub fn end(&mut self, counted: u64, length: u64) {
+        self.pass(counted, length);
+        self.ended[bucket_of(length)] += self.weight;
         self.observed += 1;
         self.weight *= WEIGHT_GROWTH;
         if self.weight > MAX_WEIGHT {
-            for mass in &mut self.mass {
-                *mass /= self.weight;
-            }
-            self.weight = 1.0;
+            self.scale_back();
+        }
+    }
+
+    /// Takes in that an output went on from `counted` to `produced` tokens.
+    pub fn pass(&mut self, counted: u64, produced: u64) {
+        let from = if counted == 0 { 0 } else { bucket_of(counted) };
+        for passed in &mut self.passed[from..bucket_of(produced)] {
+            *passed += self.weight;
         }
     }
 
+    fn scale_back(&mut self) {
+        for weight in self.ended.iter_mut().chain(&mut self.passed) {
+            *weight /= self.weight;
+        }
+        self.weight = 1.0;
+    }
+
     /// Whether it has seen enough to be believed.
     #[must_use]
     pub fn is_known(&self) -> bool {
@@ -64,19 +85,26 @@
     /// Beyond everything observed, as much again as was produced.
     #[must_use]
     pub fn remaining(&self, produced: u64, quantile: f64) -> u64 {
-        let first = bucket_of(produced + 1);
-        let surviving: f64 = self.mass[first..].iter().sum();
-        if surviving <= 0.0 {
-            return produced.max(1);
-        }
-        let mut passed = 0.0;
-        for (bucket, mass) in self.mass.iter().enumerate().skip(first) {
-            passed += mass;
-            if passed >= quantile * surviving {
+        let mut surviving = 1.0;
+        for bucket in bucket_of(produced + 1)..BUCKETS {
+            let at_risk = self.ended[bucket] + self.passed[bucket];
+            if at_risk > 0.0 {
+                surviving *= self.passed[bucket] / at_risk;
+            }
+            if surviving <= 1.0 - quantile {
                 return upper_of(bucket).saturating_sub(produced).max(1);
             }
         }
-        produced.max(1)
+        self.longest()
+            .max(2 * produced)
+            .saturating_sub(produced)
+            .max(1)
+    }
+
+    /// The greatest length that any output is known to have reached.
+    fn longest(&self) -> u64 {
+        let is_seen = |bucket: &usize| self.passed[*bucket] > 0.0 || self.ended[*bucket] > 0.0;
+        (0..BUCKETS).rev().find(is_seen).map_or(0, upper_of)
     }
 }
 
@@ -135,11 +163,21 @@
 pub struct Lengths(RwLock<HashMap<LengthKey, Curve>>);
 
 impl Lengths {
-    /// Takes in the length of an output that ended whole.
-    pub fn observe(&self, key: &LengthKey, length: u64) {
+    /// Takes in the length of an output that ended whole, beyond the `counted`
+    /// tokens that were taken in while it ran.
+    pub fn end(&self, key: &LengthKey, counted: u64, length: u64) {
+        self.update(key, |curve| curve.end(counted, length));
+    }
+
+    /// Takes in that an output went on from `counted` to `produced` tokens.
+    pub fn pass(&self, key: &LengthKey, counted: u64, produced: u64) {
+        self.update(key, |curve| curve.pass(counted, produced));
+    }
+
+    fn update(&self, key: &LengthKey, change: impl Fn(&mut Curve)) {
         let mut curves = self.0.write().unwrap_or_else(PoisonError::into_inner);
-        curves.entry(key.of_all()).or_default().observe(length);
-        curves.entry(key.clone()).or_default().observe(length);
+        change(curves.entry(key.of_all()).or_default());
+        change(curves.entry(key.clone()).or_default());
     }
 
     /// Tokens that remain at `quantile`, never above the caller's cap.
