--- a/src/answer.rs
+++ b/src/answer.rs
@@ -16,6 +16,7 @@
     credits::Permit,
     engine::{EndOfGeneration, EngineError, GenerationRequest},
     entry::{Active, Call, Entry},
+    footprint::{Footprint, Need},
     place::place,
     quarantine::{Fingerprint, Held, InFlight},
     records::Delivery,
@@ -72,6 +73,8 @@
     pub delivery: Delivery,
     /// When the caller does not want it any more.
     pub deadline: Option<Instant>,
+    /// What it is expected to need; `None` for a run that exists.
+    pub need: Option<Need>,
     /// By which the quarantine knows the request.
     pub print: Fingerprint,
 }
@@ -177,7 +180,8 @@
             let (entry, call) = (&self.entry, &self.call);
             let (service, print) = (&self.wanted.service, &self.wanted.print);
             let skipped = self.skipped.targets(entry, print, service);
-            let placing = place(entry, call, service, &skipped);
+            let need = self.wanted.need.as_ref();
+            let placing = place(entry, call, service, &skipped, need);
             let chosen = placing.await.map_err(|refusal| self.refusal_of(refusal))?;
             let target = chosen.target;
             match entry.quarantine.begin(*print, &target.name) {
@@ -232,6 +236,9 @@
             Ended::Whole(end) => {
                 if let Some(mut run) = self.runs.pop() {
                     trial::on_whole(&self.entry, &mut run).await;
+                    if let Some(footprint) = &mut run.footprint {
+                        footprint.end_whole(end.tokens);
+                    }
                     out.send(Part::End(run.id().into(), end));
                 }
             }
@@ -324,7 +331,8 @@
             return;
         }
         let tried = &self.skipped.tried;
-        let placing = place(&self.entry, &self.call, &self.wanted.service, tried);
+        let (service, need) = (&self.wanted.service, self.wanted.need.as_ref());
+        let placing = place(&self.entry, &self.call, service, tried, need);
         let Some(Ok(chosen)) = placing.now_or_never() else {
             return;
         };
@@ -427,6 +435,9 @@
         let mut run = Run::new(target, permit, generation);
         run.tries = TRIES_REPLACEABLE;
         run.in_flight = Some(in_flight);
+        let need = self.wanted.need.as_ref();
+        let footprints = &self.entry.footprints;
+        run.footprint = need.map(|need| Footprint::open(footprints, &run.target.name, need));
         self.prefix(&mut run);
         self.runs.push(run);
         let last = self.runs.len() - 1;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,10 +18,12 @@
     decisions::Decisions,
     drain,
     engine::EngineClient,
+    footprint::Footprints,
     generate,
     http::{self, HttpClient},
     metrics,
     platform::Platform,
+    prefix::PrefixHints,
     quarantine::SharedQuarantine,
     records::{Service, ServiceType},
     refusal::{REQUEST_HEADER, Refusal, RefusalKind},
@@ -49,6 +51,10 @@
     pub budget: Budget,
     /// Makes and checks resume tokens.
     pub resume: ResumeKey,
+    /// What runs of this daemon are expected to take at each target.
+    pub footprints: Arc<Footprints>,
+    /// What engines are believed to have cached.
+    pub prefixes: Arc<PrefixHints>,
     /// Requests being served.
     pub active: AtomicUsize,
     /// The daemon is stopping.
@@ -66,6 +72,8 @@
             quarantine,
             budget: Budget::new(clock::now()),
             resume: ResumeKey::new(&settings.keys.resume),
+            footprints: Arc::default(),
+            prefixes: Arc::default(),
             active: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             settings,
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -8,18 +8,21 @@
     net::{TcpListener, UdpSocket},
     sync::{Notify, oneshot, watch},
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     allot::LeaseAnswer,
     clock,
     control::{Event, Events, PEER_TIMEOUT},
     engine::EngineClient,
+    entry::Entry,
     follow::Duties,
     lease::{LeaseCall, LeaseRecord, TARGET_LEASES},
     peer::{self, Seal},
     platform::{Condition, Object, Platform, PlatformError, Revision},
     records::{RECORD_PREFIX, RecordSet, ServiceType},
     relay::Role,
+    supervisor::supervise,
     view::SharedView,
     wire::{Frame, RecordsPage, TargetName},
 };
@@ -338,3 +341,34 @@
     let load = engines.load(&address).await.ok();
     let _ = events.send(Event::Probed(target, load, sent_at)).await;
 }
+
+/// Follows the cache events of all engines, once a period, until `stop`.
+pub(crate) fn supervise_cache_events(entry: &Arc<Entry>, stop: &CancellationToken) {
+    let entry = entry.clone();
+    supervise("cache_events", stop.clone(), move || {
+        poll_cache_events(entry.clone())
+    });
+}
+
+async fn poll_cache_events(entry: Arc<Entry>) {
+    loop {
+        let view = entry.view.load_full();
+        for (service, targets) in &view.targets {
+            let service = view.snapshot.services.get(service);
+            if service.is_none_or(|s| s.kind != ServiceType::Generation) {
+                continue;
+            }
+            for target in targets {
+                let after = entry.prefixes.seen(&target.name);
+                let events = entry.engines.cache_events(&target.address, after).await;
+                let events = events.unwrap_or_default();
+                if let Some(last) = events.last() {
+                    entry.prefixes.learn(&target.name, &events);
+                    let (name, sequence) = (&target.name, last.sequence);
+                    log::debug!("event=cache_events target={name} sequence={sequence}");
+                }
+            }
+        }
+        tokio::time::sleep(entry.settings.timing.platform_poll).await;
+    }
+}
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -11,12 +11,15 @@
     answer::{Answer, Wanted},
     engine::{EngineError, GenerationRequest},
     entry::{Active, Call, Entry, accept, finish, new_id, service_of},
+    footprint::Need,
     http,
+    lengths::LengthKey,
     quarantine::{self, Fingerprint},
     records::{Delivery, ServiceType},
     refusal::{Ran, Refusal, RefusalKind},
     resume::{ResumeError, ResumePoint},
     run::Run,
+    settings::Policy,
     stream, whole,
 };
 
@@ -68,6 +71,12 @@
         Delivery::Whole
     };
     let is_stream = completion.stream;
+    let need = Need::new(
+        &entry.footprints,
+        LengthKey::new(&completion.model, &call.customer, completion.max_tokens),
+        &completion.prompt,
+    );
+    let is_baseline = entry.settings.policy == Policy::LeastInFlight;
     let deadline = completion.deadline_ms.map(Duration::from_millis);
     let wanted = Wanted {
         service: completion.model,
@@ -75,11 +84,12 @@
             generation_id: new_id(),
             prompt: completion.prompt,
             max_tokens: completion.max_tokens,
-            priority: 0,
+            priority: i32::from(need.is_short && !is_baseline),
             parameters: completion.parameters,
         },
         delivery,
         deadline: deadline.and_then(|after| Instant::now().checked_add(after)),
+        need: Some(need),
         print: quarantine::fingerprint(&call.customer, body),
     };
     entry.budget.deposit();
@@ -130,6 +140,7 @@
         },
         delivery: Delivery::Stream,
         deadline: None,
+        need: None,
         print: Fingerprint::default(),
     };
     // It runs there already, so it counts whatever the grant.
--- a/src/run.rs
+++ b/src/run.rs
@@ -11,6 +11,7 @@
     engine::{
         EndOfGeneration, EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest,
     },
+    footprint::Footprint,
     quarantine::InFlight,
     refusal::Ran,
     stream::{Cursor, Verdict},
@@ -46,6 +47,8 @@
     permit: Permit,
     /// What the quarantine holds of it, until it ends.
     pub in_flight: Option<InFlight>,
+    /// Memory it is expected to take at the target.
+    pub footprint: Option<Footprint>,
     /// Front part of its event ids.
     pub id_prefix: Arc<str>,
     cursor: Cursor,
@@ -71,6 +74,7 @@
     pub fn new(target: Arc<Target>, permit: Permit, generation: GenerationRequest) -> Self {
         Self {
             in_flight: None,
+            footprint: None,
             id_prefix: Arc::from(""),
             cursor: Cursor::new(generation.generation_id.clone()),
             target,
@@ -189,6 +193,9 @@
     }
 
     fn note_progress(&mut self) {
+        if let Some(footprint) = &mut self.footprint {
+            footprint.grow();
+        }
         if self.cursor.next() == 1 {
             self.permit.note_first_token(clock::now());
         }
--- a/src/service.rs
+++ b/src/service.rs
@@ -164,7 +164,7 @@
     tried: &[Box<str>],
 ) -> Result<Chosen, Refusal> {
     loop {
-        let chosen = place(entry, call, &plain.service, tried).await?;
+        let chosen = place(entry, call, &plain.service, tried, None).await?;
         if chosen.permit.is_current(clock::now()) {
             return Ok(chosen);
         }
