--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -485,3 +485,52 @@
     );
     assert_eq!(stored.json()["objects"], json!([]), "nothing is applied");
 }
+
+/// Prints figures for docs/MEASURES.md; checks nothing.
+#[test]
+#[ignore = "a measurement of half a minute"]
+fn measure_the_spread_of_records() {
+    let timing = json!({"timing": {"heartbeat": "500ms", "suspect_after": "1500ms",
+                                   "platform_poll": "2s"}, "log": {"level": "info"}});
+    for daemons in [2, 4, 8] {
+        let mut fleet = Fleet::start();
+        for i in 0..daemons {
+            fleet.add_cell_daemon(i, &timing);
+        }
+        fleet.write_records(&default_records());
+        thread::sleep(Duration::from_secs(4));
+        let calls = || {
+            let counts = client::call(
+                "GET",
+                &fleet.platform_address,
+                "/v1/counts",
+                &[],
+                &Value::Null,
+            );
+            counts.json()["reads"].as_f64().unwrap()
+        };
+        let bytes = || -> f64 {
+            let texts = fleet
+                .daemons
+                .iter()
+                .map(|d| client::call("GET", &d.caller, "/metrics", &[], &Value::Null).body);
+            let texts: Vec<String> = texts.collect();
+            let lines = texts.iter().flat_map(|t| t.lines());
+            let counted = lines.filter(|l| l.starts_with("bluebell_control_bytes{"));
+            counted
+                .map(|l| l.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+                .sum()
+        };
+        let (reads, sent, began) = (calls(), bytes(), Instant::now());
+        thread::sleep(Duration::from_secs(4));
+        let per = began.elapsed().as_secs_f64() * f64::from(u32::try_from(daemons).unwrap());
+        let (reads, sent) = ((calls() - reads) / per, (bytes() - sent) / per);
+        let accepted = zone_out(&fleet, 0);
+        let all: Vec<usize> = (0..daemons).collect();
+        wait_in_force(&fleet, &all, "out", accepted);
+        println!(
+            "daemons={daemons} reads/s={reads:.2} control_bytes/s={sent:.0} after_answer={:?}",
+            accepted.elapsed()
+        );
+    }
+}
