Requests are refused as crowded only where owners have no more to give

Cause: a long request was refused at once while another waited, measured by the credits a daemon held; owners give credits on demand, so an idle daemon holds next to none and refused the second of two requests. Change: a credit knows whether the owner's last answer was less than wanted.

--- a/src/credits.rs
+++ b/src/credits.rs
@@ -23,6 +23,8 @@
     in_flight: AtomicU32,
     /// A request found no credit since the last ask.
     is_short: AtomicBool,
+    /// The owner gave less than was wanted last.
+    is_full: AtomicBool,
     wake: Arc<Notify>,
     band_ms: AtomicU64,
     good: AtomicU64,
@@ -51,6 +53,17 @@
         self.is_short.store(false, Ordering::Release);
     }
 
+    /// Whether the owner gave less than was wanted last.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.is_full.load(Ordering::Acquire)
+    }
+
+    /// Notes whether the owner gave less than was wanted.
+    pub fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::Release);
+    }
+
     /// Sets the longest time to the first token of a warm target.
     pub fn set_first_token_band(&self, band: Duration) {
         self.band_ms.store(millis(band), Ordering::Release);
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -22,6 +22,8 @@
     owner: DaemonName,
     sequence: u64,
     at: BootTime,
+    /// Credits that would have been enough.
+    desired: u32,
 }
 
 struct Holding {
@@ -117,6 +119,7 @@
             owner: owner.into(),
             sequence,
             at: now,
+            desired: in_flight.saturating_add(wanted),
         });
         let (good, slow) = credit.first_tokens();
         Some(CreditAsk {
@@ -147,6 +150,7 @@
         }
         holding.is_answered = true;
         holding.credit.grant(grant.credits, asked.at + life);
+        holding.credit.set_full(grant.credits < asked.desired);
         if grant.ramp.is_some() {
             holding.ramp.clone_from(&grant.ramp);
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -10,7 +10,7 @@
     footprint::Need,
     refusal::{Refusal, RefusalKind},
     settings::Policy,
-    view::View,
+    view::{Standing, View},
 };
 
 /// Pause between looks for a free credit.
@@ -113,9 +113,15 @@
     entry.footprints.running(&need.key) >= share && entry.footprints.others_wait(&need.key)
 }
 
-/// Whether so many wait already that a long request had better be refused.
+/// Whether owners have no more to give, and so many wait already, that a long
+/// request had better be refused.
 fn is_crowded(entry: &Entry, view: &View, need: &Need, now: BootTime) -> bool {
     let service = &need.key.service;
+    let mut serving = view
+        .targets_of(service)
+        .iter()
+        .filter(|t| t.standing == Standing::Serving);
+    let is_full = serving.all(|t| t.credit.is_full());
     let most = 1 + credits_of(view, service, now) / CREDITS_PER_WAITING;
-    !need.is_short && entry.footprints.waiting(service) >= most
+    !need.is_short && is_full && entry.footprints.waiting(service) >= most
 }
