--- a/src/cli.rs
+++ b/src/cli.rs
@@ -138,6 +138,9 @@
         /// Request id, from the answer's `x-bluebell-request` header.
         request: Box<str>,
     },
+    /// Print the fields of a Customer record for an API key that is read from
+    /// standard input.
+    HashKey,
     /// Print shell completions.
     Completions {
         /// Which shell.
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -14,6 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
+    admission::hash_key,
     cli::{CtlCli, CtlCommand, EXIT_BAD_INPUT, EXIT_FAILED, Output, ZoneCommand},
     http::{self, CallError},
     operator::{REVISION_HEADER, Rejected},
@@ -101,6 +102,7 @@
     let output = cli.output;
     let answer = match &cli.command {
         CtlCommand::Completions { shell } => return Ok(completions(*shell)),
+        CtlCommand::HashKey => return hash_standard_input(),
         CtlCommand::Apply { files, if_revision } => {
             let records = Value::Array(read_all(&files.files)?);
             let path = format!("/v1/records{}", condition(*if_revision));
@@ -135,6 +137,14 @@
         .unwrap_or_default()
 }
 
+/// Salt and hash of the API key on standard input, as a Customer record has them.
+fn hash_standard_input() -> Result<String, CtlError> {
+    let key = io::read_to_string(io::stdin()).context(ReadSnafu { file: "-" })?;
+    let salt = format!("{:032x}", rand::random::<u128>());
+    let key_hash = hash_key(&salt, key.trim_end());
+    Ok(json!({"key_salt": salt, "key_hash": key_hash}).to_string())
+}
+
 fn completions(shell: clap_complete::Shell) -> String {
     let mut text = Vec::new();
     let mut command = CtlCli::command();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,17 @@
 //! engines.
 //!
 //! The binaries are thin; this library holds everything they do.
+//!
+//! ```
+//! use bluebelldrift::{Settings, Verdict, Cursor};
+//!
+//! let settings = Settings::example();
+//! assert_eq!(&*settings.name, "entry-1");
+//!
+//! let mut cursor = Cursor::new("a-generation");
+//! assert_eq!(cursor.take("a-generation", 0), Verdict::Deliver);
+//! assert_eq!(cursor.take("a-generation", 0), Verdict::Drop);
+//! ```
 
 mod admission;
 mod allot;
