A customer's share counts only where owners have no more to give

Cause: tests/choose.rs a_customer_over_its_share_waits_while_others_want_room refused the other customer after 1.5 s with engine-1:short_reserve. The run of a caller that left is kept for it for 2 s, longer than the test let requests wait, so no room came up while the other one waited. The log of the daemon showed the freed run ended by its caller 1.2 s before the refusal, with its credit in use. Ruled out: the share itself; the greedy request was refused as over_share.

Besides, credits are handed out on demand, so credits held by an idle service are about what is in flight, and a share of those is too small. The share now counts only where owners gave less than was wanted at each serving target: there the credits held are all that this daemon can have.

--- a/src/place.rs
+++ b/src/place.rs
@@ -98,8 +98,17 @@
     targets.map(|t| t.credit.held(now)).sum()
 }
 
-/// Whether the customer fills its share while another waits. Short requests
-/// are exempt: they leave soon, and their callers do not wait.
+/// Whether owners gave less than was wanted at each target of a service, so
+/// that the credits held are all that this daemon can have.
+fn is_full(view: &View, service: &str) -> bool {
+    let targets = view.targets_of(service).iter();
+    let mut serving = targets.filter(|t| t.standing == Standing::Serving);
+    serving.all(|t| t.credit.is_full())
+}
+
+/// Whether the customer fills its share, of all that this daemon can have,
+/// while another waits. Short requests are exempt: they leave soon, and their
+/// callers do not wait.
 fn is_over_share(entry: &Entry, view: &View, need: &Need, now: BootTime) -> bool {
     if need.is_short {
         return false;
@@ -109,6 +118,9 @@
     let Some(percent) = customer.map(|c| c.share_percent).filter(|p| *p < 100) else {
         return false;
     };
+    if !is_full(view, &need.key.service) {
+        return false;
+    }
     let share = credits_of(view, &need.key.service, now) * percent / 100;
     entry.footprints.running(&need.key) >= share && entry.footprints.others_wait(&need.key)
 }
@@ -117,11 +129,7 @@
 /// request had better be refused.
 fn is_crowded(entry: &Entry, view: &View, need: &Need, now: BootTime) -> bool {
     let service = &need.key.service;
-    let mut serving = view
-        .targets_of(service)
-        .iter()
-        .filter(|t| t.standing == Standing::Serving);
-    let is_full = serving.all(|t| t.credit.is_full());
+    let is_full = is_full(view, service);
     let most = 1 + credits_of(view, service, now) / CREDITS_PER_WAITING;
     !need.is_short && is_full && entry.footprints.waiting(service) >= most
 }
