--- a/src/control.rs
+++ b/src/control.rs
@@ -290,7 +290,7 @@
     }
 
     async fn send(&self, to: &str, sequence: u64, message: Datagram) {
-        let Some(address) = self.listed_address(to) else {
+        let Some(address) = self.address_of(to, clock::now()) else {
             return;
         };
         self.send_to(address, sequence, message).await;
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -127,7 +127,10 @@
         let is_level =
             said.revision == self.spread.revision() && said.newest == self.spread.newest();
         let differs = is_level && hashes.0 != hashes.1 && self.cell.fetches.settled != Some(hashes);
-        if (is_behind || differs) && now >= self.cell.fetches.records_until {
+        // A daemon without records starts from the platform or from a majority,
+        // never from the one peer that it happens to hear.
+        let may_fetch = self.spread.has_whole_set() && now >= self.cell.fetches.records_until;
+        if (is_behind || differs) && may_fetch {
             self.cell.fetches.records_until = now + PEER_TIMEOUT;
             if differs {
                 log::warn!(
@@ -196,6 +199,14 @@
         daemon.and_then(|i| i.address.parse().ok())
     }
 
+    /// Where a daemon is reached: as listed, or where it was heard from. One
+    /// that started while the platform was down is not listed yet.
+    pub(crate) fn address_of(&self, name: &str, now: BootTime) -> Option<SocketAddr> {
+        let heard = || self.members.live(now).find(|m| &*m.id.name == name);
+        self.listed_address(name)
+            .or_else(|| heard().map(|m| m.address))
+    }
+
     /// Listed daemons; then those that are heard but not listed, and those of
     /// the settings, which matter while the platform is down.
     pub(crate) fn heartbeat_receivers(
