The fleet in one process waits until each daemon is given credits

The log showed owners of the engines being settled 0.9 s before the run; they then take the leases on the starting engines and honour earlier grants for a credit's life, and hand out nothing new meanwhile. The start waited for the plain service alone, which starts warm and needs no lease. Ruled out: limits (4 free at each idle engine; from 0.6 s into the run on all three daemons got credits) and the share.

Change: the start ends when each daemon has answered as many short generations at once as its zone has engines.

These generations come before the measured traffic and are not counted in its figures; their lengths are in the daemons' curves.

--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -128,6 +128,7 @@
         fleet.put_records(&records(plan)).await?;
         let customer = plan.customers.first();
         fleet.wait_serving(customer.map_or("", |c| &*c.key)).await?;
+        fleet.wait_credits(plan).await?;
         Ok(fleet)
     }
 
@@ -187,6 +188,42 @@
         Ok(())
     }
 
+    /// Waits until each daemon is given credits for as many engines as a zone
+    /// has. Right after a start none are handed out: owners are still being
+    /// found, and leases on starting targets taken over.
+    async fn wait_credits(&self, plan: &FleetPlan) -> Result<(), StandinError> {
+        let customer = plan.customers.first();
+        let key = customer.map_or("", |c| &*c.key);
+        // By then all daemons have heard which of them may own targets.
+        tokio::time::sleep(plan.timing.heartbeat * 2).await;
+        for daemon in &self.daemons {
+            let address = daemon.caller_address.to_string();
+            let deadline = clock::now() + STEP_TIMEOUT;
+            while !self.generates(&address, key, plan.engines_per_zone).await {
+                if clock::now() > deadline {
+                    return Err(unexpected("wait_credits", &address, "no credits in time"));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a daemon answers so many short generations at once.
+    async fn generates(&self, caller: &str, key: &str, count: usize) -> bool {
+        let body = json!({
+            "model": GENERATION_SERVICE, "prompt": "[n=4] ready?", "stream": false, "max_tokens": 4,
+        });
+        let calls = (0..count).map(|_| {
+            let mut req = http::request(&Method::POST, caller, "/v1/completions", body.to_string());
+            authorize(&mut req, key);
+            http::call(&self.client, req, STEP_TIMEOUT, STEP_CAP)
+        });
+        let answers = futures::future::join_all(calls).await;
+        let is_whole = |res: &hyper::Response<bytes::Bytes>| res.status() == StatusCode::OK;
+        answers.iter().all(|a| a.as_ref().is_ok_and(is_whole))
+    }
+
     /// Whether a daemon answers a status lookup of the plain service.
     async fn is_serving(&self, caller: &str, key: &str) -> bool {
         let path = format!("/services/{PLAIN_SERVICE}/status");
