Ready events go to the caller in one frame, and metrics keep their handles

Cause: examples/cost.rs showed one frame and one write for each token, and two lookups in the metrics' registry. Change: events that are ready are written into one frame of up to 16 KiB; the histograms of a stream are looked up once.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -20,6 +20,9 @@
 /// Time between the two samples of a row.
 const SAMPLE: Duration = Duration::from_secs(10);
 
+/// Changes timed by [`report_spread`].
+const CHANGES: usize = 5;
+
 /// One fleet's size.
 #[derive(Clone, Copy)]
 struct Size {
@@ -58,6 +61,32 @@
     for streams in [0, 100, 500, 1000] {
         report("streams", streams, Size { streams, ..BASE });
     }
+    println!("daemons  in_force_everywhere_ms (five changes)");
+    for daemons in [3, 9, 16] {
+        report_spread(Size { daemons, ..BASE });
+    }
+}
+
+/// Prints how long changes take from the start of the write until every daemon
+/// has them in force.
+fn report_spread(size: Size) {
+    let fleet = start(size);
+    let mut times = Vec::new();
+    for i in 0..CHANGES {
+        let state = if i % 2 == 0 { "out" } else { "serving" };
+        let began = Instant::now();
+        let change = json!([common::zone_record(ZONES[0].0, state)]);
+        let accepted = fleet.operator(0).put_records(&change).json();
+        common::wait_for("the change is in force everywhere", || {
+            let all = (0..size.daemons).all(|d| {
+                let revision = &fleet.operator(d).status()["revision"];
+                revision.as_u64() >= accepted["revision"].as_u64()
+            });
+            all.then_some(())
+        });
+        times.push(began.elapsed().as_millis());
+    }
+    println!("{:>7}  {times:?}", size.daemons);
 }
 
 /// Prints one row, per daemon.
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -9,13 +9,17 @@
     answer::{Part, Parts},
     clock,
     engine::EndOfGeneration,
-    refusal::Refusal,
     wire::GenerationId,
 };
 
 /// Gaps above this count as stalls.
 const STALL_GAP: Duration = Duration::from_millis(200);
 
+/// Bytes after which a frame towards the caller takes no further events.
+const FRAME_BYTES: usize = 16 * 1024;
+/// Bytes of a token's event besides its id and data.
+const EVENT_OVERHEAD: usize = 40;
+
 /// Position in a generation: which token the caller gets next.
 ///
 /// Invariant: only token `next` of `generation` is passed on, so each token is
@@ -95,28 +99,61 @@
 ) -> impl Stream<Item = Result<Bytes, Infallible>> + Send {
     let state = (parts, request, Gaps::default());
     stream::unfold(state, |(mut parts, request, mut gaps)| async move {
-        let buffered = parts.recv().await?;
-        let event = match buffered.part {
-            Part::Token {
-                id_prefix,
-                index,
-                data,
-            } => {
-                gaps.note();
-                token_event(&id_prefix, index, &data)
-            }
-            Part::Progress(tokens) => Bytes::from(format!(": progress {tokens}\n\n")),
-            Part::End(generation, end) => end_event(&generation, &end),
-            Part::Failed(refusal, tokens) => error_event(&refusal, &request, tokens),
-        };
-        Some((Ok(event), (parts, request, gaps)))
+        let mut buf = BytesMut::new();
+        let mut next = Some(parts.recv().await?);
+        // What is ready goes out together: one frame and one write for all.
+        while let Some(buffered) = next {
+            write_event(&mut buf, buffered.part, &request, &mut gaps);
+            next = if buf.len() < FRAME_BYTES {
+                parts.try_recv().ok()
+            } else {
+                None
+            };
+        }
+        Some((Ok(buf.freeze()), (parts, request, gaps)))
     })
 }
 
+fn write_event(buf: &mut BytesMut, part: Part, request: &str, gaps: &mut Gaps) {
+    match part {
+        Part::Token {
+            id_prefix,
+            index,
+            data,
+        } => {
+            gaps.note();
+            write_token(buf, &id_prefix, index, &data);
+        }
+        Part::Progress(tokens) => write_text(buf, &format!(": progress {tokens}\n\n")),
+        Part::End(generation, end) => write_text(buf, &end_event(&generation, &end)),
+        Part::Failed(refusal, tokens) => {
+            let json = refusal.to_json(request, Some(tokens));
+            write_text(buf, "event: error\ndata: ");
+            buf.extend_from_slice(&json);
+            write_text(buf, "\n\n");
+        }
+    }
+}
+
+fn write_text(buf: &mut BytesMut, text: &str) {
+    buf.extend_from_slice(text.as_bytes());
+}
+
 /// Gaps between the tokens of one stream, for the metrics.
-#[derive(Default)]
 struct Gaps {
     last: Option<clock::BootTime>,
+    gaps: metrics::Histogram,
+    stalls: metrics::Histogram,
+}
+
+impl Default for Gaps {
+    fn default() -> Self {
+        Self {
+            last: None,
+            gaps: metrics::histogram!("bluebell_token_gap_seconds"),
+            stalls: metrics::histogram!("bluebell_stall_seconds"),
+        }
+    }
 }
 
 impl Gaps {
@@ -124,44 +161,33 @@
         let now = clock::now();
         if let Some(last) = self.last.replace(now) {
             let gap = now.saturating_sub(last);
-            metrics::histogram!("bluebell_token_gap_seconds").record(gap);
+            self.gaps.record(gap);
             if let Some(stall) = gap.checked_sub(STALL_GAP) {
-                metrics::histogram!("bluebell_stall_seconds").record(stall);
+                self.stalls.record(stall);
             }
         }
     }
 }
 
-/// One token as a server-sent event.
-fn token_event(id_prefix: &str, index: u64, data: &Bytes) -> Bytes {
-    let mut buf = BytesMut::with_capacity(id_prefix.len() + data.len() + 40);
-    buf.extend_from_slice(b"id: ");
-    buf.extend_from_slice(id_prefix.as_bytes());
-    buf.extend_from_slice(b".");
-    buf.extend_from_slice(index.to_string().as_bytes());
-    buf.extend_from_slice(b"\ndata: ");
+/// Appends one token as a server-sent event.
+fn write_token(buf: &mut BytesMut, id_prefix: &str, index: u64, data: &Bytes) {
+    buf.reserve(id_prefix.len() + data.len() + EVENT_OVERHEAD);
+    write_text(buf, "id: ");
+    write_text(buf, id_prefix);
+    write_text(buf, ".");
+    write_text(buf, itoa::Buffer::new().format(index));
+    write_text(buf, "\ndata: ");
     buf.extend_from_slice(data);
-    buf.extend_from_slice(b"\n\n");
-    buf.freeze()
+    write_text(buf, "\n\n");
 }
 
 /// The mark that the answer is whole.
-fn end_event(generation: &str, end: &EndOfGeneration) -> Bytes {
+fn end_event(generation: &str, end: &EndOfGeneration) -> String {
     let last = serde_json::json!({
         "id": generation,
         "object": "text_completion",
         "choices": [{"index": 0, "text": "", "finish_reason": end.finish_reason}],
         "usage": {"completion_tokens": end.tokens},
     });
-    Bytes::from(format!("data: {last}\n\ndata: [DONE]\n\n"))
-}
-
-/// The mark that the answer is not whole.
-fn error_event(refusal: &Refusal, request: &str, tokens: u64) -> Bytes {
-    let json = refusal.to_json(request, Some(tokens));
-    let mut buf = BytesMut::with_capacity(json.len() + 32);
-    buf.extend_from_slice(b"event: error\ndata: ");
-    buf.extend_from_slice(&json);
-    buf.extend_from_slice(b"\n\n");
-    buf.freeze()
+    format!("data: {last}\n\ndata: [DONE]\n\n")
 }
