A repeat is answered from the ledger when no target has room

Cause: a request with an idempotency key is placed before it claims. Since credits come from a target's owner, placing fails for a credit's life when the owner is paused or killed, and a repeat of a key that was claimed or settled was then told 429 no_room not-run, though the ledger knew better.

Ruled out: claiming before placing (each refusal for room would cost two writes); a longer wait for credits (callers leave, and a full service would still tell a settled key as not-run).

Change: where placing fails, the key is read once. What stands there is answered as to any repeat; an absent or released entry gets the refusal as before. A ledger that does not answer is told as it is at the claim (503 platform_down, not-run of this attempt). No room still costs no write.

Test: new repeats_are_told_what_is_known_while_no_target_has_room. The test of the killed daemon waits for its second claim to stand, in place of 100 ms, in which a daemon that has just been paused may have no credit yet.

--- a/src/once.rs
+++ b/src/once.rs
@@ -2,7 +2,8 @@
 //!
 //! The order is the promise: a place at a target first, then the claim, then
 //! the bytes, then the outcome. What is refused before the claim costs the
-//! platform nothing.
+//! platform no write: where no target has room, one read tells a repeat, whose
+//! outcome may be known, from a first attempt.
 
 use std::{fmt::Write, time::Duration};
 
@@ -15,7 +16,7 @@
     entry::{Call, Entry},
     http::CallError,
     ledger::{self, Outcome, State, Step},
-    platform::{Condition, Revision},
+    platform::{Condition, PlatformError, Revision},
     refusal::{RAN_HEADER, Ran, Refusal, RefusalKind},
     service::{MAX_TRIES, PlainCall, answer, pass_repeatable, place_current, send_to},
     settle::Claim,
@@ -40,21 +41,22 @@
     };
     let entry_key = ledger::entry_key(&call.customer, &plain.service, key);
     loop {
-        let chosen = place_current(entry, call, plain, &[]).await?;
         let claim = Claim::new(&entry.platform, entry_key.clone(), &payload_hash(plain));
+        let chosen = match place_current(entry, call, plain, &[]).await {
+            Ok(chosen) => chosen,
+            Err(refusal) => {
+                return answer_without_room(entry, call, plain, &claim, refusal, lookup).await;
+            }
+        };
         let since = clock::now();
-        let step = claim.write().await.map_err(|e| {
-            let message = format!("this attempt dispatched nothing: {e}");
-            Refusal::not_run(RefusalKind::PlatformDown, message)
-        })?;
+        let step = claim.write().await.map_err(|e| ledger_down(&e))?;
         let step = match step {
             Step::Run(at) => {
                 return run_claimed(entry, call, plain, &claim, chosen, at, since).await;
             }
             Step::Wait(..) => {
                 drop(chosen);
-                let patience = REPEAT_PATIENCE.min(entry.settings.limits.service_timeout);
-                claim.wait(step, patience).await
+                claim.wait(step, repeat_patience(entry)).await
             }
             step => step,
         };
@@ -64,6 +66,33 @@
     }
 }
 
+fn ledger_down(error: &PlatformError) -> Refusal {
+    let message = format!("this attempt dispatched nothing: {error}");
+    Refusal::not_run(RefusalKind::PlatformDown, message)
+}
+
+fn repeat_patience(entry: &Entry) -> Duration {
+    REPEAT_PATIENCE.min(entry.settings.limits.service_timeout)
+}
+
+/// Answers a request that found no room: as a repeat when its key was begun
+/// before, since a repeat needs no room; else with the refusal.
+async fn answer_without_room(
+    entry: &Entry,
+    call: &Call,
+    plain: &PlainCall,
+    claim: &Claim,
+    refusal: Refusal,
+    lookup: Option<&str>,
+) -> Result<Response, Refusal> {
+    let seen = claim.read().await.map_err(|e| ledger_down(&e))?;
+    let step = claim.wait(seen, repeat_patience(entry)).await;
+    if matches!(step, Step::Write(_)) {
+        return Err(refusal);
+    }
+    conclude(entry, call, plain, claim, step, lookup).await
+}
+
 /// Dispatches a request whose claim stands at `at`, and stores what came of it.
 async fn run_claimed(
     entry: &Entry,
--- a/src/settle.rs
+++ b/src/settle.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Reads what stands under the key, and writes nothing.
+    ///
+    /// # Errors
+    /// The platform did not answer.
+    pub async fn read(&self) -> Result<Step, PlatformError> {
+        let object = self.platform.get(&self.key).await?;
+        let step = object.map(|object| self.entry.after_read(&object));
+        Ok(step.unwrap_or(Step::Write(Condition::Absent)))
+    }
+
     /// Waits for the outcome of somebody else's claim; after `patience` the
     /// last step is returned, whatever it is.
     pub async fn wait(&self, seen: Step, patience: Duration) -> Step {
@@ -122,9 +132,8 @@
         while matches!(step, Step::Wait(..)) && clock::now() < deadline {
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(WAIT_PAUSE.1);
-            match self.platform.get(&self.key).await {
-                Ok(Some(object)) => step = self.entry.after_read(&object),
-                Ok(None) => step = Step::Write(Condition::Absent),
+            match self.read().await {
+                Ok(read) => step = read,
                 Err(e) => log::debug!("event=ledger_read_failed error={:?}", e.to_string()),
             }
         }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -59,13 +59,18 @@
     answer.header("x-bluebell-ran")
 }
 
-/// Waits until the claim stands at the platform.
-fn wait_claimed(fleet: &Fleet) {
+/// Entries in the ledger.
+fn entries(fleet: &Fleet) -> usize {
+    let address = &fleet.platform_address;
+    let path = "/v1/list?prefix=ledger/";
+    let listed = client::call("GET", address, path, &[], &Value::Null).json();
+    listed["objects"].as_array().map_or(0, Vec::len)
+}
+
+/// Waits until so many claims stand at the platform.
+fn wait_claimed(fleet: &Fleet, claims: usize) {
     wait_for("the claim stands", || {
-        let address = &fleet.platform_address;
-        let path = "/v1/list?prefix=ledger/";
-        let listed = client::call("GET", address, path, &[], &Value::Null).json();
-        (!listed["objects"].as_array()?.is_empty()).then_some(())
+        (entries(fleet) == claims).then_some(())
     });
 }
 
@@ -74,7 +79,7 @@
     let fleet = fleet(2);
     let body = json!({"delay_before_ms": 400, "truck": 1});
     let connection = send(&fleet, 0, "left", &body);
-    wait_claimed(&fleet);
+    wait_claimed(&fleet, 1);
     drop(connection);
     let repeat = book(&fleet, 1, "left", &body);
     assert_eq!(repeat.status, 201, "{repeat:?}");
@@ -169,7 +174,7 @@
     // Its claim stands, but the answer is lost: it waits at that very line.
     fleet.set_faults(&json!({"lose_answers": 1}));
     let _paused = send(&fleet, 0, "paused", &json!({}));
-    wait_claimed(&fleet);
+    wait_claimed(&fleet, 1);
     fleet.daemons[0].process.pause();
     let meanwhile = book(&fleet, 1, "paused", &json!({}));
     assert_eq!(ran(&meanwhile), Some("unknown"), "{meanwhile:?}");
@@ -182,7 +187,7 @@
 
     fleet.set_faults(&json!({"lose_answers": 1}));
     let _killed = send(&fleet, 0, "killed", &json!({}));
-    thread::sleep(Duration::from_millis(100));
+    wait_claimed(&fleet, 2);
     fleet.daemons[0].process.kill();
     fleet.set_faults(&json!({}));
     let after = book(&fleet, 1, "killed", &json!({}));
@@ -190,6 +195,35 @@
     assert_eq!(executed(&fleet, "killed"), 0);
 }
 
+#[test]
+fn repeats_are_told_what_is_known_while_no_target_has_room() {
+    let mut fleet = fleet(2);
+    let settled = book(&fleet, 0, "settled", &json!({}));
+    assert_eq!(settled.status, 201, "{settled:?}");
+    let mute = json!({"is_mute": true});
+    let unanswered = book(&fleet, 0, "unanswered", &mute);
+    assert_eq!(ran(&unanswered), Some("unknown"), "{unanswered:?}");
+    fleet.targets[0].process.kill();
+    let address = &fleet.platform_address;
+    let path = "/v1/instances/ledger-1";
+    client::call("DELETE", address, path, &[], &Value::Null);
+    wait_for("no target has room", || {
+        let answer = fleet
+            .caller(1)
+            .service("GET", "/status", None, &Value::Null);
+        (answer.status == 429).then_some(())
+    });
+    let repeat = book(&fleet, 1, "settled", &json!({}));
+    assert_eq!((repeat.status, &repeat.body), (201, &settled.body));
+    let other = book(&fleet, 1, "settled", &json!({"truck": 2}));
+    assert_eq!((other.status, ran(&other)), (422, Some("not-run")));
+    let repeat = book(&fleet, 1, "unanswered", &mute);
+    assert_eq!((repeat.status, ran(&repeat)), (409, Some("unknown")));
+    let first = book(&fleet, 1, "first", &json!({}));
+    assert_eq!((first.status, ran(&first)), (429, Some("not-run")));
+    assert_eq!(entries(&fleet), 2, "no room costs no write");
+}
+
 #[test]
 fn a_target_that_answers_never_leaves_unknown_and_another_payload_is_refused() {
     let fleet = fleet(2);
