Fake targets of the not-run test are really sent their requests

Cause: the test asked a target at once after it was listed. The fake engine also never answered a load report, and an engine that says nothing is given no work any more. Both fakes shared one port, so that polls of the one shifted the failures of the other.

Ruled out: a plain target that loses its credits for good after a failed call. Only runs of generations give credits up on a failure; plain targets are never probed and need no probe.

Change: each fake has a port of its own and counts the requests that reach it; the fake engine reports a load and fails in the way the prompt names, read in full or not at all. Each ask is repeated until one is sent, and every ask that was sent must not be told as not-run, every ask told as not-run must have made no connection; a booking must be sent exactly once, its repeat included.

--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -6,6 +6,10 @@
     io::{Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
     path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -173,29 +177,110 @@
     check_all(&fleet, &attempts);
 }
 
+/// Ways in which a fake target fails a request.
+const FAILURES: [&str; 3] = ["closed", "taken", "half"];
+
+/// Connections that brought the fake targets a request.
+type Sent = Arc<AtomicUsize>;
+
+/// Serves `take` on a port of its own; returns its address.
+fn fake_target(take: impl Fn(TcpStream) + Send + 'static) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    thread::spawn(move || {
+        for tcp in listener.incoming() {
+            take(tcp.expect("a connection"));
+        }
+    });
+    address
+}
+
+/// Fails a request: closes without reading, after the request, or in the
+/// middle of an answer that starts with `head`.
+fn fail(mut tcp: TcpStream, failure: &str, head: &str) {
+    if failure != "closed" {
+        let _ = tcp.read(&mut [0; 4096]);
+    }
+    if failure == "half" {
+        let _ = tcp.write_all(head.as_bytes());
+    }
+}
+
+/// The start of a request, with the mark of a generation, left unread.
+fn peek_request(tcp: &TcpStream) -> String {
+    let mut buf = [0; 4096];
+    for _ in 0..200 {
+        let n = tcp.peek(&mut buf).unwrap_or(0);
+        let seen = String::from_utf8_lossy(&buf[..n]).into_owned();
+        if !seen.starts_with("POST") || seen.contains("[mark=") {
+            return seen;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    panic!("a generation without a mark");
+}
+
+/// A plain service that fails its requests in turn.
+fn fake_service(sent: Sent) -> String {
+    fake_target(move |tcp| {
+        let n = sent.fetch_add(1, Ordering::AcqRel);
+        let head = "HTTP/1.1 201 Created\r\ncontent-length: 100\r\n\r\n{";
+        fail(tcp, FAILURES[n % FAILURES.len()], head);
+    })
+}
+
+/// An engine that reports its load, so that it is given work, and fails each
+/// generation in the way that its prompt names.
+fn fake_engine(sent: Sent) -> String {
+    let load = json!({"boot_id": "boot-1", "running": 0, "waiting": 0, "kv_used": 0,
+                      "kv_total": 60_000, "preemptions": 0, "tokens": 0, "is_cold": false});
+    let load = load.to_string();
+    let load = format!(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{load}",
+        load.len()
+    );
+    fake_target(move |mut tcp| {
+        let seen = peek_request(&tcp);
+        if seen.starts_with("GET /v1/load") {
+            let _ = tcp.read(&mut [0; 4096]);
+            let _ = tcp.write_all(load.as_bytes());
+        }
+        if !seen.starts_with("POST /v1/completions") {
+            return;
+        }
+        sent.fetch_add(1, Ordering::AcqRel);
+        let named = |failure: &&str| seen.contains(&format!("[mark={failure}]"));
+        let failure = FAILURES.into_iter().find(named).expect("a mark");
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\ndata: {";
+        fail(tcp, failure, head);
+    })
+}
+
+/// Asks until the target has been sent a request: an ask that is told
+/// `not-run` before, since there is no credit yet, must have sent it none.
+fn until_sent<T>(sent: &Sent, ask: impl Fn() -> (T, Option<String>)) -> (T, Option<String>) {
+    wait_for("a request is sent", || {
+        let before = sent.load(Ordering::Acquire);
+        let (answer, ran) = ask();
+        let is_sent = sent.load(Ordering::Acquire) > before;
+        let is_not_run = ran.as_deref() == Some("not-run");
+        assert!(!is_sent || !is_not_run, "sent, but told as not run");
+        is_sent.then_some((answer, ran))
+    })
+}
+
 #[test]
 fn a_target_that_takes_a_request_and_says_nothing_is_never_told_as_not_run() {
     let mut fleet = fleet();
     for target in &mut fleet.targets {
         target.process.kill();
     }
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("its address").to_string();
-    // The first closes at once, the second after the request, the third in
-    // the middle of its answer.
-    thread::spawn(move || {
-        for (n, tcp) in listener.incoming().enumerate() {
-            let mut tcp = tcp.expect("a connection");
-            let mut buf = [0; 1024];
-            if n % 3 > 0 {
-                let _ = tcp.read(&mut buf);
-            }
-            if n % 3 == 2 {
-                let _ = tcp.write_all(b"HTTP/1.1 201 Created\r\ncontent-length: 100\r\n\r\n{");
-            }
-        }
-    });
-    for (name, service) in [("fake-1", "post-ledger"), ("fake-2", "drafting-desk")] {
+    let (booked, generated) = (Sent::default(), Sent::default());
+    let fakes = [
+        ("fake-1", "post-ledger", fake_service(booked.clone())),
+        ("fake-2", "drafting-desk", fake_engine(generated.clone())),
+    ];
+    for (name, service, address) in &fakes {
         fleet.set_instance(
             &json!({"name": name, "zone": common::ZONES[0].0, "state": "live",
             "address": address, "role": "target", "service": service}),
@@ -213,20 +298,27 @@
         (targets.len() == 2 && targets.iter().all(is_new)).then_some(())
     });
     let caller = fleet.caller(0);
-    for key in ["closed", "taken", "half"] {
-        let answer = caller.service("POST", "/bookings", Some(key), &json!({}));
+    for (n, key) in FAILURES.into_iter().enumerate() {
+        let book = || caller.service("POST", "/bookings", Some(key), &json!({}));
+        let (answer, _) = until_sent(&booked, || {
+            let answer = book();
+            let ran = ran(&answer).map(str::to_owned);
+            (answer, ran)
+        });
         assert!(answer.status >= 400, "{key}: {answer:?}");
         assert_ne!(ran(&answer), Some("not-run"), "{key}: {answer:?}");
-        let repeat = caller.service("POST", "/bookings", Some(key), &json!({}));
+        let repeat = book();
         assert_eq!(
             (repeat.status, ran(&repeat)),
             (409, ran(&answer)),
             "{key}: {repeat:?}"
         );
+        assert_eq!(booked.load(Ordering::Acquire), n + 1, "{key}: sent once");
     }
     let attempts = Attempts::default();
-    for mark in ["closed", "taken", "half"] {
-        let told = generate(&fleet, &attempts, mark);
-        assert_ne!(told.as_deref(), Some("not-run"), "{mark}");
+    for mark in FAILURES {
+        let ask = || ((), generate(&fleet, &attempts, mark));
+        let ((), told) = until_sent(&generated, ask);
+        assert!(told.is_some(), "{mark}");
     }
 }
