Bursts get credits at once, and hedges wait for one

Cause: an ask of a request that found no credit was put off by 50 ms even after an ask that was met in full, and then forgotten until the next heartbeat, since the note of shortage was set already and woke nobody. A hedge looked once, found no credit at hand and had spent its budget. A request went to a farther zone whenever the near target's credits had been given back. An owner that was taking over (it grants 0 for 2.1 s) passed for full, so that the second waiting request was refused at once. A request whose run was lost counted its wait apart from others from its arrival.

Change: only an ask in vain is followed by a pause, after which the note of shortage is repeated; a hedge waits for a credit beside the first run and pays when it starts; a nearer target is waited for 25 ms while it is asked; a grant of nothing tells of no crowd; the wait apart begins with the placing. A run of two that is lost also tells credits and quarantine of it, in the background. Ruled out: credits above the limit (owner's side unchanged).

tests/answers.rs: the near engine is waited for before it is to run both answers, since its owner gives nothing while in doubt; checks are unchanged.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -4,7 +4,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::{FutureExt, future::select_all};
+use futures::{
+    FutureExt,
+    future::{BoxFuture, select_all},
+};
 use tokio::{
     runtime::Handle,
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
@@ -12,6 +15,7 @@
 };
 
 use crate::{
+    choose::Chosen,
     clock,
     credits::Permit,
     engine::{EndOfGeneration, EngineError, GenerationRequest},
@@ -92,6 +96,8 @@
     skipped: Skipped,
     runs_started: u32,
     hedge_at: Option<Instant>,
+    /// The placing of a second run, while it waits for a credit.
+    hedging: Option<BoxFuture<'static, Result<Chosen, Refusal>>>,
     /// Whether any run ran.
     ran: Ran,
     /// Tokens handed on to the caller.
@@ -109,6 +115,13 @@
     most: usize,
 }
 
+/// What came first while no run has spoken.
+enum Stepped {
+    Run(Result<Step, EngineError>, usize),
+    HedgeDue,
+    HedgePlaced(Result<Chosen, Refusal>),
+}
+
 enum Ended {
     Whole(EndOfGeneration),
     Failed(Refusal),
@@ -127,6 +140,7 @@
             skipped: Skipped::default(),
             runs_started: 0,
             hedge_at: None,
+            hedging: None,
             ran: Ran::NotRun,
             delivered: 0,
             held: Vec::new(),
@@ -176,6 +190,7 @@
 
     /// Takes a credit where the quarantine lets the request run.
     async fn place_run(&mut self) -> Result<(Arc<Target>, Permit, InFlight), Refusal> {
+        let since = clock::now();
         loop {
             let (entry, call) = (&self.entry, &self.call);
             let (service, print) = (&self.wanted.service, &self.wanted.print);
@@ -190,8 +205,8 @@
                 Err(Held::Apart) => {
                     drop(chosen.permit);
                     let name = target.name.clone();
-                    let staying = self.skipped.stay_apart(entry, call, service, name).await;
-                    staying.map_err(|refusal| self.refusal_of(refusal))?;
+                    let staying = self.skipped.stay_apart(entry, call, service, name, since);
+                    staying.await.map_err(|refusal| self.refusal_of(refusal))?;
                 }
             }
         }
@@ -283,13 +298,24 @@
             let stepped = {
                 let nexts = self.runs.iter_mut().map(|run| run.next(&cx).boxed());
                 tokio::select! {
-                    (step, i, _) = select_all(nexts) => Some((step, i)),
-                    () = until(hedge_at) => None,
+                    (step, i, _) = select_all(nexts) => Stepped::Run(step, i),
+                    () = until(hedge_at) => Stepped::HedgeDue,
+                    placed = placed(&mut self.hedging) => Stepped::HedgePlaced(placed),
                 }
             };
-            let Some((step, i)) = stepped else {
-                self.hedge();
-                continue;
+            let (step, i) = match stepped {
+                Stepped::Run(step, i) => (step, i),
+                Stepped::HedgeDue => {
+                    self.place_hedge();
+                    continue;
+                }
+                Stepped::HedgePlaced(placed) => {
+                    self.hedging = None;
+                    if let Ok(chosen) = placed {
+                        self.hedge(chosen);
+                    }
+                    continue;
+                }
             };
             match step {
                 Ok(step @ Step::Alive) => return Ok(step),
@@ -297,7 +323,7 @@
                     self.speak(i);
                     return Ok(step);
                 }
-                Err(_) if self.runs.len() > 1 => cancel(&self.entry, self.runs.swap_remove(i)),
+                Err(e) if self.runs.len() > 1 => self.lose(i, e),
                 Err(e) => return Err(e),
             }
         }
@@ -310,6 +336,7 @@
     /// Run `i` spoke first: the other is cancelled and never heard again.
     fn speak(&mut self, i: usize) {
         self.has_spoken = true;
+        self.hedging = None;
         self.runs.swap(0, i);
         for loser in self.runs.drain(1..) {
             cancel(&self.entry, loser);
@@ -321,24 +348,47 @@
             .record(clock::now().saturating_sub(self.call.arrived));
     }
 
-    /// Starts a second run, if there is budget and room at once.
-    fn hedge(&mut self) {
+    /// Run `i` of two was lost; the other goes on, so nothing waits for what is
+    /// learnt of the loss.
+    fn lose(&mut self, i: usize, error: EngineError) {
+        let mut run = self.runs.swap_remove(i);
+        if !matches!(error, EngineError::Lapsed { .. }) {
+            run.note_failure();
+        }
+        self.ran = self.ran.or(run.ran);
+        let entry = Arc::clone(&self.entry);
+        tokio::spawn(async move {
+            trial::on_lost(&entry, &mut run, &error).await;
+            cancel(&entry, run);
+        });
+    }
+
+    /// Looks for a place for a second run, while the first one goes on.
+    fn place_hedge(&mut self) {
         self.hedge_at = None;
-        let print = self.wanted.print;
-        let is_marked = trial::is_marked(&self.entry, &print);
-        if is_marked || self.runs_started >= MAX_RUNS || !self.entry.budget.try_spend(clock::now())
-        {
+        let is_marked = trial::is_marked(&self.entry, &self.wanted.print);
+        if is_marked || self.runs_started >= MAX_RUNS {
             return;
         }
-        let tried = &self.skipped.tried;
-        let (service, need) = (&self.wanted.service, self.wanted.need.as_ref());
-        let placing = place(&self.entry, &self.call, service, tried, need);
-        let Some(Ok(chosen)) = placing.now_or_never() else {
+        let (entry, call) = (Arc::clone(&self.entry), self.call.clone());
+        let (service, need) = (self.wanted.service.clone(), self.wanted.need.clone());
+        let tried = self.skipped.tried.clone();
+        let placing = async move { place(&entry, &call, &service, &tried, need.as_ref()).await };
+        self.hedging = Some(placing.boxed());
+    }
+
+    /// Starts a second run where it was placed, if there is budget.
+    fn hedge(&mut self, chosen: Chosen) {
+        let print = self.wanted.print;
+        if trial::is_marked(&self.entry, &print) {
             return;
-        };
+        }
         let Ok(in_flight) = self.entry.quarantine.begin(print, &chosen.target.name) else {
             return;
         };
+        if !self.entry.budget.try_spend(clock::now()) {
+            return;
+        }
         let request = self.call.id.clone();
         let run = self.new_run(chosen.target, chosen.permit, in_flight);
         log::info!(
@@ -387,6 +437,7 @@
         self.held.clear();
         self.held_bytes = 0;
         self.has_spoken = false;
+        self.hedging = None;
         self.may_replace(run, error).await?;
         self.start().await
     }
@@ -415,7 +466,7 @@
     }
 
     /// Tells credits and quarantine of a run that was lost.
-    async fn learn_of_loss(&self, mut run: Run, error: &EngineError) -> Run {
+    async fn learn_of_loss(&mut self, mut run: Run, error: &EngineError) -> Run {
         if !matches!(error, EngineError::Lapsed { .. }) {
             run.note_failure();
         }
@@ -548,6 +599,13 @@
     });
 }
 
+async fn placed<F: Future + Unpin>(placing: &mut Option<F>) -> F::Output {
+    match placing {
+        Some(placing) => placing.await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn until(at: Option<Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/src/choose.rs
+++ b/src/choose.rs
@@ -33,6 +33,9 @@
     pub intent: Option<&'a RoutingIntent>,
     /// Targets already tried for this request.
     pub tried: &'a [Box<str>],
+    /// Whether to pass over targets of a worse zone while a better one is asked
+    /// for a credit.
+    pub is_patient: bool,
     /// What the request needs, where the policy looks at it.
     pub fit: Option<Fit<'a>>,
 }
@@ -78,10 +81,12 @@
     });
     let mut reasons = String::new();
     let mut chosen = None;
+    let mut asked_rank = None;
     for target in ranked {
         let reason = match unusable(target, cx).or_else(|| unfit(target, cx, now)) {
             Some(reason) => reason,
             None if chosen.is_some() => "behind",
+            None if asked_rank.is_some_and(|asked| asked < rank(target, cx)) => "waits_for_better",
             None => match target.credit.try_take(now) {
                 None => "no_credit",
                 Some(permit) => {
@@ -91,6 +96,10 @@
                 }
             },
         };
+        let is_asked = matches!(reason, "no_credit" | "short_reserve");
+        if cx.is_patient && is_asked && !target.credit.is_full() {
+            asked_rank.get_or_insert_with(|| rank(target, cx));
+        }
         let _ = write!(reasons, "{}:{reason},", target.name);
     }
     reasons.pop();
@@ -116,7 +125,7 @@
     let fit = cx.fit.as_ref()?;
     let held = target.credit.held(now);
     if !fit.need.is_short && target.credit.free(now) <= held / SHORT_RESERVE {
-        target.credit.want_more();
+        target.credit.want_more(now);
         return Some(if held == 0 {
             "no_credit"
         } else {
--- a/src/credits.rs
+++ b/src/credits.rs
@@ -12,6 +12,9 @@
 
 use crate::clock::{self, BootTime, millis};
 
+/// Shortest time between two asks for one target whose owner has no more.
+pub(crate) const URGENT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Credits held for one target. Control grants; traffic takes and gives back.
 ///
 /// Invariant: a permit is only given while fewer than `granted` are out and
@@ -26,6 +29,7 @@
     /// The owner gave less than was wanted last.
     is_full: AtomicBool,
     wake: Arc<Notify>,
+    woken_at_ms: AtomicU64,
     band_ms: AtomicU64,
     good: AtomicU64,
     slow: AtomicU64,
@@ -128,14 +132,18 @@
                 (in_flight < held).then_some(in_flight + 1)
             });
         if taken.is_err() {
-            self.want_more();
+            self.want_more(now);
         }
         taken.ok().map(|_| self.permit(now))
     }
 
-    /// Notes that a request found no credit, so that more are asked for.
-    pub fn want_more(&self) {
-        if !self.is_short.swap(true, Ordering::AcqRel) {
+    /// Notes that a request found no credit, so that more are asked for. While
+    /// that stands without an ask, the note is repeated once a pause.
+    pub fn want_more(&self, now: BootTime) {
+        let is_new = !self.is_short.swap(true, Ordering::AcqRel);
+        let woken_at = self.woken_at_ms.load(Ordering::Acquire);
+        if is_new || millis(now) >= woken_at + millis(URGENT_PAUSE) {
+            self.woken_at_ms.store(millis(now), Ordering::Release);
             self.wake.notify_one();
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -83,6 +83,7 @@
 }
 
 /// One request on its way through the daemon.
+#[derive(Clone)]
 pub(crate) struct Call {
     /// Request id, in logs and in the answer.
     pub id: Box<str>,
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::BootTime,
-    credits::Credit,
+    credits::{Credit, URGENT_PAUSE},
     warmup::RampState,
     wire::{CreditAsk, CreditGrant, DaemonName, TargetName},
 };
@@ -14,9 +14,6 @@
 /// Time after the last request for which a credit is still kept at hand.
 const KEEP_AFTER_USE: Duration = Duration::from_secs(1);
 
-/// Shortest time between two asks for one target that requests wait for.
-const URGENT_PAUSE: Duration = Duration::from_millis(50);
-
 /// An ask that was sent; only an answer to the last one counts.
 struct Asked {
     owner: DaemonName,
@@ -32,8 +29,8 @@
     used_at: Option<BootTime>,
     ramp: Option<RampState>,
     is_answered: bool,
-    /// The last ask was sent because a request found no credit.
-    was_short: bool,
+    /// The owner gave less than was wanted last.
+    was_in_vain: bool,
 }
 
 /// Credits of this daemon by target.
@@ -73,7 +70,7 @@
                 used_at: None,
                 ramp: None,
                 is_answered: true,
-                was_short: false,
+                was_in_vain: false,
             })
     }
 
@@ -93,12 +90,12 @@
         let is_short = credit.is_short();
         let is_same = holding.asked.as_ref().is_some_and(|a| &*a.owner == owner);
         let is_recent = |a: &Asked| now.saturating_sub(a.at) < URGENT_PAUSE;
-        let was_in_vain = holding.asked.as_ref().is_some_and(is_recent) && holding.was_short;
+        // After an ask that was met in full the next one may double at once.
+        let was_in_vain = holding.asked.as_ref().is_some_and(is_recent) && holding.was_in_vain;
         let is_waiting = is_same && !holding.is_answered;
         if is_urgent && (!is_short || is_waiting || was_in_vain) {
             return None;
         }
-        holding.was_short = is_short;
         let (in_flight, held) = (credit.in_flight(), credit.held(now));
         if in_flight > 0 || is_short {
             holding.used_at = Some(now);
@@ -150,7 +147,11 @@
         }
         holding.is_answered = true;
         holding.credit.grant(grant.credits, asked.at + life);
-        holding.credit.set_full(grant.credits < asked.desired);
+        holding.was_in_vain = grant.credits < asked.desired;
+        // An owner that gives nothing is taking over, or the target starts:
+        // neither tells of a crowd.
+        let is_full = grant.credits > 0 && holding.was_in_vain;
+        holding.credit.set_full(is_full);
         if grant.ramp.is_some() {
             holding.ramp.clone_from(&grant.ramp);
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -15,6 +15,8 @@
 
 /// Pause between looks for a free credit.
 const QUEUE_POLL: Duration = Duration::from_millis(5);
+/// Longest wait for a credit of a nearer target while a farther one has some.
+const NEARER_PATIENCE: Duration = Duration::from_millis(25);
 /// Long requests are refused at once while one waits for every so many credits.
 const CREDITS_PER_WAITING: u32 = 8;
 
@@ -27,7 +29,8 @@
     need: Option<&Need>,
 ) -> Result<Chosen, Refusal> {
     let need = need.filter(|_| entry.settings.policy != Policy::LeastInFlight);
-    let deadline = clock::now() + entry.settings.timing.queue_timeout;
+    let started = clock::now();
+    let deadline = started + entry.settings.timing.queue_timeout;
     let mut waiting = None;
     loop {
         let view = entry.view.load_full();
@@ -37,7 +40,11 @@
                 chosen: None,
                 reasons: "all:over_share".into(),
             },
-            need => choose_now(entry, &view, service, tried, need, now),
+            need => {
+                let has_owners = entry.settings.policy != Policy::LeastInFlight;
+                let is_patient = has_owners && now < started + NEARER_PATIENCE;
+                choose_now(entry, &view, service, tried, need, is_patient, now)
+            }
         };
         let is_crowded =
             waiting.is_none() && need.is_some_and(|n| is_crowded(entry, &view, n, now));
@@ -73,6 +80,7 @@
     service: &str,
     tried: &[Box<str>],
     need: Option<&Need>,
+    is_patient: bool,
     now: BootTime,
 ) -> Choice {
     let fit = need.map(|need| Fit {
@@ -87,6 +95,7 @@
         region: &entry.settings.region,
         intent: view.snapshot.intent_of(service),
         tried,
+        is_patient,
         fit,
     };
     choose::choose(view.targets_of(service), &cx, now)
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::{
-    clock,
+    clock::{self, BootTime},
     engine::EngineError,
     entry::{Call, Entry},
     quarantine::{self, Fingerprint},
@@ -38,16 +38,18 @@
     /// target is left, all may be tried again after a pause.
     ///
     /// # Errors
-    /// The request has waited too long.
+    /// The request has waited too long since it was to be placed at `since`:
+    /// one whose run was lost arrived long before.
     pub async fn stay_apart(
         &mut self,
         entry: &Entry,
         call: &Call,
         service: &str,
         target: Box<str>,
+        since: BootTime,
     ) -> Result<(), Refusal> {
         let queue_timeout = entry.settings.timing.queue_timeout;
-        if clock::now().saturating_sub(call.arrived) > queue_timeout {
+        if clock::now().saturating_sub(since) > queue_timeout {
             let message = "no target is free to run this request apart from others";
             return Err(Refusal::not_run(RefusalKind::NoRoom, message));
         }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -65,10 +65,21 @@
     }
 }
 
+/// Waits until the near engine takes work: its credits come from its owner, which
+/// gives none right after its start and while it may have started anew.
+fn wait_near(fleet: &Fleet) {
+    wait_for("the near engine takes work", || {
+        let generated = fleet.caller(0).generate("[n=1]", &json!({}), &[]);
+        let is_near = generated.ids.first().is_some_and(|id| id.contains(NEAR));
+        is_near.then_some(())
+    });
+}
+
 /// Two whole answers, as events and as a body; the near engine is struck when it
 /// has made a part of both.
 fn assert_survives(fleet: &mut Fleet, strike: impl Fn(&mut Process)) {
     let admitted = |fleet: &Fleet| history::named(&fleet.targets[0].history, "admitted").len();
+    wait_near(fleet);
     let before = admitted(fleet);
     let (caller, whole) = (fleet.caller(0), json!({"delivery": "whole"}));
     let events = thread::spawn(move || caller.generate("[mark=a] [n=150]", &whole, &[]));
