--- a/src/allot.rs
+++ b/src/allot.rs
@@ -154,12 +154,12 @@
     pub fn refresh(
         &mut self,
         listed: BTreeMap<TargetName, Listed>,
-        daemons: Daemons,
+        daemons: &Daemons,
         now: BootTime,
     ) {
         self.targets.retain(|name, _| listed.contains_key(name));
         self.holder.retain(|name| listed.contains_key(name), now);
-        let cells = cells_of(&daemons);
+        let cells = cells_of(daemons);
         for (name, listed) in listed {
             let owner = owner_in(&cells, &name, &listed.region).map(Box::from);
             self.refresh_target(name, listed, owner, daemons.len(), now);
--- a/src/control.rs
+++ b/src/control.rs
@@ -458,7 +458,8 @@
 
     fn publish(&mut self, now: BootTime) {
         let peers: Vec<PeerDaemon> = self.members.live(now).map(peer_daemon).collect();
-        self.allot.refresh(self.listed(), self.daemons(now), now);
+        let daemons = self.daemons(now);
+        self.allot.refresh(self.listed(), &daemons, now);
         let mut targets: BTreeMap<Box<str>, Vec<Arc<Target>>> = BTreeMap::new();
         for instance in self.instances.instances.values() {
             if let InstanceRole::Target { service } = &instance.role {
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -142,7 +142,7 @@
 /// Gaps between the tokens of one stream, for the metrics.
 struct Gaps {
     last: Option<clock::BootTime>,
-    gaps: metrics::Histogram,
+    all: metrics::Histogram,
     stalls: metrics::Histogram,
 }
 
@@ -150,7 +150,7 @@
     fn default() -> Self {
         Self {
             last: None,
-            gaps: metrics::histogram!("bluebell_token_gap_seconds"),
+            all: metrics::histogram!("bluebell_token_gap_seconds"),
             stalls: metrics::histogram!("bluebell_stall_seconds"),
         }
     }
@@ -161,7 +161,7 @@
         let now = clock::now();
         if let Some(last) = self.last.replace(now) {
             let gap = now.saturating_sub(last);
-            self.gaps.record(gap);
+            self.all.record(gap);
             if let Some(stall) = gap.checked_sub(STALL_GAP) {
                 self.stalls.record(stall);
             }
--- a/tests/credits.rs
+++ b/tests/credits.rs
@@ -186,7 +186,7 @@
             .collect();
         let listed = BTreeMap::from([(TARGET.into(), listed())]);
         let now = self.clock(node);
-        self.nodes[node].allot.refresh(listed, daemons, now);
+        self.nodes[node].allot.refresh(listed, &daemons, now);
     }
 
     fn load(&self) -> LoadReport {
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -173,7 +173,7 @@
             reports_load: true,
         };
         let daemons = BTreeMap::from([("a".into(), "vest".into())]);
-        allot.refresh(BTreeMap::from([("t".into(), listed)]), daemons, now);
+        allot.refresh(BTreeMap::from([("t".into(), listed)]), &daemons, now);
         allot.on_load("t", &report(0, false), now);
         let ramp = RampState {
             boot_id: "b1".into(),
