--- a/src/cli.rs
+++ b/src/cli.rs
@@ -379,6 +379,10 @@
     /// Requests that an engine runs at once, as its record says.
     #[arg(long, default_value_t = 24)]
     pub limit: u32,
+    /// Requests that an engine which has just started runs at once; as many as
+    /// a warm one runs when absent, so that no ramp is part of the figures.
+    #[arg(long)]
+    pub cold_limit: Option<u32>,
     /// Time of a step, in microseconds of unscaled time.
     #[arg(long, default_value_t = 25_000)]
     pub step_us: u64,
--- a/src/load/fleet.rs
+++ b/src/load/fleet.rs
@@ -79,6 +79,7 @@
     plan.policy = policy(&args.policy)?;
     plan.engines_per_zone = args.engines;
     plan.limit = args.limit;
+    plan.cold_limit = args.cold_limit.unwrap_or(args.limit);
     let scale = args.traffic.time_scale.max(1);
     plan.engine.kv_tokens = args.kv_tokens;
     plan.engine.max_batch = args.max_batch;
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -55,6 +55,8 @@
     pub engine: EngineArgs,
     /// Credits of one engine.
     pub limit: u32,
+    /// Requests that an engine which has just started runs at once.
+    pub cold_limit: u32,
     pub timing: Timing,
     pub customers: Vec<FleetCustomer>,
 }
@@ -88,6 +90,7 @@
                 keep_ms: 10_000,
             },
             limit: 24,
+            cold_limit: 4,
             timing: Timing {
                 platform_poll: Duration::from_millis(500),
                 drain_lag: Duration::from_millis(200),
@@ -310,7 +313,7 @@
         record(
             "Service",
             GENERATION_SERVICE,
-            &json!({"type": "generation", "model": "rens-7b", "limit": plan.limit, "cold_limit": 4}),
+            &json!({"type": "generation", "model": "rens-7b", "limit": plan.limit, "cold_limit": plan.cold_limit}),
         ),
         record(
             "Service",
