--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -55,10 +55,7 @@
     }
     for i in 0..3 {
         // A platform that is gone for all daemons must not stop them.
-        fleet.add_daemon(
-            i,
-            &json!({"timing": {"stale_after": "2s"}, "cut_off": "serve"}),
-        );
+        fleet.add_daemon(i, &json!({"timing": {"stale_after": "2s"}}));
     }
     fleet.write_records(&common::default_records());
     fleet.wait_ready();
