--- a/src/follow.rs
+++ b/src/follow.rs
@@ -1,6 +1,6 @@
 //! How the control thread follows the platform: as a relay, or through peers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::sync::watch;
 
@@ -66,7 +66,7 @@
             events: self.events.clone(),
             view: self.view.clone(),
             duties: self.cell.duties.subscribe(),
-            resync: std::sync::Arc::default(),
+            resync: Arc::default(),
             seal: self.seal.clone(),
             peers: peers.filter_map(|p| p.parse().ok()).collect(),
             period: self.settings.timing.platform_poll,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -1,7 +1,10 @@
 //! Which daemons read the platform for their cell, and what the others learn
 //! from them.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use crate::{
     clock::{self, BootTime},
@@ -49,7 +52,7 @@
 #[derive(Debug, Default)]
 pub struct Exchange {
     sent: VecDeque<(u64, BootTime)>,
-    heard: std::collections::BTreeMap<DaemonName, Heard>,
+    heard: BTreeMap<DaemonName, Heard>,
 }
 
 /// The newest packet of one peer.
