--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,207 @@
+//! Applies what the store tells to what is known.
+//!
+//! Load pattern: entries of healthy targets lapse while the store is away, and
+//! all of them at once would look like the loss of the whole fleet. They stay
+//! in use until shortly after the store's return, and count as gone only then.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::model::{Batch, Change, Fleet, Known, Target, TargetId, Topic};
+use crate::clock::BootTime;
+
+/// How long a lapsed entry may take to come back once the store has: targets
+/// write at least every two seconds, and one answer's delay is added.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// State of the feed of one topic.
+#[derive(Clone, Debug, Default)]
+pub struct FeedState {
+    /// When the read in force was sent; no later change can be missed before.
+    pub proof: Option<BootTime>,
+    /// When a read last failed after the one before had not.
+    pub away_since: Option<BootTime>,
+    /// When reads began to succeed again.
+    pub back_since: Option<BootTime>,
+}
+
+impl FeedState {
+    /// Notes a read that succeeded.
+    pub fn succeeded(&mut self, sent: BootTime, now: BootTime) {
+        self.proof = self.proof.max(Some(sent));
+        if self.away_since.take().is_some() {
+            self.back_since = Some(now);
+        }
+    }
+
+    /// Notes a read that failed.
+    pub fn failed(&mut self, now: BootTime) {
+        self.away_since.get_or_insert(now);
+    }
+
+    /// Whether entries that vanish now may have lapsed for want of a store.
+    fn may_lapse(&self, now: BootTime) -> Option<BootTime> {
+        let until = self.back_since? + LAPSE_GRACE;
+        (now < until).then_some(until)
+    }
+}
+
+impl Fleet {
+    /// Applies a batch of changes; a log line for each that alters belief.
+    pub fn apply(&mut self, batch: &Batch, feed: &FeedState, now: BootTime) {
+        for change in &batch.changes {
+            self.apply_one(change, feed, now);
+        }
+    }
+
+    /// Takes a whole list: whatever it does not name is gone.
+    pub fn replace(&mut self, topic: Topic, batch: &Batch, feed: &FeedState, now: BootTime) {
+        self.apply(batch, feed, now);
+        match topic {
+            Topic::Config => {}
+            Topic::Targets => {
+                let is_named = |c: &Change| match c {
+                    Change::Target(t) => Some(t.id.clone()),
+                    _ => None,
+                };
+                let named: BTreeSet<TargetId> =
+                    batch.changes.iter().filter_map(is_named).collect();
+                let missing: Vec<TargetId> = self.targets.keys().cloned().collect();
+                for id in missing.iter().filter(|id| !named.contains(*id)) {
+                    self.remove(id, feed, now);
+                }
+            }
+            Topic::Evacuations => {
+                let out = batch.changes.iter().filter_map(|c| match c {
+                    Change::ZoneOut(zone) => Some(zone.clone()),
+                    _ => None,
+                });
+                let out: BTreeSet<_> = out.collect();
+                for zone in self.zones_out.difference(&out) {
+                    log::info!("event=zone_back zone={zone} source=list");
+                }
+                self.zones_out = out;
+            }
+        }
+    }
+
+    fn apply_one(&mut self, change: &Change, feed: &FeedState, now: BootTime) {
+        match change {
+            Change::Config(revision, config) => {
+                if *revision <= self.config_revision {
+                    return;
+                }
+                log::info!(
+                    "event=config version={} revision={revision} routes={} keys={}",
+                    config.version,
+                    config.routes.len(),
+                    config.keys.len()
+                );
+                self.config_revision = *revision;
+                self.config = Some(config.clone());
+            }
+            Change::Target(target) => self.put(target, now),
+            Change::TargetGone(id) => self.remove(id, feed, now),
+            Change::ZoneOut(zone) => {
+                if self.zones_out.insert(zone.clone()) {
+                    log::info!("event=zone_out zone={zone}");
+                }
+            }
+            Change::ZoneBack(zone) => {
+                if self.zones_out.remove(zone) {
+                    log::info!("event=zone_back zone={zone} source=watch");
+                }
+            }
+            Change::Unreadable { name, reason } => {
+                log::warn!("event=entry_unreadable name={name:?} reason={reason:?}");
+                if self.targets.contains_key(name) {
+                    self.remove(name, feed, now);
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, target: &Target, now: BootTime) {
+        let known = self.targets.get(&target.id);
+        let was_leaving = known.and_then(|k| k.leaving_since);
+        if known.is_none_or(|k| *k.target != *target) {
+            log::info!(
+                "event=target id={} service={} address={} zone={} draining={} cold_ms={}",
+                target.id,
+                target.service,
+                target.address,
+                target.zone,
+                target.is_draining,
+                target.cold_for.as_millis()
+            );
+        }
+        let known = Known {
+            target: Arc::new(target.clone()),
+            cold_until: now + target.cold_for,
+            lapses_at: None,
+            leaving_since: target.is_draining.then(|| was_leaving.unwrap_or(now)),
+        };
+        self.targets.insert(target.id.clone(), known);
+    }
+
+    fn remove(&mut self, id: &TargetId, feed: &FeedState, now: BootTime) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        let grace = feed.may_lapse(now).filter(|_| known.leaving_since.is_none());
+        match grace {
+            Some(until) if known.lapses_at.is_none() => {
+                log::info!("event=target_lapsed id={id}");
+                known.lapses_at = Some(until);
+            }
+            Some(_) => {}
+            None => {
+                log::info!("event=target_gone id={id}");
+                self.targets.remove(id);
+            }
+        }
+    }
+
+    /// Removes lapsed targets whose time is over; true if any was.
+    pub fn expire(&mut self, now: BootTime) -> bool {
+        let before = self.targets.len();
+        self.targets.retain(|id, known| {
+            let is_kept = known.lapses_at.is_none_or(|at| now < at);
+            if !is_kept {
+                log::info!("event=target_gone id={id} reason=lapsed");
+            }
+            is_kept
+        });
+        self.targets.len() != before
+    }
+
+    /// Targets of a service that may be sent new work.
+    pub fn open_targets(&self, service: &str) -> impl Iterator<Item = &Known> {
+        self.targets.values().filter(move |k| {
+            *k.target.service == *service
+                && k.leaving_since.is_none()
+                && !self.zones_out.contains(&k.target.zone)
+        })
+    }
+
+    /// Whether a target may still be sent new work.
+    #[must_use]
+    pub fn is_open(&self, target: &Target) -> bool {
+        let known = self.targets.get(&target.id);
+        known.is_some_and(|k| k.leaving_since.is_none())
+            && !self.zones_out.contains(&target.zone)
+    }
+
+    /// Number of open targets by zone of a service.
+    #[must_use]
+    pub fn zones_of(&self, service: &str) -> BTreeMap<&str, usize> {
+        let mut zones = BTreeMap::new();
+        for known in self.open_targets(service) {
+            *zones.entry(&*known.target.zone).or_default() += 1;
+        }
+        zones
+    }
+}
--- /dev/null
+++ b/src/gateway/job.rs
@@ -0,0 +1,242 @@
+//! One request of a caller, and what it needs to be sent on.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri, header::HeaderValue};
+
+use super::{
+    Gateway,
+    headers::Stated,
+    model::{Customer, Fleet, Repeat, Route, Service, Target, Tokens},
+    placement::{Candidate, Distance, engine_cost, plain_cost},
+    refusal::Refusal,
+    routing::Denied,
+};
+use crate::clock::{self, BootTime};
+
+/// Tokens of a generation that names no sizes.
+const DEFAULT_TOKENS: Tokens = 1_000;
+
+/// What the configuration says of a request, as of one version.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    pub route: Arc<Route>,
+    pub customer: Option<Arc<Customer>>,
+}
+
+/// A request of a caller.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub stated: Stated,
+    pub method: Method,
+    pub uri: Uri,
+    pub host: Box<str>,
+    pub key: Option<Box<str>>,
+    /// Headers for targets, before the system's own.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub arrived: BootTime,
+    /// The caller's deadline or the route's timeout, whichever is sooner.
+    pub deadline: BootTime,
+    /// Service picked by the route's weights.
+    pub service: Box<str>,
+}
+
+/// Where a request may go.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    pub target: Arc<Target>,
+    pub service: Arc<Service>,
+}
+
+/// Headers of one send.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Extras {
+    pub backup: Option<Box<str>>,
+    pub copy_from: Option<Box<str>>,
+    pub last_event: Option<u64>,
+}
+
+impl Job {
+    /// Time left until the deadline.
+    pub fn left(&self, now: BootTime) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// Tokens of memory that it is expected to take.
+    pub fn tokens(&self) -> Tokens {
+        let output = self.stated.hint.unwrap_or(self.stated.most_output);
+        let tokens = self.stated.prompt + output.min(self.stated.most_output.max(1));
+        if tokens == 0 { DEFAULT_TOKENS } else { tokens }
+    }
+
+    /// Tokens that it can take at most.
+    pub fn most_tokens(&self) -> Tokens {
+        self.stated.prompt + self.stated.most_output
+    }
+}
+
+impl Gateway {
+    /// Checks a request against the newest configuration. Called again before
+    /// each send, since keys and routes may be gone by then.
+    pub(crate) fn admit(
+        &self,
+        fleet: &Fleet,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        now: BootTime,
+    ) -> Result<Admitted, Refusal> {
+        let config = fleet.config.as_ref().filter(|_| fleet.is_complete);
+        let config = config.ok_or(Refusal::NoConfig)?;
+        let route = config.route(host, path);
+        let route = route.ok_or(Refusal::Denied(Denied::NoRoute))?;
+        let customer = config.customer(route, key).map_err(Refusal::Denied)?;
+        let age = self.standing.config_age(now);
+        let is_fresh = age.is_some_and(|age| age <= self.settings().key_proof_age());
+        if customer.is_some() && !is_fresh {
+            return Err(Refusal::StaleKeys);
+        }
+        Ok(Admitted {
+            route: route.clone(),
+            customer,
+        })
+    }
+
+    /// Chooses a target for a job, other than those it has tried.
+    pub(crate) fn place(
+        &self,
+        fleet: &Fleet,
+        job: &Job,
+        admitted: &Admitted,
+        tried: &[Box<str>],
+    ) -> Option<Choice> {
+        let service = fleet.config.as_ref()?.services.get(&job.service)?.clone();
+        let now = clock::now();
+        let settings = self.settings();
+        let open = fleet.open_targets(&job.service).filter(|known| {
+            let region = settings.region_of(&known.target.zone);
+            !tried.contains(&known.target.id)
+                && admitted.route.allows_region(admitted.customer.as_deref(), region)
+        });
+        let costs = open.map(|known| {
+            let target = &known.target;
+            let (work, failures) = self.loads.at(&target.id, now);
+            let candidate = Candidate {
+                work,
+                slots: target.slots,
+                failures,
+                is_cold: known.cold_until > now,
+                distance: self.distance(&target.zone),
+            };
+            let cost = match &service.engine {
+                Some(limits) => engine_cost(&candidate, limits, job.tokens()),
+                None => plain_cost(&candidate),
+            };
+            // Daemons that know the same do not all choose the same target.
+            (cost + TIE_SPREAD * rand::random::<f64>(), target)
+        });
+        let (_, target) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        Some(Choice {
+            target: target.clone(),
+            service,
+        })
+    }
+
+    /// Chooses an engine of the same zone for a copy of a run.
+    pub(crate) fn place_backup(&self, fleet: &Fleet, choice: &Choice, need: Tokens) -> Option<Arc<Target>> {
+        let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
+        let now = clock::now();
+        let fitting = fleet.open_targets(&choice.target.service).filter(|known| {
+            known.target.zone == choice.target.zone && known.target.id != choice.target.id
+        });
+        let costs = fitting.map(|known| {
+            let (work, failures) = self.loads.at(&known.target.id, now);
+            let candidate = Candidate {
+                work,
+                slots: known.target.slots,
+                failures,
+                is_cold: known.cold_until > now,
+                distance: Distance::Zone,
+            };
+            let cost = engine_cost(&candidate, limits, need);
+            (cost + TIE_SPREAD * rand::random::<f64>(), &known.target)
+        });
+        let (_, target) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        Some(target.clone())
+    }
+
+    fn distance(&self, zone: &str) -> Distance {
+        let settings = self.settings();
+        if *zone == *settings.zone {
+            Distance::Zone
+        } else if settings.region_of(zone) == settings.region() {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
+    /// Builds the request that a target gets.
+    pub(crate) fn request_for(
+        &self,
+        job: &Job,
+        admitted: &Admitted,
+        target: &Target,
+        extras: &Extras,
+        now: BootTime,
+    ) -> Request<Full<Bytes>> {
+        let names = &self.names;
+        let mut req = Request::new(Full::new(job.body.clone()));
+        *req.method_mut() = job.method.clone();
+        *req.uri_mut() = job.uri.clone();
+        let mut headers = job.headers.clone();
+        let mut set = |name: &hyper::header::HeaderName, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name.clone(), value);
+            }
+        };
+        set(&names.request_id, &job.stated.request_id);
+        set(&names.deadline_ms, &clock::millis(job.left(now)).to_string());
+        set(&names.expect_target, &target.id);
+        if let Some(customer) = &admitted.customer {
+            set(&names.customer, &customer.name);
+        }
+        if let Some(backup) = &extras.backup {
+            set(&names.backup, backup);
+        }
+        if let Some(copy) = &extras.copy_from {
+            set(&names.copy_from, copy);
+        }
+        if let Some(event) = extras.last_event {
+            set(&names.last_event, &event.to_string());
+        }
+        *req.headers_mut() = headers;
+        req
+    }
+
+    /// Counts a first send, or takes a repeated one from the budget.
+    pub(crate) fn may_send(&self, job: &Job, is_repeat: bool, now: BootTime) -> bool {
+        let daemons = self.standing.daemons();
+        self.with_extra_sends(&job.service, |extra| {
+            if is_repeat {
+                return extra.try_repeat(now, daemons);
+            }
+            extra.note_first(now);
+            true
+        })
+    }
+}
+
+/// Largest random part of a cost, about one run's share of an engine.
+const TIE_SPREAD: f64 = 0.02;
+
+impl Repeat {
+    /// Whether a request that may have run may be sent again.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Idempotent
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,257 @@
+//! The gateway between callers and targets that others run.
+//!
+//! The control thread follows the store and publishes a [`Standing`]; the
+//! traffic thread serves callers from it. What callers, targets and the store
+//! are called on the wire is supplied from outside.
+
+mod body;
+mod events;
+mod exchange;
+mod extra_sends;
+mod feed;
+mod fleet;
+mod generation;
+mod headers;
+mod job;
+mod listener;
+mod load;
+mod model;
+mod placement;
+mod plain;
+mod readiness;
+mod refusal;
+mod routing;
+mod settings;
+mod standing;
+mod usage;
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, Response, body::Incoming, header};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+pub use self::{
+    events::{Event, EventId, EventSplitter},
+    extra_sends::ExtraSends,
+    feed::{ReadError, ReadStore},
+    fleet::FeedState,
+    headers::{HeaderNames, Stated, end_to_end},
+    load::{LoadBook, Work},
+    model::{
+        Batch, CallerLimits, Change, Config, Customer, EngineLimits, Fleet, Known, Read, Repeat,
+        Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
+    },
+    placement::{Candidate, Distance, engine_cost, plain_cost},
+    routing::Denied,
+    settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
+    standing::Standing,
+};
+use self::{body::AnswerBody, job::Job, refusal::Refusal, usage::Usage};
+use crate::clock;
+
+/// Longest wait for a caller that names no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+/// Part of the time between SIGTERM and SIGKILL after which connections that
+/// are idle are closed; before it, callers learn from answers that they end.
+const IDLE_CLOSE_PART: f64 = 0.4;
+/// Part of that time after which the process ends in any case.
+const STOP_PART: f64 = 0.95;
+/// Period at which a process that stops looks for work left.
+const STOP_PERIOD: Duration = Duration::from_millis(50);
+
+/// What the traffic thread works with.
+pub struct Gateway {
+    settings: ArcSwap<GatewaySettings>,
+    names: HeaderNames,
+    standing: Arc<Standing>,
+    loads: LoadBook,
+    extra_sends: Mutex<HashMap<Box<str>, ExtraSends>>,
+    running: Usage,
+    /// When the process was told to stop.
+    stopped_at: Mutex<Option<clock::BootTime>>,
+}
+
+/// A gateway that runs.
+pub struct RunningGateway {
+    gateway: Arc<Gateway>,
+    control: CancellationToken,
+}
+
+impl RunningGateway {
+    /// Binds the ports and starts the control thread.
+    ///
+    /// # Errors
+    /// A port cannot be bound, or the thread cannot be started.
+    pub async fn spawn(
+        settings: GatewaySettings,
+        names: HeaderNames,
+        read: ReadStore,
+    ) -> io::Result<Self> {
+        let callers = TcpListener::bind(settings.listen.callers).await?;
+        let readiness = TcpListener::bind(settings.listen.readiness).await?;
+        let standing = Arc::new(Standing::default());
+        let control = CancellationToken::new();
+        spawn_control(read, standing.clone(), control.clone())?;
+        let gateway = Arc::new(Gateway {
+            settings: ArcSwap::from_pointee(settings),
+            names,
+            standing,
+            loads: LoadBook::default(),
+            extra_sends: Mutex::default(),
+            running: Usage::default(),
+            stopped_at: Mutex::default(),
+        });
+        tokio::spawn(listener::accept(callers, gateway.clone()));
+        tokio::spawn(readiness::serve(readiness, gateway.clone()));
+        Ok(Self { gateway, control })
+    }
+
+    /// Takes new settings; ports stay as they are.
+    pub fn reload(&self, settings: GatewaySettings) {
+        if **self.gateway.settings.load() == settings {
+            return;
+        }
+        log::info!("event=settings_changed instance={}", settings.name);
+        self.gateway.settings.store(Arc::new(settings));
+    }
+
+    /// Finishes what runs, then stops; ends within the grace of the settings.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let began = clock::now();
+        *gateway.stopped_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(began);
+        gateway.standing.stop();
+        log::info!("event=stopping running={}", gateway.running.count());
+        let grace = Duration::from_secs_f64(gateway.settings().bounds.stop_grace_s);
+        loop {
+            tokio::time::sleep(STOP_PERIOD).await;
+            let waited = clock::now().saturating_sub(began);
+            let is_quiet = gateway.running.count() == 0 && waited > grace.mul_f64(2.0 * IDLE_CLOSE_PART);
+            if is_quiet || waited > grace.mul_f64(STOP_PART) {
+                break;
+            }
+        }
+        log::info!("event=stopped running={}", gateway.running.count());
+        self.control.cancel();
+    }
+}
+
+fn spawn_control(
+    read: ReadStore,
+    standing: Arc<Standing>,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let body = move || {
+        runtime.block_on(async move {
+            feed::spawn(&read, &standing, &stop);
+            stop.cancelled().await;
+        });
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(body)?;
+    Ok(())
+}
+
+impl Gateway {
+    fn settings(&self) -> Arc<GatewaySettings> {
+        self.settings.load_full()
+    }
+
+    /// Limits on callers as the newest configuration has them.
+    fn limits(&self) -> CallerLimits {
+        let fleet = self.standing.fleet();
+        fleet.config.as_ref().map_or_else(CallerLimits::default, |c| c.limits)
+    }
+
+    /// Whether idle connections are to be closed.
+    fn closes_idle(&self) -> bool {
+        let stopped_at = *self.stopped_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let grace = Duration::from_secs_f64(self.settings().bounds.stop_grace_s);
+        stopped_at.is_some_and(|at| clock::now().saturating_sub(at) > grace.mul_f64(IDLE_CLOSE_PART))
+    }
+
+    fn with_extra_sends<T>(&self, service: &str, act: impl FnOnce(&mut ExtraSends) -> T) -> T {
+        let mut extra = self.extra_sends.lock().unwrap_or_else(PoisonError::into_inner);
+        if !extra.contains_key(service) {
+            let settings = self.settings();
+            let bounds = &settings.bounds;
+            let window = Duration::from_secs_f64(bounds.retry_window_s);
+            let sends = ExtraSends::new(bounds.retry_share, bounds.retry_extra, window);
+            extra.insert(service.into(), sends);
+        }
+        let extra = extra.get_mut(service);
+        act(extra.expect("inserted above if missing"))
+    }
+
+    /// Answers a caller's request.
+    async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+        let id = req.headers().get(&self.names.request_id);
+        let id: Box<str> = id.and_then(|id| id.to_str().ok()).unwrap_or("-").into();
+        match self.serve(req).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                let age = self.standing.config_age(clock::now());
+                let version = self.standing.fleet().config.as_ref().map_or(0, |c| c.version);
+                log::info!(
+                    "event=refusal request={id} reason={refusal} config={version} config_age_ms={}",
+                    age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
+                );
+                refusal.answer(rand::random())
+            }
+        }
+    }
+
+    async fn serve(self: &Arc<Self>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
+        let arrived = clock::now();
+        let (head, body) = req.into_parts();
+        let fleet = self.standing.fleet();
+        let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+        let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
+        let key = head.headers.get(&self.names.key).and_then(|k| k.to_str().ok());
+        let path = head.uri.path();
+        self.admit(&fleet, &host, path, key, arrived)?;
+        let stated = self.names.stated(&head.headers).ok_or(Refusal::NoId)?;
+        let limits = self.limits();
+        let body = Limited::new(body, limits.max_body_bytes);
+        let body = body.collect().await.map_err(|e| {
+            if e.is::<http_body_util::LengthLimitError>() {
+                Refusal::TooLarge
+            } else {
+                Refusal::BodyCut
+            }
+        })?;
+        let fleet = self.standing.fleet();
+        let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
+        let stated_left = stated.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let service = admitted.route.pick_service(rand::random());
+        let job = Job {
+            deadline: arrived + stated_left.min(admitted.route.timeout),
+            service: service.unwrap_or_default().into(),
+            key: key.map(Into::into),
+            headers: self.names.for_target(&head.headers),
+            method: head.method,
+            uri: head.uri,
+            host,
+            body: body.to_bytes(),
+            arrived,
+            stated,
+        };
+        if admitted.route.repeat == Repeat::Stream {
+            self.serve_stream(job, admitted).await
+        } else {
+            self.serve_plain(&job, admitted).await
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,160 @@
+//! Plain requests: one answer, read whole before it is passed on.
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+
+use super::{
+    Gateway,
+    body::AnswerBody,
+    exchange::{Exchange, ExchangeError},
+    headers::end_to_end,
+    job::{Admitted, Extras, Job},
+    load::Work,
+    model::{Repeat, Target},
+    refusal::Refusal,
+};
+use crate::clock;
+
+/// Largest plain answer taken.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How one send ended.
+#[derive(Debug)]
+pub(crate) enum Sent<A> {
+    /// The target answered, and the answer is its own and whole.
+    Answered(A),
+    /// The target certainly did not run it.
+    NotRun(Box<str>),
+    /// It may have run; there is no answer to pass on.
+    Unknown(Box<str>),
+}
+
+impl Gateway {
+    /// Serves a plain request within its deadline.
+    pub(crate) async fn serve_plain(
+        &self,
+        job: &Job,
+        admitted: Admitted,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut progress = Progress::default();
+        let left = job.left(clock::now());
+        let served = self.attempts(job, admitted, &mut progress);
+        let served = tokio::time::timeout(left, served).await;
+        served.unwrap_or(Err(if progress.was_sent {
+            Refusal::TimedOut
+        } else {
+            Refusal::Expired
+        }))
+    }
+
+    async fn attempts(
+        &self,
+        job: &Job,
+        mut admitted: Admitted,
+        progress: &mut Progress,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut tried = Vec::new();
+        let mut runs = 0;
+        let mut fallback = None;
+        let mut outcome = Refusal::NoTarget;
+        loop {
+            let now = clock::now();
+            let fleet = self.standing.fleet();
+            if !tried.is_empty() {
+                admitted = self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
+            }
+            let Some(choice) = self.place(&fleet, job, &admitted, &tried) else {
+                break;
+            };
+            if !self.may_send(job, !tried.is_empty(), now) {
+                log::info!("event=budget_empty request={} service={}", job.stated.request_id, job.service);
+                break;
+            }
+            tried.push(choice.target.id.clone());
+            progress.was_sent = true;
+            let sent = self.send_plain(job, &admitted, &choice.target).await;
+            let id = &job.stated.request_id;
+            let target = &choice.target.id;
+            let took = clock::now().saturating_sub(now).as_millis();
+            match sent {
+                Sent::Answered(res) => {
+                    log::info!("event=answer request={id} target={target} status={} took_ms={took}", res.status().as_u16());
+                    runs += 1;
+                    let is_failure = res.status().is_server_error();
+                    if !is_failure {
+                        return Ok(passed_on(res));
+                    }
+                    self.loads.note_failure(target, clock::now());
+                    fallback = Some(res);
+                }
+                Sent::NotRun(reason) => {
+                    log::info!("event=not_run request={id} target={target} reason={reason:?} took_ms={took}");
+                    self.loads.note_failure(target, clock::now());
+                    outcome = Refusal::Declined;
+                    continue;
+                }
+                Sent::Unknown(reason) => {
+                    log::warn!("event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}");
+                    self.loads.note_failure(target, clock::now());
+                    runs += 1;
+                    outcome = Refusal::Lost;
+                }
+            }
+            if admitted.route.repeat != Repeat::Idempotent || runs >= admitted.route.max_attempts {
+                break;
+            }
+        }
+        fallback.map(passed_on).ok_or(outcome)
+    }
+
+    async fn send_plain(&self, job: &Job, admitted: &Admitted, target: &Target) -> Sent<Response<Bytes>> {
+        let work = Work { requests: 1, ..Work::default() };
+        let _place = self.loads.take(&target.id, work);
+        let req = self.request_for(job, admitted, target, &Extras::default(), clock::now());
+        let exchange = match Exchange::open(target.address, req).await {
+            Ok(exchange) => exchange,
+            Err(e @ ExchangeError::Connect { .. }) => return Sent::NotRun(e.to_string().into()),
+            Err(e) => return Sent::Unknown(e.to_string().into()),
+        };
+        let verdict = self.judge_head(&exchange.answer, &job.stated.request_id);
+        if let Some(verdict) = verdict {
+            return verdict;
+        }
+        match exchange.collect(MAX_ANSWER_BYTES).await {
+            Ok(res) => Sent::Answered(res),
+            Err(reason) => Sent::Unknown(reason),
+        }
+    }
+
+    /// What the head alone tells; `None` for an answer to read on.
+    pub(crate) fn judge_head<A, B>(&self, res: &Response<B>, id: &str) -> Option<Sent<A>> {
+        let headers = res.headers();
+        let status = res.status();
+        if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&self.names.not_run) {
+            return Some(Sent::NotRun(format!("status={}", status.as_u16()).into()));
+        }
+        let echoed = headers.get(&self.names.request_id);
+        if echoed.is_some_and(|e| e.as_bytes() != id.as_bytes()) {
+            return Some(Sent::Unknown("answer to another request".into()));
+        }
+        if !headers.contains_key(&self.names.seal) {
+            return Some(Sent::Unknown(format!("no seal, status={}", status.as_u16()).into()));
+        }
+        if headers.contains_key(hyper::header::CONTENT_ENCODING) {
+            return Some(Sent::Unknown("encoded body".into()));
+        }
+        None
+    }
+}
+
+/// What a job has been through when its deadline passes.
+#[derive(Debug, Default)]
+struct Progress {
+    was_sent: bool,
+}
+
+fn passed_on(res: Response<Bytes>) -> Response<AnswerBody> {
+    let (mut head, body) = res.into_parts();
+    head.headers = end_to_end(&head.headers);
+    Response::from_parts(head, AnswerBody::whole(body))
+}
--- /dev/null
+++ b/src/gateway/standing.rs
@@ -0,0 +1,72 @@
+//! What traffic reads of the control thread's state.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use arc_swap::ArcSwap;
+use std::time::Duration;
+
+use super::model::Fleet;
+use crate::clock::{self, BootTime};
+
+/// The newest view of the fleet. The control thread writes, traffic reads
+/// without locks.
+#[derive(Debug, Default)]
+pub struct Standing {
+    fleet: ArcSwap<Fleet>,
+    /// When the read of the configuration was sent that the view stands on, in
+    /// milliseconds since boot; 0 before the first.
+    config_proof_ms: AtomicU64,
+    /// Daemons that share budgets, this one included.
+    daemons: AtomicU64,
+    is_stopping: AtomicBool,
+}
+
+impl Standing {
+    /// The fleet as last told.
+    #[must_use]
+    pub fn fleet(&self) -> Arc<Fleet> {
+        self.fleet.load_full()
+    }
+
+    /// Publishes a new view.
+    pub fn publish(&self, fleet: Fleet) {
+        self.fleet.store(Arc::new(fleet));
+    }
+
+    /// Notes that no change of the configuration before `sent` is missing.
+    pub fn prove_config(&self, sent: BootTime) {
+        self.config_proof_ms.fetch_max(clock::millis(sent), Ordering::Relaxed);
+    }
+
+    /// Age of the newest sure read of the configuration.
+    #[must_use]
+    pub fn config_age(&self, now: BootTime) -> Option<Duration> {
+        let proof = self.config_proof_ms.load(Ordering::Relaxed);
+        (proof > 0).then(|| now.saturating_sub(Duration::from_millis(proof)))
+    }
+
+    /// Daemons that share budgets, this one included.
+    #[must_use]
+    pub fn daemons(&self) -> usize {
+        usize::try_from(self.daemons.load(Ordering::Relaxed)).unwrap_or(1).max(1)
+    }
+
+    /// Notes how many daemons share budgets.
+    pub fn set_daemons(&self, count: usize) {
+        self.daemons.store(count as u64, Ordering::Relaxed);
+    }
+
+    /// The process was told to stop.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process was told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -37,7 +37,7 @@
 const REFUSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Client used towards targets, the platform and other HTTP peers.
-pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// What one port accepts from one peer and in all.
 #[derive(Clone, Debug)]
@@ -98,7 +98,7 @@
 ///
 /// `idle` is how long a pooled connection may wait for reuse; `None` opens a
 /// connection for each call, so that a stale one can never swallow a request.
-pub(crate) fn client(connect_timeout: Duration, idle: Option<Duration>) -> HttpClient {
+pub fn client(connect_timeout: Duration, idle: Option<Duration>) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
@@ -113,7 +113,10 @@
 }
 
 /// Sends `req` and collects at most `cap` bytes of the answer within `timeout`.
-pub(crate) async fn call(
+///
+/// # Errors
+/// See [`CallError`].
+pub async fn call(
     client: &HttpClient,
     req: hyper::Request<Full<Bytes>>,
     timeout: Duration,
@@ -393,7 +396,7 @@
 }
 
 /// A client request with an optional JSON body.
-pub(crate) fn request(
+pub fn request(
     method: &hyper::Method,
     authority: &str,
     path: &str,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod holder;
 mod http;
 mod lease;
+pub mod gateway;
 pub mod ledger;
 pub mod lengths;
 pub mod load;
@@ -80,7 +81,7 @@
     credits::{Credit, Permit},
     daemon::{Daemon, DaemonError},
     engine::{EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest, LoadReport},
-    http::{CallError, PortLimits},
+    http::{CallError, HttpClient, PortLimits, call, client, request},
     lease::{LeaseCall, LeaseRecord},
     log::{LogError, install as install_log},
     membership::{Health, Member, Membership},
@@ -92,7 +93,7 @@
     refusal::{RAN_HEADER, REQUEST_HEADER, Ran, RefusalKind},
     relay::{Contacts, Exchange, InstanceList, Role, choose_relays},
     resume::{ResumeError, ResumeKey, ResumePoint},
-    settings::{Policy, Settings, SettingsError, settings_schemas},
+    settings::{LogSettings, Policy, Settings, SettingsError, settings_schemas},
     spread::{Spread, page_of},
     stream::{Cursor, Verdict},
     view::Standing,
