--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -88,7 +88,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
             Content::Live(_) => SizeHint::default(),
         }
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -28,7 +28,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn split(&mut self) -> Option<Event> {
         let lf = memchr::memmem::find(&self.0, b"\n\n").map(|at| at + 2);
         let crlf = memchr::memmem::find(&self.0, b"\r\n\r\n").map(|at| at + 4);
         let end = match (lf, crlf) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -68,10 +68,7 @@
     ///
     /// # Errors
     /// See [`ExchangeError`].
-    pub async fn open(
-        peer: SocketAddr,
-        req: Request<Full<Bytes>>,
-    ) -> Result<Self, ExchangeError> {
+    pub async fn open(peer: SocketAddr, req: Request<Full<Bytes>>) -> Result<Self, ExchangeError> {
         let tcp = connect(peer).await?;
         let handshake = http1::handshake(TokioIo::new(tcp)).await;
         let (mut sender, connection) = handshake.context(LostSnafu {
@@ -80,7 +77,10 @@
         })?;
         let driven = async move {
             if let Err(e) = connection.await {
-                log::debug!("event=connection_ended peer={peer} error={:?}", e.to_string());
+                log::debug!(
+                    "event=connection_ended peer={peer} error={:?}",
+                    e.to_string()
+                );
             }
         };
         let connection = ConnectionTask(tokio::spawn(driven));
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -27,7 +27,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest delay of an answer beyond the wait asked for: a slow store takes up
 /// to some hundred milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// First and longest pause after a failed read.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Period at which lapsed entries are looked at.
@@ -87,12 +87,7 @@
     }
 }
 
-async fn follow(
-    topic: Topic,
-    read: ReadStore,
-    feeds: Arc<Mutex<Feeds>>,
-    standing: Arc<Standing>,
-) {
+async fn follow(topic: Topic, read: ReadStore, feeds: Arc<Mutex<Feeds>>, standing: Arc<Standing>) {
     let mut from: Option<Revision> = None;
     let mut pause = RETRY_PAUSE.0;
     loop {
@@ -160,7 +155,10 @@
         }
         let state = self.states.entry(topic).or_default();
         if state.away_since.is_none() {
-            log::warn!("event=store_lost topic={topic} error={:?}", error.to_string());
+            log::warn!(
+                "event=store_lost topic={topic} error={:?}",
+                error.to_string()
+            );
         }
         state.failed(clock::now());
     }
@@ -168,7 +166,11 @@
 
 async fn watch(topic: Topic, read: &ReadStore, from: Revision) -> Result<Batch, ReadError> {
     let wait = WATCH_WAIT;
-    timed(read(topic, Read::Watch { from, wait }), wait + ANSWER_TIMEOUT).await
+    timed(
+        read(topic, Read::Watch { from, wait }),
+        wait + ANSWER_TIMEOUT,
+    )
+    .await
 }
 
 /// Reads all pages of a list.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -67,8 +67,7 @@
                     Change::Target(t) => Some(t.id.clone()),
                     _ => None,
                 };
-                let named: BTreeSet<TargetId> =
-                    batch.changes.iter().filter_map(is_named).collect();
+                let named: BTreeSet<TargetId> = batch.changes.iter().filter_map(is_named).collect();
                 let missing: Vec<TargetId> = self.targets.keys().cloned().collect();
                 for id in missing.iter().filter(|id| !named.contains(*id)) {
                     self.remove(id, feed, now);
@@ -151,7 +150,9 @@
         let Some(known) = self.targets.get_mut(id) else {
             return;
         };
-        let grace = feed.may_lapse(now).filter(|_| known.leaving_since.is_none());
+        let grace = feed
+            .may_lapse(now)
+            .filter(|_| known.leaving_since.is_none());
         match grace {
             Some(until) if known.lapses_at.is_none() => {
                 log::info!("event=target_lapsed id={id}");
@@ -191,8 +192,7 @@
     #[must_use]
     pub fn is_open(&self, target: &Target) -> bool {
         let known = self.targets.get(&target.id);
-        known.is_some_and(|k| k.leaving_since.is_none())
-            && !self.zones_out.contains(&target.zone)
+        known.is_some_and(|k| k.leaving_since.is_none()) && !self.zones_out.contains(&target.zone)
     }
 
     /// Number of open targets by zone of a service.
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -74,7 +74,8 @@
             let now = clock::now();
             let fleet = self.standing.fleet();
             if !tried.is_empty() {
-                admitted = self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
+                admitted =
+                    self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
             let choice = self.place(&fleet, job, &admitted, &tried).ok_or(outcome)?;
             if !self.may_send(job, !tried.is_empty(), now) {
@@ -88,16 +89,22 @@
             match sent {
                 Sent::Answered(run) => {
                     let backup = run.backup.as_ref().map_or("none", |t| &t.id);
-                    log::info!("event=stream request={id} target={target} backup={backup} took_ms={took}");
+                    log::info!(
+                        "event=stream request={id} target={target} backup={backup} took_ms={took}"
+                    );
                     return Ok(run);
                 }
                 Sent::NotRun(reason) => {
-                    log::info!("event=not_run request={id} target={target} reason={reason:?} took_ms={took}");
+                    log::info!(
+                        "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
                     self.loads.note_failure(target, clock::now());
                     outcome = Refusal::Declined;
                 }
                 Sent::Unknown(reason) => {
-                    log::warn!("event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}");
+                    log::warn!(
+                        "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
                     self.loads.note_failure(target, clock::now());
                     return Err(Refusal::Lost);
                 }
@@ -122,7 +129,8 @@
             unread: job.stated.prompt,
         };
         let place = self.loads.take(&choice.target.id, work);
-        self.open_run(job, admitted, &choice.target, &extras, (place, backup)).await
+        self.open_run(job, admitted, &choice.target, &extras, (place, backup))
+            .await
     }
 
     async fn open_run(
@@ -151,7 +159,12 @@
     }
 
     /// Passes a run's events on until its end, going on elsewhere if it breaks.
-    async fn pump(self: Arc<Self>, job: Job, mut run: Run, tx: mpsc::Sender<Result<Bytes, BrokenStream>>) {
+    async fn pump(
+        self: Arc<Self>,
+        job: Job,
+        mut run: Run,
+        tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+    ) {
         let mut delivered = Delivered::default();
         loop {
             let target = run.target.clone();
@@ -174,7 +187,9 @@
                 }
                 Ended::Broken(reason) => reason,
             };
-            log::warn!("event=stream_broken request={id} target={target} events={events} reason={reason:?}");
+            log::warn!(
+                "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
+            );
             self.loads.note_failure(target, clock::now());
             let resumed = match backup.filter(|_| is_success) {
                 Some(backup) => self.resume(&job, &backup, delivered.last).await,
@@ -183,7 +198,9 @@
             match resumed {
                 Ok(next) => run = next,
                 Err(reason) => {
-                    log::warn!("event=stream_given_up request={id} events={events} reason={reason:?}");
+                    log::warn!(
+                        "event=stream_given_up request={id} events={events} reason={reason:?}"
+                    );
                     // The receiver is gone if the caller left meanwhile.
                     let _ = tx.send(Err(BrokenStream { reason })).await;
                     return;
@@ -229,10 +246,15 @@
         let id = &job.stated.request_id;
         match sent {
             Ok(Sent::Answered(run)) if run.exchange.answer.status().is_success() => {
-                log::info!("event=stream_resumed request={id} target={} after={last:?} took_ms={took}", backup.id);
+                log::info!(
+                    "event=stream_resumed request={id} target={} after={last:?} took_ms={took}",
+                    backup.id
+                );
                 Ok(run)
             }
-            Ok(Sent::Answered(run)) => Err(format!("status={}", run.exchange.answer.status()).into()),
+            Ok(Sent::Answered(run)) => {
+                Err(format!("status={}", run.exchange.answer.status()).into())
+            }
             Ok(Sent::NotRun(reason) | Sent::Unknown(reason)) => Err(reason),
             Err(_) => Err("deadline".into()),
         }
@@ -261,7 +283,7 @@
                 }
             }
         }
-        while let Some(event) = splitter.next() {
+        while let Some(event) = splitter.split() {
             if event.id.is_some() && event.id <= delivered.last {
                 continue;
             }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -71,7 +71,11 @@
     /// Reads what a request's head says; `None` without a usable id.
     #[must_use]
     pub fn stated(&self, headers: &HeaderMap) -> Option<Stated> {
-        let text = |name| headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        let text = |name| {
+            headers
+                .get(name)
+                .and_then(|v: &HeaderValue| v.to_str().ok())
+        };
         let request_id = text(&self.request_id).filter(|id| !id.is_empty())?;
         let counts = text(&self.token_count).and_then(|t| t.split_once(','));
         let number = |t: &str| t.trim().parse().ok();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -37,7 +37,6 @@
     /// Headers for targets, before the system's own.
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub arrived: BootTime,
     /// The caller's deadline or the route's timeout, whichever is sooner.
     pub deadline: BootTime,
     /// Service picked by the route's weights.
@@ -71,11 +70,6 @@
         let tokens = self.stated.prompt + output.min(self.stated.most_output.max(1));
         if tokens == 0 { DEFAULT_TOKENS } else { tokens }
     }
-
-    /// Tokens that it can take at most.
-    pub fn most_tokens(&self) -> Tokens {
-        self.stated.prompt + self.stated.most_output
-    }
 }
 
 impl Gateway {
@@ -119,7 +113,9 @@
         let open = fleet.open_targets(&job.service).filter(|known| {
             let region = settings.region_of(&known.target.zone);
             !tried.contains(&known.target.id)
-                && admitted.route.allows_region(admitted.customer.as_deref(), region)
+                && admitted
+                    .route
+                    .allows_region(admitted.customer.as_deref(), region)
         });
         let costs = open.map(|known| {
             let target = &known.target;
@@ -146,7 +142,12 @@
     }
 
     /// Chooses an engine of the same zone for a copy of a run.
-    pub(crate) fn place_backup(&self, fleet: &Fleet, choice: &Choice, need: Tokens) -> Option<Arc<Target>> {
+    pub(crate) fn place_backup(
+        &self,
+        fleet: &Fleet,
+        choice: &Choice,
+        need: Tokens,
+    ) -> Option<Arc<Target>> {
         let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
         let now = clock::now();
         let fitting = fleet.open_targets(&choice.target.service).filter(|known| {
@@ -199,7 +200,10 @@
             }
         };
         set(&names.request_id, &job.stated.request_id);
-        set(&names.deadline_ms, &clock::millis(job.left(now)).to_string());
+        set(
+            &names.deadline_ms,
+            &clock::millis(job.left(now)).to_string(),
+        );
         set(&names.expect_target, &target.id);
         if let Some(customer) = &admitted.customer {
             set(&names.customer, &customer.name);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,11 +1,6 @@
 //! Callers' connections.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -52,9 +47,8 @@
     let usage = Usage::default();
     let limits = gateway.limits();
     let (of_service, used_by) = (gateway.clone(), usage.clone());
-    let service = service_fn(move |req: Request<Incoming>| {
-        answer(of_service.clone(), used_by.clone(), req)
-    });
+    let service =
+        service_fn(move |req: Request<Incoming>| answer(of_service.clone(), used_by.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -67,7 +61,10 @@
         match ended {
             Ok(Ok(())) => return,
             Ok(Err(e)) => {
-                log::debug!("event=caller_connection_ended peer={peer} error={:?}", e.to_string());
+                log::debug!(
+                    "event=caller_connection_ended peer={peer} error={:?}",
+                    e.to_string()
+                );
                 return;
             }
             Err(_) if gateway.closes_idle() && usage.count() == 0 => {
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -78,7 +78,9 @@
     #[must_use]
     pub fn all(&self) -> Vec<(TargetId, Work)> {
         let book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let busy = book.iter().filter(|(_, e)| e.work.requests > 0 || e.work.tokens > 0);
+        let busy = book
+            .iter()
+            .filter(|(_, e)| e.work.requests > 0 || e.work.tokens > 0);
         busy.map(|(id, e)| (id.clone(), e.work)).collect()
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use self::{body::AnswerBody, job::Job, refusal::Refusal, usage::Usage};
 pub use self::{
     events::{Event, EventId, EventSplitter},
     extra_sends::ExtraSends,
@@ -54,7 +55,6 @@
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     standing::Standing,
 };
-use self::{body::AnswerBody, job::Job, refusal::Refusal, usage::Usage};
 use crate::clock;
 
 /// Longest wait for a caller that names no deadline.
@@ -127,14 +127,18 @@
     pub async fn stop(self) {
         let gateway = &self.gateway;
         let began = clock::now();
-        *gateway.stopped_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(began);
+        *gateway
+            .stopped_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(began);
         gateway.standing.stop();
         log::info!("event=stopping running={}", gateway.running.count());
         let grace = Duration::from_secs_f64(gateway.settings().bounds.stop_grace_s);
         loop {
             tokio::time::sleep(STOP_PERIOD).await;
             let waited = clock::now().saturating_sub(began);
-            let is_quiet = gateway.running.count() == 0 && waited > grace.mul_f64(2.0 * IDLE_CLOSE_PART);
+            let is_quiet =
+                gateway.running.count() == 0 && waited > grace.mul_f64(2.0 * IDLE_CLOSE_PART);
             if is_quiet || waited > grace.mul_f64(STOP_PART) {
                 break;
             }
@@ -172,18 +176,28 @@
     /// Limits on callers as the newest configuration has them.
     fn limits(&self) -> CallerLimits {
         let fleet = self.standing.fleet();
-        fleet.config.as_ref().map_or_else(CallerLimits::default, |c| c.limits)
+        fleet
+            .config
+            .as_ref()
+            .map_or_else(CallerLimits::default, |c| c.limits)
     }
 
     /// Whether idle connections are to be closed.
     fn closes_idle(&self) -> bool {
-        let stopped_at = *self.stopped_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let stopped_at = *self
+            .stopped_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let grace = Duration::from_secs_f64(self.settings().bounds.stop_grace_s);
-        stopped_at.is_some_and(|at| clock::now().saturating_sub(at) > grace.mul_f64(IDLE_CLOSE_PART))
+        stopped_at
+            .is_some_and(|at| clock::now().saturating_sub(at) > grace.mul_f64(IDLE_CLOSE_PART))
     }
 
     fn with_extra_sends<T>(&self, service: &str, act: impl FnOnce(&mut ExtraSends) -> T) -> T {
-        let mut extra = self.extra_sends.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut extra = self
+            .extra_sends
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         if !extra.contains_key(service) {
             let settings = self.settings();
             let bounds = &settings.bounds;
@@ -203,7 +217,12 @@
             Ok(res) => res,
             Err(refusal) => {
                 let age = self.standing.config_age(clock::now());
-                let version = self.standing.fleet().config.as_ref().map_or(0, |c| c.version);
+                let version = self
+                    .standing
+                    .fleet()
+                    .config
+                    .as_ref()
+                    .map_or(0, |c| c.version);
                 log::info!(
                     "event=refusal request={id} reason={refusal} config={version} config_age_ms={}",
                     age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
@@ -213,13 +232,19 @@
         }
     }
 
-    async fn serve(self: &Arc<Self>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
+    async fn serve(
+        self: &Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
         let arrived = clock::now();
         let (head, body) = req.into_parts();
         let fleet = self.standing.fleet();
         let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
         let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
-        let key = head.headers.get(&self.names.key).and_then(|k| k.to_str().ok());
+        let key = head
+            .headers
+            .get(&self.names.key)
+            .and_then(|k| k.to_str().ok());
         let path = head.uri.path();
         self.admit(&fleet, &host, path, key, arrived)?;
         let stated = self.names.stated(&head.headers).ok_or(Refusal::NoId)?;
@@ -234,7 +259,9 @@
         })?;
         let fleet = self.standing.fleet();
         let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
-        let stated_left = stated.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let stated_left = stated
+            .deadline_ms
+            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let service = admitted.route.pick_service(rand::random());
         let job = Job {
             deadline: arrived + stated_left.min(admitted.route.timeout),
@@ -245,7 +272,6 @@
             uri: head.uri,
             host,
             body: body.to_bytes(),
-            arrived,
             stated,
         };
         if admitted.route.repeat == Repeat::Stream {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -98,7 +98,10 @@
     cold + FAILURE_COST * candidate.failures
 }
 
-#[expect(clippy::cast_precision_loss, reason = "token counts stay far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
 fn as_f64(tokens: Tokens) -> f64 {
     tokens as f64
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -61,13 +61,18 @@
             let now = clock::now();
             let fleet = self.standing.fleet();
             if !tried.is_empty() {
-                admitted = self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
+                admitted =
+                    self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
             let Some(choice) = self.place(&fleet, job, &admitted, &tried) else {
                 break;
             };
             if !self.may_send(job, !tried.is_empty(), now) {
-                log::info!("event=budget_empty request={} service={}", job.stated.request_id, job.service);
+                log::info!(
+                    "event=budget_empty request={} service={}",
+                    job.stated.request_id,
+                    job.service
+                );
                 break;
             }
             tried.push(choice.target.id.clone());
@@ -78,7 +83,10 @@
             let took = clock::now().saturating_sub(now).as_millis();
             match sent {
                 Sent::Answered(res) => {
-                    log::info!("event=answer request={id} target={target} status={} took_ms={took}", res.status().as_u16());
+                    log::info!(
+                        "event=answer request={id} target={target} status={} took_ms={took}",
+                        res.status().as_u16()
+                    );
                     runs += 1;
                     let is_failure = res.status().is_server_error();
                     if !is_failure {
@@ -88,13 +96,17 @@
                     fallback = Some(res);
                 }
                 Sent::NotRun(reason) => {
-                    log::info!("event=not_run request={id} target={target} reason={reason:?} took_ms={took}");
+                    log::info!(
+                        "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
                     self.loads.note_failure(target, clock::now());
                     outcome = Refusal::Declined;
                     continue;
                 }
                 Sent::Unknown(reason) => {
-                    log::warn!("event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}");
+                    log::warn!(
+                        "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
                     self.loads.note_failure(target, clock::now());
                     runs += 1;
                     outcome = Refusal::Lost;
@@ -107,8 +119,16 @@
         fallback.map(passed_on).ok_or(outcome)
     }
 
-    async fn send_plain(&self, job: &Job, admitted: &Admitted, target: &Target) -> Sent<Response<Bytes>> {
-        let work = Work { requests: 1, ..Work::default() };
+    async fn send_plain(
+        &self,
+        job: &Job,
+        admitted: &Admitted,
+        target: &Target,
+    ) -> Sent<Response<Bytes>> {
+        let work = Work {
+            requests: 1,
+            ..Work::default()
+        };
         let _place = self.loads.take(&target.id, work);
         let req = self.request_for(job, admitted, target, &Extras::default(), clock::now());
         let exchange = match Exchange::open(target.address, req).await {
@@ -138,7 +158,9 @@
             return Some(Sent::Unknown("answer to another request".into()));
         }
         if !headers.contains_key(&self.names.seal) {
-            return Some(Sent::Unknown(format!("no seal, status={}", status.as_u16()).into()));
+            return Some(Sent::Unknown(
+                format!("no seal, status={}", status.as_u16()).into(),
+            ));
         }
         if headers.contains_key(hyper::header::CONTENT_ENCODING) {
             return Some(Sent::Unknown("encoded body".into()));
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -58,7 +58,8 @@
     /// Whether both the route and its customer may be served in a region.
     #[must_use]
     pub fn allows_region(&self, customer: Option<&Customer>, region: &str) -> bool {
-        let allows = |regions: &[Box<str>]| regions.is_empty() || regions.iter().any(|r| **r == *region);
+        let allows =
+            |regions: &[Box<str>]| regions.is_empty() || regions.iter().any(|r| **r == *region);
         allows(&self.allowed_regions) && customer.is_none_or(|c| allows(&c.allowed_regions))
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -89,10 +89,7 @@
             file: name.clone(),
             source,
         })?;
-        serde_json::from_str(&text).map_err(|source| SettingsError::Parse {
-            file: name,
-            source,
-        })
+        serde_json::from_str(&text).map_err(|source| SettingsError::Parse { file: name, source })
     }
 
     /// Region of a zone; the zone's own name where it is not listed.
--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -38,7 +38,8 @@
 
     /// Notes that no change of the configuration before `sent` is missing.
     pub fn prove_config(&self, sent: BootTime) {
-        self.config_proof_ms.fetch_max(clock::millis(sent), Ordering::Relaxed);
+        self.config_proof_ms
+            .fetch_max(clock::millis(sent), Ordering::Relaxed);
     }
 
     /// Age of the newest sure read of the configuration.
@@ -51,7 +52,9 @@
     /// Daemons that share budgets, this one included.
     #[must_use]
     pub fn daemons(&self) -> usize {
-        usize::try_from(self.daemons.load(Ordering::Relaxed)).unwrap_or(1).max(1)
+        usize::try_from(self.daemons.load(Ordering::Relaxed))
+            .unwrap_or(1)
+            .max(1)
     }
 
     /// Notes how many daemons share budgets.
--- a/src/http.rs
+++ b/src/http.rs
@@ -98,6 +98,7 @@
 ///
 /// `idle` is how long a pooled connection may wait for reuse; `None` opens a
 /// connection for each call, so that a stale one can never swallow a request.
+#[must_use]
 pub fn client(connect_timeout: Duration, idle: Option<Duration>) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
