--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,289 @@
+//! State of the control thread: what is known, how sure it is, and who else is
+//! there.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use strum::IntoEnumIterator;
+use tokio::sync::watch;
+
+use super::{
+    change_log::ChangeLog,
+    fleet::FeedState,
+    load::LoadBook,
+    model::{Change, Fleet, Topic},
+    peer_wire::{Ask, Fetch, Tell, Update, Works, target_key},
+    peers::Peers,
+    standing::Standing,
+};
+use crate::{
+    clock::{self, BootTime},
+    platform::Revision,
+};
+
+/// How long followers are told that the store came back; entries that lapsed
+/// are settled by then.
+const STORE_BACK_TOLD: Duration = Duration::from_secs(5);
+
+/// State of the control thread.
+pub(crate) struct Control {
+    fleet: Fleet,
+    feeds: HashMap<Topic, FeedState>,
+    logs: HashMap<Topic, ChangeLog>,
+    read_once: HashSet<Topic>,
+    /// When the read was sent that the configuration stands on.
+    config_proof: Option<BootTime>,
+    pub peers: Peers,
+    loads: LoadBook,
+    standing: Arc<Standing>,
+    reads: watch::Sender<bool>,
+}
+
+impl Control {
+    /// Starts with nothing known.
+    pub fn new(peers: Peers, loads: LoadBook, standing: Arc<Standing>) -> Self {
+        let (reads, _) = watch::channel(true);
+        Self {
+            fleet: Fleet::default(),
+            feeds: HashMap::new(),
+            logs: HashMap::new(),
+            read_once: HashSet::new(),
+            config_proof: None,
+            peers,
+            loads,
+            standing,
+            reads,
+        }
+    }
+
+    /// Tells whether this daemon is to read the store.
+    pub fn reads(&self) -> watch::Receiver<bool> {
+        self.reads.subscribe()
+    }
+
+    /// Revision up to which a topic is known; 0 before the first read.
+    pub fn at(&self, topic: Topic) -> Revision {
+        self.logs.get(&topic).map_or(0, ChangeLog::at)
+    }
+
+    fn have(&self) -> Vec<(Topic, Revision)> {
+        Topic::iter().map(|topic| (topic, self.at(topic))).collect()
+    }
+
+    /// Notes an answer of the store. Returns what followers may lack of it.
+    pub fn take_read(&mut self, update: &Update, sent: BootTime) -> Option<Update> {
+        let now = clock::now();
+        let feed = self.feeds.entry(update.topic).or_default();
+        if feed.away_since.is_some() {
+            log::info!("event=store_back topic={} revision={}", update.topic, update.at);
+        }
+        feed.succeeded(sent, now);
+        let before = self.logs.get(&update.topic).map_or(0, ChangeLog::changed_at);
+        let is_news = self.take(update, now);
+        if update.topic == Topic::Config && self.at(Topic::Config) <= update.at {
+            self.prove(sent);
+        }
+        (is_news && !update.is_whole).then(|| Update {
+            from: before,
+            ..update.clone()
+        })
+    }
+
+    /// Notes that the store did not answer.
+    pub fn note_failure(&mut self, topic: Topic, error: &dyn std::error::Error) {
+        let feed = self.feeds.entry(topic).or_default();
+        if feed.away_since.is_none() {
+            log::warn!("event=store_lost topic={topic} error={:?}", error.to_string());
+        }
+        feed.failed(clock::now());
+    }
+
+    /// Applies an update where it leads on from what is known; true if it
+    /// changed anything.
+    fn take(&mut self, update: &Update, now: BootTime) -> bool {
+        let log = self.logs.entry(update.topic).or_default();
+        if update.at < log.at() || (!update.is_whole && update.from > log.at()) {
+            return false;
+        }
+        let feed = self.feeds.entry(update.topic).or_default();
+        if update.is_whole {
+            log.restart(update.at);
+            self.fleet.replace(update.topic, &update.changes, feed, now);
+            self.read_once.insert(update.topic);
+            self.fleet.is_complete = Topic::iter().all(|t| self.read_once.contains(&t));
+        } else {
+            log.push(update.at, &update.changes);
+            self.fleet.apply(&update.changes, feed, now);
+        }
+        let is_news = update.is_whole || !update.changes.is_empty();
+        if is_news {
+            self.standing.publish(self.fleet.clone());
+        }
+        is_news
+    }
+
+    fn prove(&mut self, sent: BootTime) {
+        self.config_proof = self.config_proof.max(Some(sent));
+        self.standing.prove_config(sent);
+    }
+
+    /// Takes changes that a reader passed on unasked.
+    pub fn take_push(&mut self, updates: &[Update]) {
+        let now = clock::now();
+        for update in updates {
+            self.take(update, now);
+        }
+    }
+
+    /// Takes a reader's answer to the question asked at `asked`.
+    pub fn take_tell(&mut self, from: &str, tell: Tell, asked: BootTime) {
+        let now = clock::now();
+        if let Some(back) = tell.store_back_ms.map(Duration::from_millis) {
+            let feed = self.feeds.entry(Topic::Targets).or_default();
+            feed.back_since = feed.back_since.max(now.checked_sub(back));
+        }
+        for update in &tell.updates {
+            self.take(update, now);
+        }
+        if let Some(age) = tell.proof_age_ms.map(Duration::from_millis)
+            && self.at(Topic::Config) >= tell.config_at
+            && let Some(sent) = asked.checked_sub(age)
+        {
+            self.prove(sent);
+        }
+        self.peers.note_tell(from, tell.works, tell.daemons, now);
+    }
+
+    /// A question for a reader.
+    pub fn ask(&self, nonce: u64, is_far: bool) -> Ask {
+        let now = clock::now();
+        let own = self.own_works();
+        let (works, daemons) = if is_far {
+            (self.peers.zone_works(&own, now), self.peers.zone_daemons(now))
+        } else {
+            (own, 1)
+        };
+        Ask {
+            nonce,
+            have: self.have(),
+            works,
+            daemons,
+        }
+    }
+
+    /// Answers a question, but for updates that are too large.
+    pub fn tell(&mut self, from: &str, ask: Ask, is_far: bool) -> Tell {
+        let now = clock::now();
+        self.peers.note_ask(from, ask.works, ask.daemons, now);
+        let own = self.own_works();
+        let back = self.feeds.get(&Topic::Targets).and_then(|f| f.back_since);
+        let back = back.map(|at| now.saturating_sub(at)).filter(|b| *b < STORE_BACK_TOLD);
+        let mut updates = Vec::new();
+        let mut is_partial = false;
+        for (topic, have) in ask.have {
+            match self.update_since(topic, have) {
+                Some(update) => updates.extend(update),
+                None => is_partial = true,
+            }
+        }
+        Tell {
+            nonce: ask.nonce,
+            proof_age_ms: self.config_proof.map(|at| clock::millis(now.saturating_sub(at)) + 1),
+            config_at: self.at(Topic::Config),
+            updates,
+            is_partial,
+            store_back_ms: back.map(clock::millis),
+            works: if is_far { Works::new() } else { self.peers.works_but(from, &own, now) },
+            daemons: self.peers.daemons(now),
+        }
+    }
+
+    /// What leads on from a revision: nothing, changes, or `None` where the
+    /// whole topic is needed.
+    fn update_since(&self, topic: Topic, have: Revision) -> Option<Option<Update>> {
+        let at = self.at(topic);
+        if at <= have {
+            return Some(None);
+        }
+        let changes = self.logs.get(&topic)?.since(have)?;
+        Some(Some(Update {
+            topic,
+            from: have,
+            at,
+            is_whole: false,
+            changes,
+        }))
+    }
+
+    /// Answers a fetch.
+    pub fn fetched(&self, fetch: &Fetch) -> Vec<Update> {
+        let known = fetch.have.iter().filter(|(topic, _)| self.at(*topic) > 0);
+        let updates = known.filter_map(|(topic, have)| match self.update_since(*topic, *have) {
+            Some(update) => update,
+            None => Some(Update {
+                topic: *topic,
+                from: 0,
+                at: self.at(*topic),
+                is_whole: true,
+                changes: self.fleet.entries(*topic, clock::now()),
+            }),
+        });
+        updates.collect()
+    }
+
+    /// What to fetch.
+    pub fn fetch(&self) -> Fetch {
+        Fetch { have: self.have() }
+    }
+
+    fn own_works(&self) -> Works {
+        let all = self.loads.all().into_iter();
+        all.map(|(id, work)| (target_key(&id), work)).collect()
+    }
+
+    /// Brings what depends on time up to date.
+    pub fn tick(&mut self) {
+        let now = clock::now();
+        if self.fleet.expire(now) {
+            self.standing.publish(self.fleet.clone());
+        }
+        let is_reader = self.peers.is_reader(now);
+        self.reads.send_if_modified(|was| {
+            let is_changed = *was != is_reader;
+            if is_changed {
+                log::info!("event=reader is_reader={is_reader} reads_for_us={:?}", self.peers.reader(now));
+            }
+            *was = is_reader;
+            is_changed
+        });
+        self.standing.set_daemons(self.peers.daemons(now).into());
+        self.standing.set_others(self.peers.others(now).into_iter().collect());
+        let targets = &self.fleet.targets;
+        self.loads.retain(|id| targets.contains_key(id));
+    }
+}
+
+impl Fleet {
+    /// A topic as a list of changes.
+    fn entries(&self, topic: Topic, now: BootTime) -> Vec<Change> {
+        match topic {
+            Topic::Config => {
+                let config = self.config.clone();
+                let entry = config.map(|c| Change::Config(self.config_revision, c));
+                entry.into_iter().collect()
+            }
+            Topic::Targets => {
+                let entry = |known: &super::model::Known| {
+                    let mut target = (*known.target).clone();
+                    target.cold_for = known.cold_until.saturating_sub(now);
+                    Change::Target(target)
+                };
+                self.targets.values().map(entry).collect()
+            }
+            Topic::Evacuations => self.zones_out.iter().cloned().map(Change::ZoneOut).collect(),
+        }
+    }
+}
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,25 +1,18 @@
-//! Follows the store: one list, then watches, for each topic.
+//! Follows the store while this daemon reads for itself or others: one list,
+//! then watches, for each topic.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
-use strum::IntoEnumIterator;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::mpsc;
 
 use super::{
-    fleet::FeedState,
-    model::{Batch, Change, Fleet, Read, Topic},
-    standing::Standing,
-};
-use crate::{
-    clock::{self, BootTime},
-    platform::Revision,
-    supervisor::supervise,
+    control::Control,
+    model::{Batch, Change, Read, Topic},
+    peer_wire::Update,
+    peers::{DaemonName, Listed},
 };
+use crate::{clock, platform::Revision};
 
 /// Longest wait of a watch. Two of them and an answer's delay stay below the
 /// age at which keys are no longer trusted; shorter ones cost more calls, and
@@ -30,10 +23,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// First and longest pause after a failed read.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
-/// Period at which lapsed entries are looked at.
-const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
 
-/// A read of the store that failed.
+/// A call to the store that failed.
 #[derive(Debug, snafu::Snafu)]
 pub enum ReadError {
     /// The history that a watch asked for is gone.
@@ -47,140 +38,89 @@
     },
 }
 
-/// Reads the store; supplied by the adapter.
-pub type ReadStore =
-    Arc<dyn Fn(Topic, Read) -> BoxFuture<'static, Result<Batch, ReadError>> + Send + Sync>;
-
-/// State of all feeds.
-struct Feeds {
-    fleet: Fleet,
-    states: HashMap<Topic, FeedState>,
-    read_once: HashSet<Topic>,
-}
-
-/// Follows all topics until `stop`.
-pub(crate) fn spawn(read: &ReadStore, standing: &Arc<Standing>, stop: &CancellationToken) {
-    let feeds = Arc::new(Mutex::new(Feeds {
-        fleet: Fleet::default(),
-        states: HashMap::new(),
-        read_once: HashSet::new(),
-    }));
-    for topic in Topic::iter() {
-        let (read, feeds, standing) = (read.clone(), feeds.clone(), standing.clone());
-        supervise("feed", stop.clone(), move || {
-            follow(topic, read.clone(), feeds.clone(), standing.clone())
-        });
-    }
-    let (feeds, standing) = (feeds.clone(), standing.clone());
-    supervise("expire", stop.clone(), move || {
-        expire(feeds.clone(), standing.clone())
-    });
-}
+type Call<T> = BoxFuture<'static, Result<T, ReadError>>;
 
-async fn expire(feeds: Arc<Mutex<Feeds>>, standing: Arc<Standing>) {
-    loop {
-        tokio::time::sleep(EXPIRE_PERIOD).await;
-        let mut feeds = feeds.lock().unwrap_or_else(PoisonError::into_inner);
-        if feeds.fleet.expire(clock::now()) {
-            standing.publish(feeds.fleet.clone());
-        }
-    }
+/// Calls to the store; supplied by the adapter.
+#[derive(Clone)]
+pub struct Store {
+    /// Reads a topic.
+    pub read: Arc<dyn Fn(Topic, Read) -> Call<Batch> + Send + Sync>,
+    /// Enters this daemon into the list of daemons.
+    pub register: Arc<dyn Fn(DaemonName, Listed) -> Call<()> + Send + Sync>,
+    /// Reads the list of daemons, which may be some seconds old.
+    pub daemons: Arc<dyn Fn() -> Call<Vec<(DaemonName, Listed)>> + Send + Sync>,
 }
 
-async fn follow(topic: Topic, read: ReadStore, feeds: Arc<Mutex<Feeds>>, standing: Arc<Standing>) {
-    let mut from: Option<Revision> = None;
+/// Follows a topic for good. Changes for followers go to `news`.
+pub(crate) async fn follow(
+    topic: Topic,
+    store: Store,
+    control: Rc<std::cell::RefCell<Control>>,
+    news: mpsc::UnboundedSender<Update>,
+) {
+    let mut reads = control.borrow().reads();
     let mut pause = RETRY_PAUSE.0;
+    let mut is_listed = false;
     loop {
+        // The sender lives as long as `control`, which this task holds.
+        let _ = reads.wait_for(|reads| *reads).await;
+        let from = Some(control.borrow().at(topic)).filter(|at| is_listed && *at > 0);
         let sent = clock::now();
-        let done = match from {
-            None => list(topic, &read).await.map(|batch| (batch, true)),
-            Some(from) => watch(topic, &read, from).await.map(|batch| (batch, false)),
+        let read = read_once(topic, &store, from);
+        let done = tokio::select! {
+            done = read => done,
+            _ = reads.wait_for(|reads| !*reads) => continue,
         };
-        from = {
-            let mut feeds = feeds.lock().unwrap_or_else(PoisonError::into_inner);
-            match done {
-                Ok((batch, is_whole)) => {
-                    feeds.take(topic, &batch, is_whole, sent, &standing);
-                    Some(batch.at)
+        match done {
+            Ok(update) => {
+                is_listed = true;
+                pause = RETRY_PAUSE.0;
+                let lacking = control.borrow_mut().take_read(&update, sent);
+                if let Some(lacking) = lacking {
+                    // Without a receiver, followers learn by asking.
+                    let _ = news.send(lacking);
                 }
-                Err(e) => {
-                    feeds.note_failure(topic, &e);
-                    None
+            }
+            Err(e) => {
+                is_listed = false;
+                if matches!(e, ReadError::HistoryGone) {
+                    log::info!("event=history_gone topic={topic}");
+                } else {
+                    control.borrow_mut().note_failure(topic, &e);
                 }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE.1);
             }
-        };
-        if from.is_some() {
-            pause = RETRY_PAUSE.0;
-        } else {
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(RETRY_PAUSE.1);
         }
     }
 }
 
-impl Feeds {
-    fn take(
-        &mut self,
-        topic: Topic,
-        batch: &Batch,
-        is_whole: bool,
-        sent: BootTime,
-        standing: &Standing,
-    ) {
-        let now = clock::now();
-        let state = self.states.entry(topic).or_default();
-        if state.away_since.is_some() {
-            log::info!("event=store_back topic={topic} revision={}", batch.at);
+async fn read_once(topic: Topic, store: &Store, from: Option<Revision>) -> Result<Update, ReadError> {
+    let batch = match from {
+        None => list(topic, store).await?,
+        Some(from) => {
+            let wait = WATCH_WAIT;
+            let call = (store.read)(topic, Read::Watch { from, wait });
+            timed(call, wait + ANSWER_TIMEOUT).await?
         }
-        state.succeeded(sent, now);
-        if is_whole {
-            self.fleet.replace(topic, batch, state, now);
-            self.read_once.insert(topic);
-            self.fleet.is_complete = Topic::iter().all(|t| self.read_once.contains(&t));
-        } else {
-            self.fleet.apply(batch, state, now);
-        }
-        if is_whole || !batch.changes.is_empty() {
-            standing.publish(self.fleet.clone());
-        }
-        if topic == Topic::Config {
-            standing.prove_config(sent);
-        }
-    }
-
-    fn note_failure(&mut self, topic: Topic, error: &ReadError) {
-        if matches!(error, ReadError::HistoryGone) {
-            log::info!("event=history_gone topic={topic}");
-            return;
-        }
-        let state = self.states.entry(topic).or_default();
-        if state.away_since.is_none() {
-            log::warn!(
-                "event=store_lost topic={topic} error={:?}",
-                error.to_string()
-            );
-        }
-        state.failed(clock::now());
-    }
-}
-
-async fn watch(topic: Topic, read: &ReadStore, from: Revision) -> Result<Batch, ReadError> {
-    let wait = WATCH_WAIT;
-    timed(
-        read(topic, Read::Watch { from, wait }),
-        wait + ANSWER_TIMEOUT,
-    )
-    .await
+    };
+    Ok(Update {
+        topic,
+        from: from.unwrap_or(0),
+        at: batch.at,
+        is_whole: from.is_none(),
+        changes: batch.changes,
+    })
 }
 
 /// Reads all pages of a list.
-async fn list(topic: Topic, read: &ReadStore) -> Result<Batch, ReadError> {
-    let first = timed(read(topic, Read::List { after: None }), ANSWER_TIMEOUT).await?;
+async fn list(topic: Topic, store: &Store) -> Result<Batch, ReadError> {
+    let page = |after| timed((store.read)(topic, Read::List { after }), ANSWER_TIMEOUT);
+    let first = page(None).await?;
     let mut whole: Vec<Change> = first.changes;
     let mut next = first.next;
     while let Some(after) = next {
-        let after = Some(after);
-        let page = timed(read(topic, Read::List { after }), ANSWER_TIMEOUT).await?;
+        let page = page(Some(after)).await?;
         whole.extend(page.changes);
         next = page.next;
     }
@@ -193,14 +133,12 @@
     })
 }
 
-async fn timed(
-    call: BoxFuture<'static, Result<Batch, ReadError>>,
-    timeout: Duration,
-) -> Result<Batch, ReadError> {
+/// Bounds a call.
+pub(crate) async fn timed<T>(call: Call<T>, timeout: Duration) -> Result<T, ReadError> {
     let done = tokio::time::timeout(timeout, call).await;
     done.unwrap_or_else(|_| {
         Err(ReadError::Failed {
-            reason: "step=read_store: timeout".into(),
+            reason: "step=store_call: timeout".into(),
         })
     })
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use super::model::{Batch, Change, Fleet, Known, Target, TargetId, Topic};
+use super::{
+    model::{Change, Fleet, Known, Target, TargetId, Topic},
+    peer_wire::target_key,
+};
 use crate::clock::BootTime;
 
 /// How long a lapsed entry may take to come back once the store has: targets
@@ -51,15 +54,15 @@
 
 impl Fleet {
     /// Applies a batch of changes; a log line for each that alters belief.
-    pub fn apply(&mut self, batch: &Batch, feed: &FeedState, now: BootTime) {
-        for change in &batch.changes {
+    pub fn apply(&mut self, changes: &[Change], feed: &FeedState, now: BootTime) {
+        for change in changes {
             self.apply_one(change, feed, now);
         }
     }
 
     /// Takes a whole list: whatever it does not name is gone.
-    pub fn replace(&mut self, topic: Topic, batch: &Batch, feed: &FeedState, now: BootTime) {
-        self.apply(batch, feed, now);
+    pub fn replace(&mut self, topic: Topic, changes: &[Change], feed: &FeedState, now: BootTime) {
+        self.apply(changes, feed, now);
         match topic {
             Topic::Config => {}
             Topic::Targets => {
@@ -67,14 +70,14 @@
                     Change::Target(t) => Some(t.id.clone()),
                     _ => None,
                 };
-                let named: BTreeSet<TargetId> = batch.changes.iter().filter_map(is_named).collect();
+                let named: BTreeSet<TargetId> = changes.iter().filter_map(is_named).collect();
                 let missing: Vec<TargetId> = self.targets.keys().cloned().collect();
                 for id in missing.iter().filter(|id| !named.contains(*id)) {
                     self.remove(id, feed, now);
                 }
             }
             Topic::Evacuations => {
-                let out = batch.changes.iter().filter_map(|c| match c {
+                let out = changes.iter().filter_map(|c| match c {
                     Change::ZoneOut(zone) => Some(zone.clone()),
                     _ => None,
                 });
@@ -138,6 +141,7 @@
             );
         }
         let known = Known {
+            key: target_key(&target.id),
             target: Arc::new(target.clone()),
             cold_until: now + target.cold_for,
             lapses_at: None,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -110,6 +110,7 @@
         let service = fleet.config.as_ref()?.services.get(&job.service)?.clone();
         let now = clock::now();
         let settings = self.settings();
+        let others = self.standing.others();
         let open = fleet.open_targets(&job.service).filter(|known| {
             let region = settings.region_of(&known.target.zone);
             !tried.contains(&known.target.id)
@@ -119,7 +120,8 @@
         });
         let costs = open.map(|known| {
             let target = &known.target;
-            let (work, failures) = self.loads.at(&target.id, now);
+            let (mut work, failures) = self.loads.at(&target.id, now);
+            work.add(others.get(&known.key));
             let candidate = Candidate {
                 work,
                 slots: target.slots,
@@ -150,11 +152,13 @@
     ) -> Option<Arc<Target>> {
         let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
         let now = clock::now();
+        let others = self.standing.others();
         let fitting = fleet.open_targets(&choice.target.service).filter(|known| {
             known.target.zone == choice.target.zone && known.target.id != choice.target.id
         });
         let costs = fitting.map(|known| {
-            let (work, failures) = self.loads.at(&known.target.id, now);
+            let (mut work, failures) = self.loads.at(&known.target.id, now);
+            work.add(others.get(&known.key));
             let candidate = Candidate {
                 work,
                 slots: known.target.slots,
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -6,11 +6,13 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::model::{TargetId, Tokens};
 use crate::clock::BootTime;
 
 /// Work at one target.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Work {
     /// Requests.
     pub requests: u32,
@@ -20,6 +22,17 @@
     pub unread: Tokens,
 }
 
+impl Work {
+    /// Adds the work of others.
+    pub fn add(&mut self, other: Option<&Work>) {
+        if let Some(other) = other {
+            self.requests += other.requests;
+            self.tokens += other.tokens;
+            self.unread += other.unread;
+        }
+    }
+}
+
 /// Work of this daemon by target, and how targets fared lately.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook(Arc<Mutex<HashMap<TargetId, Entry>>>);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 //! are called on the wire is supplied from outside.
 
 mod body;
+mod change_log;
+mod control;
 mod events;
 mod exchange;
 mod extra_sends;
@@ -16,6 +18,9 @@
 mod listener;
 mod load;
 mod model;
+mod peer_port;
+mod peer_wire;
+mod peers;
 mod placement;
 mod plain;
 mod readiness;
@@ -26,8 +31,10 @@
 mod usage;
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     io,
+    rc::Rc,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -35,14 +42,26 @@
 use arc_swap::ArcSwap;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, body::Incoming, header};
-use tokio::net::TcpListener;
+use strum::IntoEnumIterator;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
 use tokio_util::sync::CancellationToken;
 
-use self::{body::AnswerBody, job::Job, refusal::Refusal, usage::Usage};
+use self::{
+    body::AnswerBody,
+    control::Control,
+    job::Job,
+    peer_port::{Identity, PeerPort, peer_address},
+    refusal::Refusal,
+    usage::Usage,
+};
 pub use self::{
     events::{Event, EventId, EventSplitter},
     extra_sends::ExtraSends,
-    feed::{ReadError, ReadStore},
+    change_log::ChangeLog,
+    feed::{ReadError, Store},
     fleet::FeedState,
     headers::{HeaderNames, Stated, end_to_end},
     load::{LoadBook, Work},
@@ -50,6 +69,7 @@
         Batch, CallerLimits, Change, Config, Customer, EngineLimits, Fleet, Known, Read, Repeat,
         Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
+    peers::{DaemonName, Listed, Peers},
     placement::{Candidate, Distance, engine_cost, plain_cost},
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
@@ -93,18 +113,26 @@
     pub async fn spawn(
         settings: GatewaySettings,
         names: HeaderNames,
-        read: ReadStore,
+        store: Store,
     ) -> io::Result<Self> {
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let readiness = TcpListener::bind(settings.listen.readiness).await?;
         let standing = Arc::new(Standing::default());
         let control = CancellationToken::new();
-        spawn_control(read, standing.clone(), control.clone())?;
+        let loads = LoadBook::default();
+        let spawned = spawn_control(
+            store,
+            &settings,
+            loads.clone(),
+            standing.clone(),
+            control.clone(),
+        );
+        spawned.await?;
         let gateway = Arc::new(Gateway {
             settings: ArcSwap::from_pointee(settings),
             names,
             standing,
-            loads: LoadBook::default(),
+            loads,
             extra_sends: Mutex::default(),
             running: Usage::default(),
             stopped_at: Mutex::default(),
@@ -148,24 +176,59 @@
     }
 }
 
-fn spawn_control(
-    read: ReadStore,
+/// Starts the control thread; returns once its port is bound.
+async fn spawn_control(
+    store: Store,
+    settings: &GatewaySettings,
+    loads: LoadBook,
     standing: Arc<Standing>,
     stop: CancellationToken,
 ) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let identity = identity(settings)?;
+    let (bound, is_bound) = oneshot::channel();
     let body = move || {
-        runtime.block_on(async move {
-            feed::spawn(&read, &standing, &stop);
+        let tasks = tokio::task::LocalSet::new();
+        let peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now());
+        let control = Rc::new(RefCell::new(Control::new(peers, loads, standing)));
+        tasks.block_on(&runtime, async move {
+            let port = PeerPort::bind(identity, control.clone()).await;
+            let started = port.map(|port| start_control(Rc::new(port), &store, &control));
+            // The receiver waits for this.
+            let _ = bound.send(started);
             stop.cancelled().await;
         });
     };
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(body)?;
-    Ok(())
+    is_bound.await.map_err(io::Error::other)?
+}
+
+fn start_control(port: Rc<PeerPort>, store: &Store, control: &Rc<RefCell<Control>>) {
+    let (news, passed_on) = mpsc::unbounded_channel();
+    for topic in Topic::iter() {
+        let following = feed::follow(topic, store.clone(), control.clone(), news.clone());
+        tokio::task::spawn_local(following);
+    }
+    tokio::task::spawn_local(port.clone().run(passed_on));
+    tokio::task::spawn_local(port.clone().serve_fetches());
+    tokio::task::spawn_local(port.keep_listed(store.clone()));
+}
+
+fn identity(settings: &GatewaySettings) -> io::Result<Identity> {
+    let port = settings.peer_ports.0;
+    let address = peer_address(&settings.ip, port);
+    let address = address.ok_or_else(|| io::Error::other("step=peer_address: no IP address"))?;
+    let seeds = settings.seeds.iter().filter_map(|seed| peer_address(seed, port));
+    Ok(Identity {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        address,
+        seeds: seeds.collect(),
+    })
 }
 
 impl Gateway {
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{clock::BootTime, platform::Revision};
 
 /// Id of one incarnation of a target.
@@ -16,7 +18,7 @@
 pub type Tokens = u64;
 
 /// What may be done again after a request was sent once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Repeat {
     /// It may run more than once.
@@ -28,7 +30,7 @@
 }
 
 /// One route of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Name, for logs.
     pub name: Box<str>,
@@ -55,7 +57,7 @@
 }
 
 /// Limits of an engine, from the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EngineLimits {
     /// Requests decoded at once.
     pub slots: u32,
@@ -72,7 +74,7 @@
 }
 
 /// One service of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Service {
     /// Requests per second that a cold target bears; 0 when unlimited.
     pub cold_per_second: f64,
@@ -81,7 +83,7 @@
 }
 
 /// One customer of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Customer {
     /// Name, passed to targets.
     pub name: Box<str>,
@@ -92,7 +94,7 @@
 }
 
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request head.
     pub max_header_bytes: usize,
@@ -116,7 +118,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
     /// The operator's version number.
     pub version: u64,
@@ -133,7 +135,7 @@
 }
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// Id of this incarnation.
     pub id: TargetId,
@@ -152,7 +154,9 @@
 }
 
 /// Something that the store holds and the gateway follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumIter,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Topic {
     /// The configuration.
@@ -181,7 +185,7 @@
 }
 
 /// One change, or one entry of a list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Change {
     /// A configuration, with the revision at which it was written.
     Config(Revision, Arc<Config>),
@@ -231,6 +235,8 @@
 /// A target with what this daemon noted about its entry.
 #[derive(Clone, Debug)]
 pub struct Known {
+    /// Short form of its id.
+    pub key: super::peer_wire::TargetKey,
     /// As it says itself.
     pub target: Arc<Target>,
     /// Until when it is cold.
--- /dev/null
+++ b/src/gateway/peer_port.rs
@@ -0,0 +1,304 @@
+//! Datagrams and fetches between daemons, and the list of daemons.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::mpsc,
+};
+
+use super::{
+    control::Control,
+    feed::{Store, timed},
+    model::ZoneName,
+    peer_wire::{Ask, Fetch, Incarnation, Message, Packet, Tell, Update},
+    peers::{ASK_PERIOD, DaemonName, FAR_ASK_PERIOD, Listed},
+};
+use crate::{
+    clock::{self, BootTime},
+    peer::{Seal, ask, serve_frames},
+};
+
+/// Largest datagram, so that none is split on its way.
+const MAX_DATAGRAM_BYTES: usize = 1_200;
+/// Room for what arrives.
+const RECEIVE_BYTES: usize = 4 * 1_024;
+/// Longest wait for whole topics: a large configuration over a slow link.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an unanswered question is remembered.
+const ASKED_KEPT: Duration = Duration::from_secs(1);
+/// Longest wait for the list of daemons.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// When to read the list of daemons after the start; the store may answer with
+/// one that is seconds old.
+const LIST_AT: [Duration; 4] = [
+    Duration::from_millis(300),
+    Duration::from_millis(1_500),
+    Duration::from_secs(4),
+    Duration::from_secs(8),
+];
+/// Period of reading it later on, for daemons that nobody told of.
+const LIST_PERIOD: Duration = Duration::from_secs(20);
+/// Pause after a failed entry into the list.
+const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+/// Keys the check sum of messages; there is no secret among instances.
+const SEAL: &str = "bluebelldrift gateway peers";
+
+/// What identifies this daemon to others.
+pub(crate) struct Identity {
+    pub name: DaemonName,
+    pub zone: ZoneName,
+    pub address: SocketAddr,
+    /// Peer addresses of some other instances; may be out of date.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// A port for other daemons.
+pub(crate) struct PeerPort {
+    identity: Identity,
+    incarnation: Incarnation,
+    udp: UdpSocket,
+    tcp: TcpListener,
+    seal: Seal,
+    control: Rc<RefCell<Control>>,
+    /// When each unanswered question was asked.
+    asked: RefCell<HashMap<u64, BootTime>>,
+}
+
+impl PeerPort {
+    /// Binds UDP and TCP to the peer address.
+    pub async fn bind(identity: Identity, control: Rc<RefCell<Control>>) -> io::Result<Self> {
+        let udp = UdpSocket::bind(identity.address).await?;
+        let tcp = TcpListener::bind(identity.address).await?;
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Ok(Self {
+            incarnation: clock::millis(since_epoch.unwrap_or_default()),
+            identity,
+            udp,
+            tcp,
+            seal: Seal::new(SEAL),
+            control,
+            asked: RefCell::default(),
+        })
+    }
+
+    /// Asks and passes on, for good.
+    pub async fn run(self: Rc<Self>, mut news: mpsc::UnboundedReceiver<Update>) {
+        let mut near = tokio::time::interval(ASK_PERIOD);
+        let mut far = tokio::time::interval(FAR_ASK_PERIOD);
+        let mut buf = vec![0; RECEIVE_BYTES];
+        loop {
+            tokio::select! {
+                _ = near.tick() => self.tick().await,
+                _ = far.tick() => self.ask_far().await,
+                Some(update) = news.recv() => self.push(update).await,
+                received = self.udp.recv_from(&mut buf) => match received {
+                    Ok((len, from)) => self.receive(&buf[..len], from).await,
+                    Err(e) => log::debug!("event=receive_failed error={e:?}"),
+                },
+            }
+        }
+    }
+
+    async fn tick(&self) {
+        let now = clock::now();
+        self.asked.borrow_mut().retain(|_, at| now.saturating_sub(*at) < ASKED_KEPT);
+        self.control.borrow_mut().tick();
+        let mut to = self.control.borrow().peers.to_ask(now);
+        if !self.control.borrow().peers.knows_any() {
+            to.extend(self.identity.seeds.iter().filter(|s| **s != self.identity.address));
+        }
+        self.ask_all(&to, false).await;
+    }
+
+    async fn ask_far(&self) {
+        let now = clock::now();
+        let to = {
+            let control = self.control.borrow();
+            if control.peers.is_reader(now) { control.peers.to_ask_far(now) } else { Vec::new() }
+        };
+        self.ask_all(&to, true).await;
+    }
+
+    async fn ask_all(&self, to: &[SocketAddr], is_far: bool) {
+        for peer in to {
+            let nonce = rand::random();
+            let ask = self.control.borrow().ask(nonce, is_far);
+            self.asked.borrow_mut().insert(nonce, clock::now());
+            self.send(*peer, Message::Ask(ask)).await;
+        }
+    }
+
+    async fn push(&self, update: Update) {
+        let to = self.control.borrow().peers.followers(clock::now());
+        for peer in to {
+            self.send(peer, Message::Push(vec![update.clone()])).await;
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, message: Message) {
+        let packet = Packet {
+            from: self.identity.name.clone(),
+            zone: self.identity.zone.clone(),
+            incarnation: self.incarnation,
+            message,
+        };
+        let sealed = self.seal.seal(&packet);
+        let sealed = if sealed.len() <= MAX_DATAGRAM_BYTES {
+            sealed
+        } else {
+            let Some(message) = without_updates(packet.message) else {
+                return;
+            };
+            self.seal.seal(&Packet { message, ..packet })
+        };
+        metrics::counter!("bluebell_control_bytes", "direction" => "sent")
+            .increment(sealed.len() as u64);
+        if let Err(e) = self.udp.send_to(&sealed, to).await {
+            log::debug!("event=datagram_failed peer={to} error={e:?}");
+        }
+    }
+
+    async fn receive(&self, sealed: &[u8], from: SocketAddr) {
+        let Some(packet) = self.seal.open::<Packet>(sealed) else {
+            log::debug!("event=datagram_unreadable peer={from}");
+            return;
+        };
+        let now = clock::now();
+        let listed = Listed {
+            address: from,
+            zone: packet.zone,
+        };
+        let is_far = listed.zone != self.identity.zone;
+        let is_new = {
+            let peers = &mut self.control.borrow_mut().peers;
+            peers.hear(&packet.from, listed, packet.incarnation, now)
+        };
+        if !is_new {
+            return;
+        }
+        match packet.message {
+            Message::Ask(ask) => self.answer(&packet.from, ask, from, is_far).await,
+            Message::Tell(tell) => self.take_tell(&packet.from, tell, from).await,
+            Message::Push(updates) => self.control.borrow_mut().take_push(&updates),
+        }
+    }
+
+    async fn answer(&self, name: &str, ask: Ask, to: SocketAddr, is_far: bool) {
+        let tell = self.control.borrow_mut().tell(name, ask, is_far);
+        self.send(to, Message::Tell(tell)).await;
+    }
+
+    async fn take_tell(&self, name: &str, tell: Tell, from: SocketAddr) {
+        let asked = self.asked.borrow_mut().remove(&tell.nonce);
+        let Some(asked) = asked else {
+            return;
+        };
+        let is_partial = tell.is_partial;
+        self.control.borrow_mut().take_tell(name, tell, asked);
+        if is_partial {
+            self.fetch(from).await;
+        }
+    }
+
+    /// Fetches topics whole, and applies them.
+    async fn fetch(&self, from: SocketAddr) {
+        let fetch = self.control.borrow().fetch();
+        let fetched = ask::<Fetch, Vec<Update>>(&self.seal, from, fetch, FETCH_TIMEOUT).await;
+        match fetched {
+            Ok(updates) => self.control.borrow_mut().take_push(&updates),
+            Err(e) => log::warn!("event=fetch_failed error={:?}", e.to_string()),
+        }
+    }
+
+    /// Answers fetches, for good.
+    pub async fn serve_fetches(self: Rc<Self>) {
+        loop {
+            match self.tcp.accept().await {
+                Ok((tcp, peer)) => {
+                    tokio::task::spawn_local(self.clone().serve_fetch(tcp, peer));
+                }
+                Err(e) => {
+                    log::warn!("event=accept_failed port=peers error={e:?}");
+                    tokio::time::sleep(FETCH_TIMEOUT).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_fetch(self: Rc<Self>, tcp: TcpStream, peer: SocketAddr) {
+        let control = self.control.clone();
+        let answer = move |fetch: Fetch| std::future::ready(control.borrow().fetched(&fetch));
+        let served = serve_frames(tcp, self.seal.clone(), peer, FETCH_TIMEOUT, answer).await;
+        if let Err(e) = served {
+            log::debug!("event=fetch_connection_ended error={:?}", e.to_string());
+        }
+    }
+
+    /// Enters this daemon into the list of daemons and reads it, for good.
+    pub async fn keep_listed(self: Rc<Self>, store: Store) {
+        self.register(&store).await;
+        let mut waited = Duration::ZERO;
+        for at in LIST_AT {
+            tokio::time::sleep(at.saturating_sub(waited)).await;
+            waited = at;
+            self.list(&store).await;
+        }
+        loop {
+            tokio::time::sleep(LIST_PERIOD).await;
+            self.list(&store).await;
+        }
+    }
+
+    async fn register(&self, store: &Store) {
+        let own = Listed {
+            address: self.identity.address,
+            zone: self.identity.zone.clone(),
+        };
+        loop {
+            let call = (store.register)(self.identity.name.clone(), own.clone());
+            match timed(call, LIST_TIMEOUT).await {
+                Ok(()) => return,
+                Err(e) => log::warn!("event=register_failed error={:?}", e.to_string()),
+            }
+            tokio::time::sleep(REGISTER_PAUSE).await;
+        }
+    }
+
+    async fn list(&self, store: &Store) {
+        match timed((store.daemons)(), LIST_TIMEOUT).await {
+            Ok(daemons) => self.control.borrow_mut().peers.list(daemons),
+            Err(e) => log::warn!("event=list_daemons_failed error={:?}", e.to_string()),
+        }
+    }
+}
+
+/// A message that is too large for a datagram, without what can be fetched.
+fn without_updates(message: Message) -> Option<Message> {
+    match message {
+        Message::Tell(tell) => Some(Message::Tell(Tell {
+            updates: Vec::new(),
+            is_partial: true,
+            ..tell
+        })),
+        Message::Ask(_) => Some(message),
+        // Followers learn by asking.
+        Message::Push(_) => None,
+    }
+}
+
+/// The peer address of an instance, given any of its addresses.
+pub(crate) fn peer_address(address: &str, port: u16) -> Option<SocketAddr> {
+    let ip: IpAddr = match address.parse::<SocketAddr>() {
+        Ok(address) => address.ip(),
+        Err(_) => address.parse().ok()?,
+    };
+    Some(SocketAddr::new(ip, port))
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,307 @@
+//! Who reads the store for whom, and what all daemons have running.
+//!
+//! Load pattern: every call to the store is paid and its rates grow more
+//! slowly than the fleet, so that one daemon of a zone reads for all of it. The
+//! others ask it several times a second. The answer carries the age of its
+//! proof, counted from the question, so that neither a delay on the way nor a
+//! pause of either process makes a proof look younger than it is.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use super::{
+    load::Work,
+    model::ZoneName,
+    peer_wire::{Incarnation, TargetKey, Works},
+};
+use crate::{cell, clock::BootTime};
+
+/// Period of questions to the reader of the own zone. It bounds how old the
+/// work of other daemons is in a choice of target.
+pub const ASK_PERIOD: Duration = Duration::from_millis(200);
+/// Period of questions between readers of zones; bytes between regions are paid.
+pub const FAR_ASK_PERIOD: Duration = Duration::from_millis(400);
+/// Silence after which a reader is replaced: two questions and a round trip
+/// between regions.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// How long a daemon reads the store after it was last asked; longer than a
+/// watch, so that a lost question does not end one.
+const ASKED_FOR: Duration = Duration::from_secs(2);
+/// How long the work of a silent daemon counts.
+const WORK_KEPT: Duration = Duration::from_millis(1_500);
+/// How long a silent daemon counts as one that shares budgets: a pause does
+/// not end what it may send when it wakes.
+const MEMBER_KEPT: Duration = Duration::from_secs(10);
+
+/// Name of a daemon.
+pub type DaemonName = Box<str>;
+
+/// A daemon as the store lists it, or as it was heard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// Availability zone it stands in.
+    pub zone: ZoneName,
+}
+
+/// What one other daemon said last.
+#[derive(Clone, Debug)]
+struct Heard {
+    incarnation: Incarnation,
+    heard_at: BootTime,
+    /// When it last answered a question.
+    told_at: Option<BootTime>,
+    works: Works,
+    /// Daemons whose work that is.
+    daemons: u16,
+}
+
+/// What this daemon knows of the others.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    name: DaemonName,
+    zone: ZoneName,
+    listed: BTreeMap<DaemonName, Listed>,
+    heard: HashMap<DaemonName, Heard>,
+    /// When another daemon last asked.
+    asked_at: Option<BootTime>,
+    /// What the reader of the own zone said of the others.
+    told: Option<(BootTime, Works, u16)>,
+    /// When this daemon began to look for a reader.
+    started: BootTime,
+}
+
+impl Peers {
+    /// Starts alone.
+    #[must_use]
+    pub fn new(name: impl Into<Box<str>>, zone: impl Into<Box<str>>, now: BootTime) -> Self {
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            listed: BTreeMap::new(),
+            heard: HashMap::new(),
+            asked_at: None,
+            told: None,
+            started: now,
+        }
+    }
+
+    /// Takes the daemons that the store lists.
+    pub fn list(&mut self, daemons: impl IntoIterator<Item = (DaemonName, Listed)>) {
+        for (name, listed) in daemons {
+            if name != self.name {
+                self.listed.insert(name, listed);
+            }
+        }
+    }
+
+    /// Whether any other daemon is known.
+    #[must_use]
+    pub fn knows_any(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
+    /// Notes a datagram of another daemon; false for one of an older run.
+    pub fn hear(
+        &mut self,
+        name: &str,
+        listed: Listed,
+        incarnation: Incarnation,
+        now: BootTime,
+    ) -> bool {
+        if *name == *self.name {
+            return false;
+        }
+        let last = self.heard.get(name).map_or(0, |h| h.incarnation);
+        if incarnation < last {
+            return false;
+        }
+        if self.listed.get(name) != Some(&listed) {
+            log::info!("event=daemon name={name} zone={} address={}", listed.zone, listed.address);
+            self.listed.insert(name.into(), listed);
+        }
+        let heard = self.heard.entry(name.into()).or_insert_with(|| Heard {
+            incarnation,
+            heard_at: now,
+            told_at: None,
+            works: Vec::new(),
+            daemons: 1,
+        });
+        heard.incarnation = incarnation;
+        heard.heard_at = now;
+        true
+    }
+
+    /// Notes a question and the work that came with it.
+    pub fn note_ask(&mut self, name: &str, works: Works, daemons: u16, now: BootTime) {
+        self.asked_at = Some(now);
+        if let Some(heard) = self.heard.get_mut(name) {
+            heard.works = works;
+            heard.daemons = daemons;
+        }
+    }
+
+    /// Notes an answer, with the work of all daemons that the sender knows.
+    pub fn note_tell(&mut self, name: &str, works: Works, daemons: u16, now: BootTime) {
+        if let Some(heard) = self.heard.get_mut(name) {
+            heard.told_at = Some(now);
+        }
+        if self.reader(now).is_some_and(|reader| *reader == *name) {
+            self.told = Some((now, works, daemons));
+        }
+    }
+
+    /// Daemons of a zone, best reader first; this one is left out.
+    fn ranked(&self, zone: &str) -> Vec<(u64, &str)> {
+        let of_zone = self.listed.iter().filter(|(_, l)| *l.zone == *zone);
+        let mut ranked: Vec<_> = of_zone.map(|(name, _)| (cell::score(zone, name), &**name)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked
+    }
+
+    /// Daemons of the own zone that are better readers than this one.
+    fn better(&self) -> Vec<&str> {
+        let own = cell::score(&self.zone, &self.name);
+        let ranked = self.ranked(&self.zone);
+        let better = ranked.into_iter().filter(|(score, _)| *score > own);
+        better.map(|(_, name)| name).collect()
+    }
+
+    fn tells(&self, name: &str, now: BootTime) -> bool {
+        let told = self.heard.get(name).and_then(|h| h.told_at);
+        told.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER)
+    }
+
+    /// The daemon that reads for this one; `None` if it reads itself.
+    #[must_use]
+    pub fn reader(&self, now: BootTime) -> Option<&str> {
+        self.better().into_iter().find(|name| self.tells(name, now))
+    }
+
+    /// Whether this daemon is to read the store.
+    #[must_use]
+    pub fn is_reader(&self, now: BootTime) -> bool {
+        let is_asked = self.asked_at.is_some_and(|at| now.saturating_sub(at) < ASKED_FOR);
+        is_asked || self.reader(now).is_none()
+    }
+
+    /// Whom to ask now in the own zone: the reader, or all that could be.
+    #[must_use]
+    pub fn to_ask(&self, now: BootTime) -> Vec<SocketAddr> {
+        let better = self.better();
+        let reader = better.iter().position(|name| self.tells(name, now));
+        // One that outranks the reader may be back.
+        let asked = reader.map_or(better.len(), |at| at + 1);
+        self.addresses(&better[..asked])
+    }
+
+    /// Whom to ask in other zones, when this daemon reads for its own.
+    #[must_use]
+    pub fn to_ask_far(&self, now: BootTime) -> Vec<SocketAddr> {
+        let mut zones: Vec<&str> = self.listed.values().map(|l| &*l.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let mut asked = Vec::new();
+        for zone in zones.into_iter().filter(|z| **z != *self.zone) {
+            let ranked: Vec<&str> = self.ranked(zone).into_iter().map(|(_, n)| n).collect();
+            let reader = ranked.iter().position(|name| self.tells(name, now));
+            let end = reader.map_or(ranked.len().min(2), |at| at + 1);
+            asked.extend(self.addresses(&ranked[..end]));
+        }
+        asked
+    }
+
+    fn addresses(&self, names: &[&str]) -> Vec<SocketAddr> {
+        names.iter().map(|name| self.listed[*name].address).collect()
+    }
+
+    /// Daemons of the own zone that asked lately, for pushed changes.
+    #[must_use]
+    pub fn followers(&self, now: BootTime) -> Vec<SocketAddr> {
+        let lately = self.heard.iter().filter(|(_, h)| now.saturating_sub(h.heard_at) < ASKED_FOR);
+        let listed = lately.filter_map(|(name, _)| self.listed.get(name));
+        listed.filter(|l| l.zone == self.zone).map(|l| l.address).collect()
+    }
+
+    /// Work of daemons that told this one directly, but for one of them.
+    fn direct<'a>(
+        &'a self,
+        but: &'a str,
+        zone: Option<&'a str>,
+        now: BootTime,
+    ) -> impl Iterator<Item = &'a Heard> {
+        self.heard.iter().filter_map(move |(name, heard)| {
+            let is_fresh = now.saturating_sub(heard.heard_at) < WORK_KEPT;
+            let is_in = zone.is_none_or(|zone| self.listed.get(name).is_some_and(|l| *l.zone == *zone));
+            (is_fresh && is_in && **name != *but).then_some(heard)
+        })
+    }
+
+    /// Work of the whole own zone, `own` being that of this daemon.
+    #[must_use]
+    pub fn zone_works(&self, own: &Works, now: BootTime) -> Works {
+        let others = self.direct("", Some(&self.zone), now);
+        sum(others.map(|h| &h.works).chain([own]))
+    }
+
+    /// Work of all daemons but `asker`, `own` being that of this daemon.
+    #[must_use]
+    pub fn works_but(&self, asker: &str, own: &Works, now: BootTime) -> Works {
+        let others = self.direct(asker, None, now);
+        sum(others.map(|h| &h.works).chain([own]))
+    }
+
+    /// Work of all other daemons.
+    #[must_use]
+    pub fn others(&self, now: BootTime) -> Works {
+        if let Some((at, works, _)) = &self.told
+            && self.reader(now).is_some()
+            && now.saturating_sub(*at) < WORK_KEPT
+        {
+            return works.clone();
+        }
+        sum(self.direct("", None, now).map(|h| &h.works))
+    }
+
+    /// Daemons of the own zone, this one included.
+    #[must_use]
+    pub fn zone_daemons(&self, now: BootTime) -> u16 {
+        self.count_members(now, |l| l.zone == self.zone)
+    }
+
+    /// All daemons known to live, this one included.
+    #[must_use]
+    pub fn daemons(&self, now: BootTime) -> u16 {
+        let direct = self.count_members(now, |_| true);
+        let told = self.told.as_ref().filter(|(at, ..)| now.saturating_sub(*at) < MEMBER_KEPT);
+        direct.max(told.map_or(0, |(_, _, daemons)| *daemons))
+    }
+
+    /// Daemons that were heard lately. One of another zone reads for others
+    /// and says for how many.
+    fn count_members(&self, now: BootTime, is_in: impl Fn(&Listed) -> bool) -> u16 {
+        let grace = now.saturating_sub(self.started) < MEMBER_KEPT;
+        let members = self.listed.iter().filter(|(_, l)| is_in(l));
+        let counts = members.map(|(name, listed)| match self.heard.get(name) {
+            Some(h) if now.saturating_sub(h.heard_at) < MEMBER_KEPT => {
+                if listed.zone == self.zone { 1 } else { h.daemons }
+            }
+            // One that is listed may come up later than this one.
+            None if grace => 1,
+            _ => 0,
+        });
+        counts.sum::<u16>().saturating_add(1)
+    }
+}
+
+fn sum<'a>(all: impl Iterator<Item = &'a Works>) -> Works {
+    let mut total: BTreeMap<TargetKey, Work> = BTreeMap::new();
+    for (key, work) in all.flatten() {
+        total.entry(*key).or_default().add(Some(work));
+    }
+    total.into_iter().collect()
+}
--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -1,14 +1,17 @@
 //! What traffic reads of the control thread's state.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
-use std::time::Duration;
 
-use super::model::Fleet;
+use super::{load::Work, model::Fleet, peer_wire::TargetKey};
 use crate::clock::{self, BootTime};
 
 /// The newest view of the fleet. The control thread writes, traffic reads
@@ -21,6 +24,8 @@
     config_proof_ms: AtomicU64,
     /// Daemons that share budgets, this one included.
     daemons: AtomicU64,
+    /// Work of all other daemons.
+    others: ArcSwap<HashMap<TargetKey, Work>>,
     is_stopping: AtomicBool,
 }
 
@@ -62,6 +67,17 @@
         self.daemons.store(count as u64, Ordering::Relaxed);
     }
 
+    /// Work of all other daemons, as last heard.
+    #[must_use]
+    pub fn others(&self) -> Arc<HashMap<TargetKey, Work>> {
+        self.others.load_full()
+    }
+
+    /// Notes the work of all other daemons.
+    pub fn set_others(&self, others: HashMap<TargetKey, Work>) {
+        self.others.store(Arc::new(others));
+    }
+
     /// The process was told to stop.
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,7 +11,7 @@
     net::{TcpListener, TcpStream, UdpSocket},
 };
 
-use crate::wire::{Frame, Packet};
+use crate::wire::Packet;
 
 /// Bytes of the hash in front of each message.
 const MAC_BYTES: usize = 16;
@@ -163,28 +163,28 @@
 
 /// A frame with a nonce, so that an answer belongs to its request alone.
 #[derive(Serialize, serde::Deserialize)]
-struct Numbered {
+struct Numbered<F> {
     nonce: u64,
-    frame: Frame,
+    frame: F,
 }
 
 /// Sends one frame on a connection of its own and waits for the answer.
 ///
 /// # Errors
 /// No connection, no authentic answer, or none within `timeout`.
-pub async fn ask(
+pub async fn ask<Q: Serialize, A: DeserializeOwned>(
     seal: &Seal,
     peer: SocketAddr,
-    frame: Frame,
+    frame: Q,
     timeout: Duration,
-) -> Result<Frame, PeerError> {
+) -> Result<A, PeerError> {
     let exchange = async {
         let step = "connect";
         let connected = TcpStream::connect(peer).await;
         let mut tcp = connected.map_err(|source| PeerError::Io { step, peer, source })?;
         let nonce = rand::random();
         write_frame(&mut tcp, seal, peer, &Numbered { nonce, frame }).await?;
-        let answer: Numbered = read_frame(&mut tcp, seal, peer).await?;
+        let answer: Numbered<A> = read_frame(&mut tcp, seal, peer).await?;
         if answer.nonce == nonce {
             Ok(answer.frame)
         } else {
@@ -200,7 +200,7 @@
 }
 
 /// Serves one connection: each frame is answered by `answer`.
-pub(crate) async fn serve_frames<F, Fut>(
+pub(crate) async fn serve_frames<Q, F, Fut>(
     mut tcp: TcpStream,
     seal: Seal,
     peer: SocketAddr,
@@ -208,11 +208,12 @@
     answer: F,
 ) -> Result<(), PeerError>
 where
-    F: Fn(Frame) -> Fut,
-    Fut: Future<Output = Frame>,
+    Q: DeserializeOwned,
+    F: Fn(Q) -> Fut,
+    Fut: Future<Output: Serialize>,
 {
     loop {
-        let reading = read_frame::<Numbered>(&mut tcp, &seal, peer);
+        let reading = read_frame::<Numbered<Q>>(&mut tcp, &seal, peer);
         let read = tokio::time::timeout(idle, reading).await;
         let Numbered { nonce, frame } = read.unwrap_or(Err(PeerError::Timeout { peer }))?;
         let frame = answer(frame).await;
@@ -224,7 +225,7 @@
     tcp: &mut TcpStream,
     seal: &Seal,
     peer: SocketAddr,
-    message: &Numbered,
+    message: &impl Serialize,
 ) -> Result<(), PeerError> {
     let step = "write";
     let sealed = seal.seal(message);
