The expected wait for the first event decides where a generation goes

Change: a daemon tells its zone at once what it has running; the cost of an engine is the expected wait against the objective, at a rate learnt from first events, and memory counts little until it gets short.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,14 +8,14 @@
 };
 
 use strum::IntoEnumIterator;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{
     change_log::ChangeLog,
     fleet::FeedState,
     load::LoadBook,
     model::{Change, Fleet, Topic},
-    peer_wire::{Ask, Fetch, Tell, Update, Works, target_key},
+    peer_wire::{Ask, Fetch, Running, Tell, Update, Works, target_key},
     peers::Peers,
     standing::Standing,
 };
@@ -64,6 +64,11 @@
         self.reads.subscribe()
     }
 
+    /// Tells when this daemon's work changes.
+    pub fn load_changes(&self) -> Arc<Notify> {
+        self.loads.changes()
+    }
+
     /// Revision up to which a topic is known; 0 before the first read.
     pub fn at(&self, topic: Topic) -> Revision {
         self.logs.get(&topic).map_or(0, ChangeLog::at)
@@ -154,31 +159,41 @@
         {
             self.prove(sent);
         }
-        self.peers.note_tell(from, tell.works, tell.daemons, now);
+        self.peers.note_tell(from, now);
     }
 
     /// A question for a reader.
     pub fn ask(&self, nonce: u64, is_far: bool) -> Ask {
-        let now = clock::now();
         let own = self.own_works();
-        let (works, daemons) = if is_far {
-            (self.peers.zone_works(&own, now), self.peers.zone_daemons(now))
-        } else {
-            (own, 1)
-        };
+        let zone = is_far.then(|| self.peers.zone_works(&own, clock::now()));
         Ask {
             nonce,
             have: self.have(),
-            works,
-            daemons,
+            zone,
+        }
+    }
+
+    /// What this daemon has running, for its zone.
+    pub fn running(&self) -> Running {
+        let now = clock::now();
+        let is_first = self.peers.reader(now).is_none();
+        Running {
+            own: self.own_works(),
+            far: is_first.then(|| self.peers.far_works(now)),
         }
     }
 
+    /// Notes what another daemon has running.
+    pub fn take_running(&mut self, from: &str, running: Running) {
+        let now = clock::now();
+        self.peers.note_running(from, running, now);
+        self.share_others(now);
+    }
+
     /// Answers a question, but for updates that are too large.
-    pub fn tell(&mut self, from: &str, ask: Ask, is_far: bool) -> Tell {
+    pub fn tell(&mut self, from: &str, ask: Ask) -> Tell {
         let now = clock::now();
-        self.peers.note_ask(from, ask.works, ask.daemons, now);
-        let own = self.own_works();
+        self.peers.note_ask(from, ask.zone, now);
         let back = self.feeds.get(&Topic::Targets).and_then(|f| f.back_since);
         let back = back.map(|at| now.saturating_sub(at)).filter(|b| *b < STORE_BACK_TOLD);
         let mut updates = Vec::new();
@@ -196,8 +211,6 @@
             updates,
             is_partial,
             store_back_ms: back.map(clock::millis),
-            works: if is_far { Works::new() } else { self.peers.works_but(from, &own, now) },
-            daemons: self.peers.daemons(now),
         }
     }
 
@@ -239,6 +252,11 @@
         Fetch { have: self.have() }
     }
 
+    fn share_others(&self, now: BootTime) {
+        let others = self.peers.others(now);
+        self.standing.set_others(others.into_iter().collect());
+    }
+
     fn own_works(&self) -> Works {
         let all = self.loads.all().into_iter();
         all.map(|(id, work)| (target_key(&id), work)).collect()
@@ -260,7 +278,7 @@
             is_changed
         });
         self.standing.set_daemons(self.peers.daemons(now).into());
-        self.standing.set_others(self.peers.others(now).into_iter().collect());
+        self.share_others(now);
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
     }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -1,7 +1,7 @@
 //! Streamed requests: events pass on as they come, and a run whose engine
 //! fails goes on from its copy at another.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -16,11 +16,12 @@
     headers::end_to_end,
     job::{Admitted, Choice, Extras, Job},
     load::{Place, Work},
-    model::Target,
+    model::{Target, Tokens},
+    placement::ReadRate,
     plain::Sent,
     refusal::Refusal,
 };
-use crate::clock;
+use crate::clock::{self, BootTime};
 
 /// Pieces on their way to a caller that reads slowly.
 const PIECES_WAITING: usize = 64;
@@ -31,6 +32,8 @@
     target: Arc<Target>,
     backup: Option<Arc<Target>>,
     place: Place,
+    /// Prompt tokens that its first event waits for, and since when.
+    awaits: Option<(Tokens, BootTime)>,
 }
 
 /// What the caller has of a stream.
@@ -38,6 +41,22 @@
 struct Delivered {
     last: Option<EventId>,
     events: u64,
+    first_at: Option<BootTime>,
+    last_at: BootTime,
+    longest_gap: Duration,
+}
+
+impl Delivered {
+    fn note(&mut self, id: Option<EventId>, now: BootTime) {
+        self.last = id.or(self.last);
+        self.events += 1;
+        if self.first_at.is_some() {
+            let gap = now.saturating_sub(self.last_at);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = now;
+    }
 }
 
 /// How reading a run ended.
@@ -82,7 +101,7 @@
                 return Err(outcome);
             }
             tried.push(choice.target.id.clone());
-            let backup = self.place_backup(&fleet, &choice, job.tokens());
+            let backup = self.place_backup(&fleet, &choice, &job.need(admitted.route.objective));
             let sent = self.send_stream(job, &admitted, &choice, backup).await;
             let (id, target) = (&job.stated.request_id, &choice.target.id);
             let took = clock::now().saturating_sub(now).as_millis();
@@ -129,8 +148,16 @@
             unread: job.stated.prompt,
         };
         let place = self.loads.take(&choice.target.id, work);
-        self.open_run(job, admitted, &choice.target, &extras, (place, backup))
-            .await
+        let awaits = (choice.ahead + job.stated.prompt, clock::now());
+        let sent = self.open_run(job, admitted, &choice.target, &extras, place);
+        match sent.await {
+            Sent::Answered(run) => Sent::Answered(Run {
+                backup,
+                awaits: Some(awaits),
+                ..run
+            }),
+            other => other,
+        }
     }
 
     async fn open_run(
@@ -139,7 +166,7 @@
         admitted: &Admitted,
         target: &Arc<Target>,
         extras: &Extras,
-        (place, backup): (Place, Option<Arc<Target>>),
+        place: Place,
     ) -> Sent<Run> {
         let req = self.request_for(job, admitted, target, extras, clock::now());
         let exchange = match Exchange::open(target.address, req).await {
@@ -153,8 +180,9 @@
         Sent::Answered(Run {
             exchange,
             target: target.clone(),
-            backup,
+            backup: None,
             place,
+            awaits: None,
         })
     }
 
@@ -171,14 +199,16 @@
             let backup = run.backup.take();
             let left = job.left(clock::now());
             let is_success = run.exchange.answer.status().is_success();
-            let reading = read_run(run, &mut delivered, &tx);
+            let reading = read_run(run, &mut delivered, &tx, &self.read_rate);
             let ended = tokio::time::timeout(left, reading).await;
             let ended = ended.unwrap_or(Ended::Broken("deadline".into()));
             let id = &job.stated.request_id;
             let (events, target) = (delivered.events, &target.id);
             let reason = match ended {
                 Ended::Whole => {
-                    log::info!("event=stream_end request={id} target={target} events={events}");
+                    let first = delivered.first_at.map_or(0, |at| clock::millis(at.saturating_sub(job.arrived)));
+                    let gap = clock::millis(delivered.longest_gap);
+                    log::info!("event=stream_end request={id} target={target} events={events} first_ms={first} gap_ms={gap}");
                     return;
                 }
                 Ended::CallerLeft => {
@@ -240,7 +270,7 @@
             unread: 0,
         };
         let place = self.loads.take(&backup.id, work);
-        let sent = self.open_run(job, &admitted, backup, &extras, (place, None));
+        let sent = self.open_run(job, &admitted, backup, &extras, place);
         let sent = tokio::time::timeout(job.left(now), sent).await;
         let took = clock::now().saturating_sub(now).as_millis();
         let id = &job.stated.request_id;
@@ -266,6 +296,7 @@
     mut run: Run,
     delivered: &mut Delivered,
     tx: &mpsc::Sender<Result<Bytes, BrokenStream>>,
+    rate: &ReadRate,
 ) -> Ended {
     let mut splitter = EventSplitter::default();
     loop {
@@ -287,11 +318,12 @@
             if event.id.is_some() && event.id <= delivered.last {
                 continue;
             }
-            if delivered.events == 0 {
+            let now = clock::now();
+            if let Some((tokens, sent)) = run.awaits.take() {
                 run.place.note_read();
+                rate.note(tokens, now.saturating_sub(sent));
             }
-            delivered.last = event.id.or(delivered.last);
-            delivered.events += 1;
+            delivered.note(event.id, now);
             if tx.send(Ok(event.raw)).await.is_err() {
                 return Ended::CallerLeft;
             }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -10,7 +10,7 @@
     Gateway,
     headers::Stated,
     model::{Customer, Fleet, Repeat, Route, Service, Target, Tokens},
-    placement::{Candidate, Distance, engine_cost, plain_cost},
+    placement::{Candidate, Distance, Need, engine_cost, plain_cost},
     refusal::Refusal,
     routing::Denied,
 };
@@ -37,6 +37,7 @@
     /// Headers for targets, before the system's own.
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub arrived: BootTime,
     /// The caller's deadline or the route's timeout, whichever is sooner.
     pub deadline: BootTime,
     /// Service picked by the route's weights.
@@ -48,6 +49,8 @@
 pub(crate) struct Choice {
     pub target: Arc<Target>,
     pub service: Arc<Service>,
+    /// Prompt tokens that the target is still to read before.
+    pub ahead: Tokens,
 }
 
 /// Headers of one send.
@@ -64,6 +67,15 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// What matters for placing it.
+    pub fn need(&self, objective: Duration) -> Need {
+        Need {
+            prompt: self.stated.prompt,
+            tokens: self.tokens(),
+            objective,
+        }
+    }
+
     /// Tokens of memory that it is expected to take.
     pub fn tokens(&self) -> Tokens {
         let output = self.stated.hint.unwrap_or(self.stated.most_output);
@@ -111,6 +123,7 @@
         let now = clock::now();
         let settings = self.settings();
         let others = self.standing.others();
+        let need = job.need(admitted.route.objective);
         let open = fleet.open_targets(&job.service).filter(|known| {
             let region = settings.region_of(&known.target.zone);
             !tried.contains(&known.target.id)
@@ -130,15 +143,17 @@
                 distance: self.distance(&target.zone),
             };
             let cost = match &service.engine {
-                Some(limits) => engine_cost(&candidate, limits, job.tokens()),
+                Some(limits) => engine_cost(&candidate, limits, &need, self.read_rate.get()),
                 None => plain_cost(&candidate),
             };
             // Daemons that know the same do not all choose the same target.
-            (cost + TIE_SPREAD * rand::random::<f64>(), target)
+            let cost = cost + TIE_SPREAD * rand::random::<f64>();
+            (cost, target, work.unread)
         });
-        let (_, target) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let (_, target, ahead) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
         Some(Choice {
             target: target.clone(),
+            ahead,
             service,
         })
     }
@@ -148,7 +163,7 @@
         &self,
         fleet: &Fleet,
         choice: &Choice,
-        need: Tokens,
+        need: &Need,
     ) -> Option<Arc<Target>> {
         let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
         let now = clock::now();
@@ -166,7 +181,7 @@
                 is_cold: known.cold_until > now,
                 distance: Distance::Zone,
             };
-            let cost = engine_cost(&candidate, limits, need);
+            let cost = engine_cost(&candidate, limits, need, self.read_rate.get());
             (cost + TIE_SPREAD * rand::random::<f64>(), &known.target)
         });
         let (_, target) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -7,6 +7,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use super::model::{TargetId, Tokens};
 use crate::clock::BootTime;
@@ -35,7 +36,11 @@
 
 /// Work of this daemon by target, and how targets fared lately.
 #[derive(Clone, Debug, Default)]
-pub struct LoadBook(Arc<Mutex<HashMap<TargetId, Entry>>>);
+pub struct LoadBook {
+    entries: Arc<Mutex<HashMap<TargetId, Entry>>>,
+    /// Told when the prompts still to be read change.
+    changed: Arc<Notify>,
+}
 
 #[derive(Debug, Default)]
 struct Entry {
@@ -64,6 +69,9 @@
             entry.work.tokens += work.tokens;
             entry.work.unread += work.unread;
         });
+        if work.unread > 0 {
+            self.changed.notify_one();
+        }
         Place {
             book: self.clone(),
             target: target.into(),
@@ -71,10 +79,16 @@
         }
     }
 
+    /// Told when the prompts still to be read change.
+    #[must_use]
+    pub fn changes(&self) -> Arc<Notify> {
+        self.changed.clone()
+    }
+
     /// Work and failures of a target.
     #[must_use]
     pub fn at(&self, target: &str, now: BootTime) -> (Work, f64) {
-        let book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let book = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = book.get(target);
         entry.map_or_else(Default::default, |e| (e.work, e.failures_at(now)))
     }
@@ -90,7 +104,7 @@
     /// Work of all targets with any.
     #[must_use]
     pub fn all(&self) -> Vec<(TargetId, Work)> {
-        let book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let book = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let busy = book
             .iter()
             .filter(|(_, e)| e.work.requests > 0 || e.work.tokens > 0);
@@ -98,7 +112,7 @@
     }
 
     fn with(&self, target: &str, change: impl FnOnce(&mut Entry)) {
-        let mut book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut book = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(entry) = book.get_mut(target) {
             change(entry);
         } else {
@@ -108,7 +122,7 @@
 
     /// Forgets targets without work that are no longer listed.
     pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
-        let mut book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut book = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         book.retain(|id, e| e.work.requests > 0 || e.work.tokens > 0 || is_listed(id));
     }
 }
@@ -126,6 +140,9 @@
     pub fn note_read(&mut self) {
         let unread = std::mem::take(&mut self.work.unread);
         self.book.with(&self.target, |e| e.work.unread -= unread);
+        if unread > 0 {
+            self.book.changed.notify_one();
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -70,7 +70,7 @@
         Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peers::{DaemonName, Listed, Peers},
-    placement::{Candidate, Distance, engine_cost, plain_cost},
+    placement::{Candidate, Distance, Need, ReadRate, engine_cost, plain_cost},
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     standing::Standing,
@@ -93,6 +93,7 @@
     names: HeaderNames,
     standing: Arc<Standing>,
     loads: LoadBook,
+    read_rate: ReadRate,
     extra_sends: Mutex<HashMap<Box<str>, ExtraSends>>,
     running: Usage,
     /// When the process was told to stop.
@@ -133,6 +134,7 @@
             names,
             standing,
             loads,
+            read_rate: ReadRate::default(),
             extra_sends: Mutex::default(),
             running: Usage::default(),
             stopped_at: Mutex::default(),
@@ -335,6 +337,7 @@
             uri: head.uri,
             host,
             body: body.to_bytes(),
+            arrived,
             stated,
         };
         if admitted.route.repeat == Repeat::Stream {
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -12,14 +12,15 @@
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc,
+    time::MissedTickBehavior,
 };
 
 use super::{
     control::Control,
     feed::{Store, timed},
     model::ZoneName,
-    peer_wire::{Ask, Fetch, Incarnation, Message, Packet, Tell, Update},
-    peers::{ASK_PERIOD, DaemonName, FAR_ASK_PERIOD, Listed},
+    peer_wire::{Ask, Fetch, Incarnation, Message, Packet, Running, Tell, Update},
+    peers::{ASK_PERIOD, DaemonName, FAR_ASK_PERIOD, Listed, RUNNING_PERIOD},
 };
 use crate::{
     clock::{self, BootTime},
@@ -93,10 +94,18 @@
     pub async fn run(self: Rc<Self>, mut news: mpsc::UnboundedReceiver<Update>) {
         let mut near = tokio::time::interval(ASK_PERIOD);
         let mut far = tokio::time::interval(FAR_ASK_PERIOD);
+        let mut running = tokio::time::interval(RUNNING_PERIOD);
+        running.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let changed = self.control.borrow().load_changes();
         let mut buf = vec![0; RECEIVE_BYTES];
         loop {
             tokio::select! {
                 _ = near.tick() => self.tick().await,
+                _ = running.tick() => self.tell_running().await,
+                () = changed.notified() => {
+                    self.tell_running().await;
+                    running.reset();
+                }
                 _ = far.tick() => self.ask_far().await,
                 Some(update) = news.recv() => self.push(update).await,
                 received = self.udp.recv_from(&mut buf) => match received {
@@ -118,6 +127,17 @@
         self.ask_all(&to, false).await;
     }
 
+    /// Tells the zone what this daemon has running.
+    async fn tell_running(&self) {
+        let (running, to) = {
+            let control = self.control.borrow();
+            (control.running(), control.peers.mates(clock::now()))
+        };
+        for peer in to {
+            self.send(peer, Message::Running(running.clone())).await;
+        }
+    }
+
     async fn ask_far(&self) {
         let now = clock::now();
         let to = {
@@ -137,7 +157,7 @@
     }
 
     async fn push(&self, update: Update) {
-        let to = self.control.borrow().peers.followers(clock::now());
+        let to = self.control.borrow().peers.mates(clock::now());
         for peer in to {
             self.send(peer, Message::Push(vec![update.clone()])).await;
         }
@@ -176,7 +196,6 @@
             address: from,
             zone: packet.zone,
         };
-        let is_far = listed.zone != self.identity.zone;
         let is_new = {
             let peers = &mut self.control.borrow_mut().peers;
             peers.hear(&packet.from, listed, packet.incarnation, now)
@@ -185,14 +204,17 @@
             return;
         }
         match packet.message {
-            Message::Ask(ask) => self.answer(&packet.from, ask, from, is_far).await,
+            Message::Ask(ask) => self.answer(&packet.from, ask, from).await,
+            Message::Running(running) => {
+                self.control.borrow_mut().take_running(&packet.from, running);
+            }
             Message::Tell(tell) => self.take_tell(&packet.from, tell, from).await,
             Message::Push(updates) => self.control.borrow_mut().take_push(&updates),
         }
     }
 
-    async fn answer(&self, name: &str, ask: Ask, to: SocketAddr, is_far: bool) {
-        let tell = self.control.borrow_mut().tell(name, ask, is_far);
+    async fn answer(&self, name: &str, ask: Ask, to: SocketAddr) {
+        let tell = self.control.borrow_mut().tell(name, ask);
         self.send(to, Message::Tell(tell)).await;
     }
 
@@ -289,6 +311,10 @@
             ..tell
         })),
         Message::Ask(_) => Some(message),
+        Message::Running(running) if running.far.is_some() => {
+            Some(Message::Running(Running { far: None, ..running }))
+        }
+        Message::Running(_) => Some(message),
         // Followers learn by asking.
         Message::Push(_) => None,
     }
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -38,6 +38,8 @@
     Tell(Tell),
     /// A reader passes changes on before it is asked.
     Push(Vec<Update>),
+    /// What a daemon has running, to all of its zone.
+    Running(Running),
 }
 
 /// A daemon asks a reader for what it lacks, and tells its own work.
@@ -47,12 +49,28 @@
     pub nonce: u64,
     /// Revision of each topic that it has; 0 for none.
     pub have: Vec<(Topic, Revision)>,
-    /// Its own work, or its zone's when it reads for the zone.
+    /// Work of its zone, where it asks for its zone.
+    pub zone: Option<ZoneWorks>,
+}
+
+/// What the daemons of a zone have running.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ZoneWorks {
+    /// Their work.
     pub works: Works,
-    /// Daemons whose work that is.
+    /// How many they are.
     pub daemons: u16,
 }
 
+/// What a daemon has running, and what a reader knows of other zones.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Running {
+    /// Work of the sender.
+    pub own: Works,
+    /// Work of all other zones, from a reader.
+    pub far: Option<ZoneWorks>,
+}
+
 /// A reader's answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Tell {
@@ -68,10 +86,6 @@
     pub is_partial: bool,
     /// How long ago the store came back, if lately, in milliseconds.
     pub store_back_ms: Option<u64>,
-    /// Work of all other daemons.
-    pub works: Works,
-    /// Daemons known to live, the sender included.
-    pub daemons: u16,
 }
 
 /// Changes of one topic.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 use super::{
     load::Work,
     model::ZoneName,
-    peer_wire::{Incarnation, TargetKey, Works},
+    peer_wire::{Incarnation, Running, TargetKey, Works, ZoneWorks},
 };
 use crate::{cell, clock::BootTime};
 
@@ -23,7 +23,10 @@
 /// work of other daemons is in a choice of target.
 pub const ASK_PERIOD: Duration = Duration::from_millis(200);
 /// Period of questions between readers of zones; bytes between regions are paid.
-pub const FAR_ASK_PERIOD: Duration = Duration::from_millis(400);
+pub const FAR_ASK_PERIOD: Duration = Duration::from_millis(300);
+/// Longest pause between two words of what a daemon has running; changes are
+/// told at once, since reading a prompt takes about as long.
+pub const RUNNING_PERIOD: Duration = Duration::from_millis(400);
 /// Silence after which a reader is replaced: two questions and a round trip
 /// between regions.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
@@ -55,9 +58,12 @@
     heard_at: BootTime,
     /// When it last answered a question.
     told_at: Option<BootTime>,
+    /// Its own work.
     works: Works,
-    /// Daemons whose work that is.
-    daemons: u16,
+    /// Work of its zone, from a reader of another zone; when that was.
+    zone: Option<(BootTime, ZoneWorks)>,
+    /// Work of all other zones, from a reader of the own zone; when that was.
+    far: Option<(BootTime, ZoneWorks)>,
 }
 
 /// What this daemon knows of the others.
@@ -69,8 +75,6 @@
     heard: HashMap<DaemonName, Heard>,
     /// When another daemon last asked.
     asked_at: Option<BootTime>,
-    /// What the reader of the own zone said of the others.
-    told: Option<(BootTime, Works, u16)>,
     /// When this daemon began to look for a reader.
     started: BootTime,
 }
@@ -85,7 +89,6 @@
             listed: BTreeMap::new(),
             heard: HashMap::new(),
             asked_at: None,
-            told: None,
             started: now,
         }
     }
@@ -128,30 +131,39 @@
             incarnation,
             heard_at: now,
             told_at: None,
-            works: Vec::new(),
-            daemons: 1,
+            works: Works::new(),
+            zone: None,
+            far: None,
         });
         heard.incarnation = incarnation;
         heard.heard_at = now;
         true
     }
 
-    /// Notes a question and the work that came with it.
-    pub fn note_ask(&mut self, name: &str, works: Works, daemons: u16, now: BootTime) {
+    /// Notes a question, with the work of the asker's zone if it is another.
+    pub fn note_ask(&mut self, name: &str, zone: Option<ZoneWorks>, now: BootTime) {
         self.asked_at = Some(now);
-        if let Some(heard) = self.heard.get_mut(name) {
-            heard.works = works;
-            heard.daemons = daemons;
+        if let Some(heard) = self.heard.get_mut(name)
+            && let Some(zone) = zone
+        {
+            heard.zone = Some((now, zone));
         }
     }
 
-    /// Notes an answer, with the work of all daemons that the sender knows.
-    pub fn note_tell(&mut self, name: &str, works: Works, daemons: u16, now: BootTime) {
+    /// Notes an answer.
+    pub fn note_tell(&mut self, name: &str, now: BootTime) {
         if let Some(heard) = self.heard.get_mut(name) {
             heard.told_at = Some(now);
         }
-        if self.reader(now).is_some_and(|reader| *reader == *name) {
-            self.told = Some((now, works, daemons));
+    }
+
+    /// Notes what a daemon of the own zone has running.
+    pub fn note_running(&mut self, name: &str, running: Running, now: BootTime) {
+        if let Some(heard) = self.heard.get_mut(name) {
+            heard.works = running.own;
+            if let Some(far) = running.far {
+                heard.far = Some((now, far));
+            }
         }
     }
 
@@ -219,82 +231,96 @@
         names.iter().map(|name| self.listed[*name].address).collect()
     }
 
-    /// Daemons of the own zone that asked lately, for pushed changes.
+    /// Daemons of the own zone that were heard lately.
     #[must_use]
-    pub fn followers(&self, now: BootTime) -> Vec<SocketAddr> {
+    pub fn mates(&self, now: BootTime) -> Vec<SocketAddr> {
         let lately = self.heard.iter().filter(|(_, h)| now.saturating_sub(h.heard_at) < ASKED_FOR);
         let listed = lately.filter_map(|(name, _)| self.listed.get(name));
         listed.filter(|l| l.zone == self.zone).map(|l| l.address).collect()
     }
 
-    /// Work of daemons that told this one directly, but for one of them.
-    fn direct<'a>(
-        &'a self,
-        but: &'a str,
-        zone: Option<&'a str>,
-        now: BootTime,
-    ) -> impl Iterator<Item = &'a Heard> {
+    /// Fresh news of the other daemons of the own zone.
+    fn near(&self, now: BootTime) -> impl Iterator<Item = &Heard> {
         self.heard.iter().filter_map(move |(name, heard)| {
             let is_fresh = now.saturating_sub(heard.heard_at) < WORK_KEPT;
-            let is_in = zone.is_none_or(|zone| self.listed.get(name).is_some_and(|l| *l.zone == *zone));
-            (is_fresh && is_in && **name != *but).then_some(heard)
+            let is_near = self.listed.get(name).is_some_and(|l| l.zone == self.zone);
+            (is_fresh && is_near).then_some(heard)
         })
     }
 
     /// Work of the whole own zone, `own` being that of this daemon.
     #[must_use]
-    pub fn zone_works(&self, own: &Works, now: BootTime) -> Works {
-        let others = self.direct("", Some(&self.zone), now);
-        sum(others.map(|h| &h.works).chain([own]))
+    pub fn zone_works(&self, own: &Works, now: BootTime) -> ZoneWorks {
+        let near = self.near(now).map(|h| &h.works);
+        ZoneWorks {
+            works: sum(near.chain([own])),
+            daemons: self.zone_daemons(now),
+        }
     }
 
-    /// Work of all daemons but `asker`, `own` being that of this daemon.
+    /// Work of all other zones, as their readers told this daemon.
     #[must_use]
-    pub fn works_but(&self, asker: &str, own: &Works, now: BootTime) -> Works {
-        let others = self.direct(asker, None, now);
-        sum(others.map(|h| &h.works).chain([own]))
+    pub fn far_works(&self, now: BootTime) -> ZoneWorks {
+        let newest = self.heard.iter().filter_map(|(name, heard)| {
+            let (at, works) = heard.zone.as_ref()?;
+            let zone = &*self.listed.get(name)?.zone;
+            (now.saturating_sub(*at) < WORK_KEPT).then_some((zone, (*at, works)))
+        });
+        let mut zones: BTreeMap<&str, (BootTime, &ZoneWorks)> = BTreeMap::new();
+        for (zone, told) in newest {
+            let known = zones.entry(zone).or_insert(told);
+            if told.0 > known.0 {
+                *known = told;
+            }
+        }
+        ZoneWorks {
+            works: sum(zones.values().map(|(_, told)| &told.works)),
+            daemons: zones.values().map(|(_, told)| told.daemons).sum(),
+        }
+    }
+
+    /// Work of all other zones, at first hand or as the reader tells it.
+    fn far(&self, now: BootTime) -> ZoneWorks {
+        if self.reader(now).is_none() {
+            return self.far_works(now);
+        }
+        let told = self.near(now).filter_map(|h| h.far.as_ref());
+        let fresh = told.filter(|(at, _)| now.saturating_sub(*at) < WORK_KEPT);
+        let newest = fresh.max_by_key(|(at, _)| *at);
+        newest.map(|(_, far)| far.clone()).unwrap_or_default()
     }
 
     /// Work of all other daemons.
     #[must_use]
     pub fn others(&self, now: BootTime) -> Works {
-        if let Some((at, works, _)) = &self.told
-            && self.reader(now).is_some()
-            && now.saturating_sub(*at) < WORK_KEPT
-        {
-            return works.clone();
-        }
-        sum(self.direct("", None, now).map(|h| &h.works))
+        let far = self.far(now);
+        let near = self.near(now).map(|h| &h.works);
+        sum(near.chain([&far.works]))
     }
 
     /// Daemons of the own zone, this one included.
     #[must_use]
     pub fn zone_daemons(&self, now: BootTime) -> u16 {
-        self.count_members(now, |l| l.zone == self.zone)
+        self.count_listed(now, |l| l.zone == self.zone)
     }
 
-    /// All daemons known to live, this one included.
+    /// All daemons that may live, this one included: those heard lately, and
+    /// where a zone's reader is heard, as many as it says.
     #[must_use]
     pub fn daemons(&self, now: BootTime) -> u16 {
-        let direct = self.count_members(now, |_| true);
-        let told = self.told.as_ref().filter(|(at, ..)| now.saturating_sub(*at) < MEMBER_KEPT);
-        direct.max(told.map_or(0, |(_, _, daemons)| *daemons))
+        let direct = self.count_listed(now, |_| true);
+        direct.max(self.zone_daemons(now).saturating_add(self.far(now).daemons))
     }
 
-    /// Daemons that were heard lately. One of another zone reads for others
-    /// and says for how many.
-    fn count_members(&self, now: BootTime, is_in: impl Fn(&Listed) -> bool) -> u16 {
-        let grace = now.saturating_sub(self.started) < MEMBER_KEPT;
-        let members = self.listed.iter().filter(|(_, l)| is_in(l));
-        let counts = members.map(|(name, listed)| match self.heard.get(name) {
-            Some(h) if now.saturating_sub(h.heard_at) < MEMBER_KEPT => {
-                if listed.zone == self.zone { 1 } else { h.daemons }
-            }
-            // One that is listed may come up later than this one.
-            None if grace => 1,
-            _ => 0,
+    fn count_listed(&self, now: BootTime, is_in: impl Fn(&Listed) -> bool) -> u16 {
+        // One that is listed may come up later than this one.
+        let is_young = now.saturating_sub(self.started) < MEMBER_KEPT;
+        let members = self.listed.iter().filter(|(name, listed)| {
+            let heard = self.heard.get(*name);
+            let is_alive = heard.map_or(is_young, |h| now.saturating_sub(h.heard_at) < MEMBER_KEPT);
+            is_alive && is_in(listed)
         });
-        counts.sum::<u16>().saturating_add(1)
+        u16::try_from(members.count()).unwrap_or(u16::MAX).saturating_add(1)
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,31 +1,34 @@
 //! Which target gets a request.
 //!
-//! Load pattern: many long generations share few engines, each of which slows
-//! down with every run it decodes and preempts runs once its memory is full.
-//! The expected memory of all runs decides, then the prompts still to be read,
-//! which delay the tokens of every run beside them.
+//! Load pattern: many long generations share few engines. A prompt waits for
+//! those that are read before it, a few of which already use up the objective,
+//! and runs are preempted once an engine's memory is full. So the expected wait
+//! for the first event decides, then memory.
+
+use std::{sync::Mutex, time::Duration};
 
 use super::{
     load::Work,
     model::{EngineLimits, Tokens},
 };
 
-/// Cost of a full memory; runs are preempted beyond it.
-const MEMORY_WEIGHT: f64 = 1.0;
-/// Cost of a memory's worth of prompts still to be read: reading delays all
-/// runs, so that it weighs more than memory that is only held.
-const UNREAD_WEIGHT: f64 = 2.0;
+/// Cost of a full memory, against 1 for a first event at the objective. Low,
+/// since memory that suffices delays nobody.
+const MEMORY_WEIGHT: f64 = 0.3;
+/// Share of an engine's memory from which on runs may have to be preempted:
+/// sizes are estimates, and copies of other runs come on top.
+const MEMORY_SAFE: f64 = 0.85;
+/// Cost of each further memory's worth; preempted runs are read again.
+const OVERFLOW_WEIGHT: f64 = 10.0;
 /// Cost of all slots being taken.
 const SLOT_WEIGHT: f64 = 1.0;
-/// Cost added once memory does not suffice.
-const OVERFLOW_COST: f64 = 4.0;
 /// Cost of one recent failure.
 const FAILURE_COST: f64 = 0.5;
 /// Cost of a target that is still cold.
 const COLD_COST: f64 = 1.0;
-/// Cost of another region for a generation: a round trip is small against its
-/// objective, and bytes between regions are paid.
-const FAR_ENGINE_COST: f64 = 0.05;
+/// Cost of another region for a generation: a run that goes on elsewhere
+/// pauses for two round trips more, and bytes between regions are paid.
+const FAR_ENGINE_COST: f64 = 0.15;
 /// Cost of another region for a plain call, whose objective is a few round
 /// trips.
 const FAR_PLAIN_COST: f64 = 0.8;
@@ -58,26 +61,72 @@
     pub distance: Distance,
 }
 
-/// Cost of placing a generation of `need` tokens at a candidate; lowest first.
+/// A generation that is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Prompt tokens to be read.
+    pub prompt: Tokens,
+    /// Tokens of memory that it is expected to take.
+    pub tokens: Tokens,
+    /// Time within which the first event is wanted.
+    pub objective: Duration,
+}
+
+/// Cost of placing a generation at a candidate; lowest first.
 #[must_use]
-pub fn engine_cost(candidate: &Candidate, limits: &EngineLimits, need: Tokens) -> f64 {
-    let memory = limits.memory.max(1);
-    let share = |tokens: Tokens| as_f64(tokens) / as_f64(memory);
-    let after = share(candidate.work.tokens + need);
-    let overflow = if after > 1.0 { OVERFLOW_COST } else { 0.0 };
+pub fn engine_cost(candidate: &Candidate, limits: &EngineLimits, need: &Need, read_rate: f64) -> f64 {
+    let objective = need.objective.as_secs_f64().max(MIN_OBJECTIVE_S);
+    let wait = as_f64(candidate.work.unread + need.prompt) / read_rate / objective;
+    let memory = as_f64(candidate.work.tokens + need.tokens) / as_f64(limits.memory.max(1));
     let far = match candidate.distance {
         Distance::Zone => 0.0,
         Distance::Region => OTHER_ZONE_COST,
         Distance::Far => FAR_ENGINE_COST,
     };
-    MEMORY_WEIGHT * after
-        + UNREAD_WEIGHT * share(candidate.work.unread)
-        + SLOT_WEIGHT * slot_share(candidate)
-        + overflow
+    wait + MEMORY_WEIGHT * memory
+        + OVERFLOW_WEIGHT * (memory - MEMORY_SAFE).max(0.0)
         + common_cost(candidate)
         + far
 }
 
+/// Prompt tokens that engines read in a second, learnt from first events.
+#[derive(Debug)]
+pub struct ReadRate(Mutex<f64>);
+
+/// Rate before the first sample, in tokens per second; the first few first
+/// events replace it.
+const FIRST_RATE: f64 = 5_000.0;
+/// Part of a sample that enters the mean, so that about ten samples count.
+const SAMPLE_PART: f64 = 0.1;
+/// Smallest rate believed, in tokens per second: a stalled engine is no measure.
+const MIN_RATE: f64 = 200.0;
+/// Shortest objective reckoned with, in seconds.
+const MIN_OBJECTIVE_S: f64 = 0.01;
+
+impl Default for ReadRate {
+    fn default() -> Self {
+        Self(Mutex::new(FIRST_RATE))
+    }
+}
+
+impl ReadRate {
+    /// Tokens per second.
+    #[must_use]
+    pub fn get(&self) -> f64 {
+        *self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Notes that `tokens`, the prompt and those before it, took `time`.
+    pub fn note(&self, tokens: Tokens, time: Duration) {
+        if tokens == 0 || time.is_zero() {
+            return;
+        }
+        let sample = (as_f64(tokens) / time.as_secs_f64()).max(MIN_RATE);
+        let mut rate = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        *rate += SAMPLE_PART * (sample - *rate);
+    }
+}
+
 /// Cost of placing a plain call at a candidate; lowest first.
 #[must_use]
 pub fn plain_cost(candidate: &Candidate) -> f64 {
