Runs without a usable copy are moved when their engine's leaving is known

Change: pump.rs copies such a run to another engine while it runs, then stops it there and goes on; a connection to a backup's engine is opened on the notice, since two round trips between regions exceed the allowed pause.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -69,7 +69,18 @@
     /// # Errors
     /// See [`ExchangeError`].
     pub async fn open(peer: SocketAddr, req: Request<Full<Bytes>>) -> Result<Self, ExchangeError> {
-        let tcp = connect(peer).await?;
+        Self::open_on(connect(peer).await?, peer, req).await
+    }
+
+    /// As [`Exchange::open`], on a connection that is there.
+    ///
+    /// # Errors
+    /// See [`ExchangeError`].
+    pub async fn open_on(
+        tcp: TcpStream,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Self, ExchangeError> {
         let handshake = http1::handshake(TokioIo::new(tcp)).await;
         let (mut sender, connection) = handshake.context(LostSnafu {
             step: "handshake",
@@ -102,7 +113,8 @@
     }
 }
 
-async fn connect(peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
+/// Opens a connection to a target.
+pub(crate) async fn connect(peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
     let failed = |reason: String| ExchangeError::Connect {
         peer,
         reason: reason.into(),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -199,6 +199,13 @@
         known.is_some_and(|k| k.leaving_since.is_none()) && !self.zones_out.contains(&target.zone)
     }
 
+    /// Whether a target takes no new work and will be gone.
+    #[must_use]
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        let known = self.targets.get(&target.id);
+        known.is_none_or(|k| k.leaving_since.is_some())
+    }
+
     /// Number of open targets by zone of a service.
     #[must_use]
     pub fn zones_of(&self, service: &str) -> BTreeMap<&str, usize> {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -158,14 +158,25 @@
         })
     }
 
-    /// Chooses an engine of the same zone for a copy of a run.
+    /// Chooses an engine of the same zone for a backup of a run.
     pub(crate) fn place_backup(
         &self,
         fleet: &Fleet,
         choice: &Choice,
         need: &Need,
     ) -> Option<Arc<Target>> {
-        let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
+        choice.service.engine.as_ref().filter(|e| e.has_backups)?;
+        self.place_near(fleet, choice, need)
+    }
+
+    /// Chooses another engine of the same zone.
+    pub(crate) fn place_near(
+        &self,
+        fleet: &Fleet,
+        choice: &Choice,
+        need: &Need,
+    ) -> Option<Arc<Target>> {
+        let limits = choice.service.engine.as_ref()?;
         let now = clock::now();
         let others = self.standing.others();
         let fitting = fleet.open_targets(&choice.target.service).filter(|known| {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod change_log;
 mod control;
+mod engines;
 mod events;
 mod exchange;
 mod extra_sends;
@@ -23,6 +24,7 @@
 mod peers;
 mod placement;
 mod plain;
+mod pump;
 mod readiness;
 mod refusal;
 mod routing;
@@ -58,6 +60,7 @@
     usage::Usage,
 };
 pub use self::{
+    engines::{CopyHandle, EngineCallError, EngineCalls, MoveRun},
     events::{Event, EventId, EventSplitter},
     extra_sends::ExtraSends,
     change_log::ChangeLog,
@@ -91,6 +94,7 @@
 pub struct Gateway {
     settings: ArcSwap<GatewaySettings>,
     names: HeaderNames,
+    engines: EngineCalls,
     standing: Arc<Standing>,
     loads: LoadBook,
     read_rate: ReadRate,
@@ -115,6 +119,7 @@
         settings: GatewaySettings,
         names: HeaderNames,
         store: Store,
+        engines: EngineCalls,
     ) -> io::Result<Self> {
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let readiness = TcpListener::bind(settings.listen.readiness).await?;
@@ -132,6 +137,7 @@
         let gateway = Arc::new(Gateway {
             settings: ArcSwap::from_pointee(settings),
             names,
+            engines,
             standing,
             loads,
             read_rate: ReadRate::default(),
--- /dev/null
+++ b/src/gateway/pump.rs
@@ -0,0 +1,393 @@
+//! Passes a stream on to its caller across the engines that it runs on.
+//!
+//! Load pattern: engines are reclaimed in turn, with little notice, while many
+//! long runs are on them. A run that has a copy goes on from it once its engine
+//! is gone; one that has none is copied to another engine as soon as the notice
+//! is here, while it still runs.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::BodyExt;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use tokio::{net::TcpStream, sync::mpsc};
+
+use super::{
+    Gateway,
+    body::BrokenStream,
+    engines::MoveRun,
+    events::{EventId, EventSplitter},
+    exchange::connect,
+    generation::Run,
+    job::{Admitted, Choice, Extras, Job},
+    load::Work,
+    model::{Fleet, Target},
+    plain::Sent,
+};
+use crate::clock::{self, BootTime};
+
+/// Longest wait for a copy whose run has stopped at its source.
+const LAST_COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What the caller has of a stream.
+#[derive(Debug, Default)]
+struct Delivered {
+    last: Option<EventId>,
+    events: u64,
+    first_at: Option<BootTime>,
+    last_at: BootTime,
+    longest_gap: Duration,
+}
+
+impl Delivered {
+    fn note(&mut self, id: Option<EventId>, now: BootTime) {
+        self.last = id.or(self.last);
+        self.events += 1;
+        if self.first_at.is_some() {
+            let gap = now.saturating_sub(self.last_at);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = now;
+    }
+}
+
+/// How reading a run ended.
+enum Ended {
+    Whole,
+    CallerLeft,
+    Broken(Box<str>),
+    /// The run was moved to another engine.
+    Moved(Copy),
+}
+
+/// A copy of a run that it can go on from.
+struct Copy {
+    target: Arc<Target>,
+    /// As requests name it.
+    name: Box<str>,
+    /// A connection to its engine, if one is open already.
+    tcp: Option<TcpStream>,
+    /// The run has stopped at its source, and goes on only here.
+    is_moved: bool,
+}
+
+type Preparing = BoxFuture<'static, Result<Copy, Box<str>>>;
+
+impl Gateway {
+    /// Passes a run's events on until its end, going on elsewhere if it breaks.
+    pub(super) async fn pump(
+        self: Arc<Self>,
+        job: Job,
+        mut run: Run,
+        tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+    ) {
+        let mut delivered = Delivered::default();
+        loop {
+            let left = job.left(clock::now());
+            let mut copy = None;
+            let reading = self.read_run(&job, &mut run, &mut delivered, &tx, &mut copy);
+            let ended = tokio::time::timeout(left, reading).await;
+            let ended = ended.unwrap_or(Ended::Broken("deadline".into()));
+            self.note_end(&job, &run, &delivered, &ended);
+            let copy = match ended {
+                Ended::Whole | Ended::CallerLeft => return,
+                Ended::Moved(copy) => Some(copy),
+                Ended::Broken(_) if !run.exchange.answer.status().is_success() => None,
+                Ended::Broken(_) => copy.or_else(|| self.backup_of(&job, &run)),
+            };
+            // The connection to the old engine closes before the new one starts.
+            drop(run);
+            let resumed = match copy {
+                Some(copy) => self.resume(&job, copy, delivered.last).await,
+                None => Err("no copy".into()),
+            };
+            match resumed {
+                Ok(next) => run = next,
+                Err(reason) => {
+                    let (id, events) = (&job.stated.request_id, delivered.events);
+                    log::warn!(
+                        "event=stream_given_up request={id} events={events} reason={reason:?}"
+                    );
+                    // The receiver is gone if the caller left meanwhile.
+                    let _ = tx.send(Err(BrokenStream { reason })).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn note_end(&self, job: &Job, run: &Run, delivered: &Delivered, ended: &Ended) {
+        let (id, target, events) = (&job.stated.request_id, &run.target.id, delivered.events);
+        match ended {
+            Ended::Whole => {
+                let first = delivered.first_at.map(|at| at.saturating_sub(job.arrived));
+                log::info!(
+                    "event=stream_end request={id} target={target} events={events} first_ms={} gap_ms={}",
+                    first.map_or(0, clock::millis),
+                    clock::millis(delivered.longest_gap)
+                );
+            }
+            Ended::CallerLeft => {
+                log::info!("event=caller_left request={id} target={target} events={events}");
+            }
+            Ended::Moved(copy) => {
+                let haven = &copy.target.id;
+                log::info!("event=run_moved request={id} target={target} haven={haven} events={events}");
+            }
+            Ended::Broken(reason) => {
+                log::warn!(
+                    "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
+                );
+                self.loads.note_failure(target, clock::now());
+            }
+        }
+    }
+
+    fn backup_of(&self, job: &Job, run: &Run) -> Option<Copy> {
+        let target = run.backup.clone()?;
+        Some(Copy {
+            name: (self.engines.copy_name)(target.address, &job.stated.request_id),
+            target,
+            tcp: None,
+            is_moved: false,
+        })
+    }
+
+    /// Reads one run to its end, passing on whole events that are new. Gets a
+    /// copy ready once its engine is known to leave.
+    async fn read_run(
+        &self,
+        job: &Job,
+        run: &mut Run,
+        delivered: &mut Delivered,
+        tx: &mpsc::Sender<Result<Bytes, BrokenStream>>,
+        ready: &mut Option<Copy>,
+    ) -> Ended {
+        let mut splitter = EventSplitter::default();
+        let mut preparing: Option<Preparing> = None;
+        let mut is_leaving = false;
+        loop {
+            let changed = self.standing.changed();
+            if !is_leaving && self.standing.fleet().is_leaving(&run.target) {
+                is_leaving = true;
+                preparing = self.prepare(job, run);
+            }
+            let frame = tokio::select! {
+                frame = run.exchange.answer.body_mut().frame() => frame,
+                () = tx.closed() => return Ended::CallerLeft,
+                () = changed, if !is_leaving => continue,
+                prepared = poll(&mut preparing) => {
+                    preparing = None;
+                    match prepared {
+                        Ok(copy) if copy.is_moved => return Ended::Moved(copy),
+                        Ok(copy) => *ready = Some(copy),
+                        Err(reason) => note_unprepared(job, run, &reason),
+                    }
+                    continue;
+                }
+            };
+            let broken: Box<str> = match frame {
+                None if splitter.has_rest() => "ended within an event".into(),
+                None if preparing.is_some() && is_unframed(run) => "closed".into(),
+                None => return Ended::Whole,
+                Some(Err(e)) => e.to_string().into(),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        splitter.push(&data);
+                    }
+                    if self.pass_on(run, &mut splitter, delivered, tx).await.is_err() {
+                        return Ended::CallerLeft;
+                    }
+                    continue;
+                }
+            };
+            // A run that is being moved ends at its source without its last event.
+            let Some(preparing) = preparing else {
+                return Ended::Broken(broken);
+            };
+            return match tokio::time::timeout(LAST_COPY_TIMEOUT, preparing).await {
+                Ok(Ok(copy)) => {
+                    *ready = Some(copy);
+                    Ended::Broken(broken)
+                }
+                Ok(Err(reason)) => {
+                    note_unprepared(job, run, &reason);
+                    Ended::Broken(broken)
+                }
+                Err(_) => Ended::Broken("no copy in time".into()),
+            };
+        }
+    }
+
+    /// Passes whole events on; an error once the caller has left.
+    async fn pass_on(
+        &self,
+        run: &mut Run,
+        splitter: &mut EventSplitter,
+        delivered: &mut Delivered,
+        tx: &mpsc::Sender<Result<Bytes, BrokenStream>>,
+    ) -> Result<(), ()> {
+        while let Some(event) = splitter.split() {
+            if event.id.is_some() && event.id <= delivered.last {
+                continue;
+            }
+            let now = clock::now();
+            if let Some((tokens, sent)) = run.awaits.take() {
+                run.place.note_read();
+                self.read_rate.note(tokens, now.saturating_sub(sent));
+            }
+            delivered.note(event.id, now);
+            tx.send(Ok(event.raw)).await.map_err(|_| ())?;
+        }
+        Ok(())
+    }
+
+    /// Starts to get a copy ready for a run whose engine leaves.
+    fn prepare(&self, job: &Job, run: &Run) -> Option<Preparing> {
+        let fleet = self.standing.fleet();
+        if let Some(copy) = self.backup_of(job, run)
+            && fleet.is_open(&copy.target)
+        {
+            return Some(Box::pin(open_early(copy)));
+        }
+        let haven = self.haven(&fleet, job, run)?;
+        let id = &job.stated.request_id;
+        log::info!("event=move request={id} target={} haven={}", run.target.id, haven.id);
+        let calls = self.engines.clone();
+        let asked = |is_last| MoveRun {
+            source: run.target.address,
+            request_id: id.clone(),
+            haven: haven.address,
+            is_last,
+        };
+        let (first, last) = (asked(false), asked(true));
+        Some(Box::pin(async move {
+            let source = first.source;
+            let failed = |e: super::engines::EngineCallError| Box::from(e.to_string());
+            (calls.move_run)(first).await.map_err(failed)?;
+            let (moved, tcp) = futures::join!((calls.move_run)(last), connect(haven.address));
+            Ok(Copy {
+                name: (calls.copy_name)(source, &moved.map_err(failed)?),
+                target: haven,
+                tcp: tcp.ok(),
+                is_moved: true,
+            })
+        }))
+    }
+
+    /// An engine to move a run to: of the same zone if there is one, since
+    /// copies between zones take twice as long.
+    fn haven(&self, fleet: &Fleet, job: &Job, run: &Run) -> Option<Arc<Target>> {
+        let admitted = self.readmit(fleet, job).ok()?;
+        let service = fleet.config.as_ref()?.services.get(&run.target.service)?;
+        service.engine.as_ref().filter(|e| e.has_moves)?;
+        let choice = Choice {
+            target: run.target.clone(),
+            service: service.clone(),
+            ahead: 0,
+        };
+        let need = job.need(admitted.route.objective);
+        let near = self.place_near(fleet, &choice, &need);
+        let tried = [run.target.id.clone()];
+        near.or_else(|| self.place(fleet, job, &admitted, &tried).map(|c| c.target))
+    }
+
+    fn readmit(&self, fleet: &Fleet, job: &Job) -> Result<Admitted, Box<str>> {
+        let now = clock::now();
+        let admitted = self.admit(fleet, &job.host, job.uri.path(), job.key.as_deref(), now);
+        admitted.map_err(|e| e.to_string().into())
+    }
+
+    /// Goes on from a copy of the run.
+    async fn resume(&self, job: &Job, copy: Copy, last: Option<EventId>) -> Result<Run, Box<str>> {
+        let now = clock::now();
+        if job.left(now).is_zero() {
+            return Err("deadline".into());
+        }
+        let fleet = self.standing.fleet();
+        let admitted = self.readmit(&fleet, job)?;
+        let target = &copy.target;
+        if !fleet.is_open(target) {
+            return Err("the copy's target takes no work".into());
+        }
+        if !self.may_send(job, true, now) {
+            return Err("budget".into());
+        }
+        let extras = Extras {
+            backup: None,
+            copy_from: Some(copy.name),
+            last_event: Some(last.unwrap_or(0)),
+        };
+        let work = Work {
+            requests: 1,
+            tokens: job.tokens(),
+            unread: 0,
+        };
+        let place = self.loads.take(&target.id, work);
+        let sent = self.open_run(job, &admitted, target, &extras, place, copy.tcp);
+        let sent = tokio::time::timeout(job.left(now), sent).await;
+        let took = clock::now().saturating_sub(now).as_millis();
+        let id = &job.stated.request_id;
+        match sent {
+            Ok(Sent::Answered(run)) if run.exchange.answer.status().is_success() => {
+                log::info!(
+                    "event=stream_resumed request={id} target={} after={last:?} moved={} took_ms={took}",
+                    target.id,
+                    copy.is_moved
+                );
+                Ok(run)
+            }
+            Ok(Sent::Answered(run)) => {
+                Err(format!("status={}", run.exchange.answer.status()).into())
+            }
+            Ok(Sent::NotRun(reason) | Sent::Unknown(reason)) => Err(reason),
+            Err(_) => Err("deadline".into()),
+        }
+    }
+
+    /// Goes on from the backup of a run whose first send got no answer.
+    pub(super) async fn resume_unanswered(
+        &self,
+        job: &Job,
+        backup: Arc<Target>,
+    ) -> Result<Run, Box<str>> {
+        let copy = Copy {
+            name: (self.engines.copy_name)(backup.address, &job.stated.request_id),
+            target: backup,
+            tcp: None,
+            is_moved: false,
+        };
+        self.resume(job, copy, None).await
+    }
+}
+
+/// Opens the connection to a copy's engine before it is needed.
+async fn open_early(copy: Copy) -> Result<Copy, Box<str>> {
+    let peer: SocketAddr = copy.target.address;
+    let tcp = connect(peer).await.map_err(|e| Box::from(e.to_string()))?;
+    Ok(Copy {
+        tcp: Some(tcp),
+        ..copy
+    })
+}
+
+async fn poll(preparing: &mut Option<Preparing>) -> Result<Copy, Box<str>> {
+    match preparing {
+        Some(preparing) => preparing.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Whether the body has neither a length nor chunks, so that it ends with its
+/// connection.
+fn is_unframed(run: &Run) -> bool {
+    let headers = run.exchange.answer.headers();
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn note_unprepared(job: &Job, run: &Run, reason: &str) {
+    let (id, target) = (&job.stated.request_id, &run.target.id);
+    log::warn!("event=copy_failed request={id} target={target} reason={reason:?}");
+}
--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
+use tokio::sync::Notify;
 
 use super::{load::Work, model::Fleet, peer_wire::TargetKey};
 use crate::clock::{self, BootTime};
@@ -27,6 +28,8 @@
     /// Work of all other daemons.
     others: ArcSwap<HashMap<TargetKey, Work>>,
     is_stopping: AtomicBool,
+    /// Told when the fleet changes.
+    changed: Notify,
 }
 
 impl Standing {
@@ -39,6 +42,12 @@
     /// Publishes a new view.
     pub fn publish(&self, fleet: Fleet) {
         self.fleet.store(Arc::new(fleet));
+        self.changed.notify_waiters();
+    }
+
+    /// Completes when the fleet next changes.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
     }
 
     /// Notes that no change of the configuration before `sent` is missing.
