--- a/src/follow.rs
+++ b/src/follow.rs
@@ -165,7 +165,8 @@
             if let (true, Ok(to)) = (is_peer, instance.address.parse()) {
                 let (seal, page) = (self.seal.clone(), page_of(object));
                 tokio::spawn(async move {
-                    let sent = peer::ask::<_, Frame>(&seal, to, Frame::Records(page), PEER_TIMEOUT).await;
+                    let sent =
+                        peer::ask::<_, Frame>(&seal, to, Frame::Records(page), PEER_TIMEOUT).await;
                     log_failure("push", to, sent.err());
                 });
             }
--- a/src/gateway/change_log.rs
+++ b/src/gateway/change_log.rs
@@ -68,6 +68,10 @@
             return None;
         }
         let newer = self.entries.iter().filter(|(at, _)| *at > revision);
-        Some(newer.flat_map(|(_, changes)| changes.iter().cloned()).collect())
+        Some(
+            newer
+                .flat_map(|(_, changes)| changes.iter().cloned())
+                .collect(),
+        )
     }
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -83,10 +83,17 @@
         let now = clock::now();
         let feed = self.feeds.entry(update.topic).or_default();
         if feed.away_since.is_some() {
-            log::info!("event=store_back topic={} revision={}", update.topic, update.at);
+            log::info!(
+                "event=store_back topic={} revision={}",
+                update.topic,
+                update.at
+            );
         }
         feed.succeeded(sent, now);
-        let before = self.logs.get(&update.topic).map_or(0, ChangeLog::changed_at);
+        let before = self
+            .logs
+            .get(&update.topic)
+            .map_or(0, ChangeLog::changed_at);
         let is_news = self.take(update, now);
         if update.topic == Topic::Config && self.at(Topic::Config) <= update.at {
             self.prove(sent);
@@ -101,7 +108,10 @@
     pub fn note_failure(&mut self, topic: Topic, error: &dyn std::error::Error) {
         let feed = self.feeds.entry(topic).or_default();
         if feed.away_since.is_none() {
-            log::warn!("event=store_lost topic={topic} error={:?}", error.to_string());
+            log::warn!(
+                "event=store_lost topic={topic} error={:?}",
+                error.to_string()
+            );
         }
         feed.failed(clock::now());
     }
@@ -195,7 +205,9 @@
         let now = clock::now();
         self.peers.note_ask(from, ask.zone, now);
         let back = self.feeds.get(&Topic::Targets).and_then(|f| f.back_since);
-        let back = back.map(|at| now.saturating_sub(at)).filter(|b| *b < STORE_BACK_TOLD);
+        let back = back
+            .map(|at| now.saturating_sub(at))
+            .filter(|b| *b < STORE_BACK_TOLD);
         let mut updates = Vec::new();
         let mut is_partial = false;
         for (topic, have) in ask.have {
@@ -206,7 +218,9 @@
         }
         Tell {
             nonce: ask.nonce,
-            proof_age_ms: self.config_proof.map(|at| clock::millis(now.saturating_sub(at)) + 1),
+            proof_age_ms: self
+                .config_proof
+                .map(|at| clock::millis(now.saturating_sub(at)) + 1),
             config_at: self.at(Topic::Config),
             updates,
             is_partial,
@@ -272,7 +286,10 @@
         self.reads.send_if_modified(|was| {
             let is_changed = *was != is_reader;
             if is_changed {
-                log::info!("event=reader is_reader={is_reader} reads_for_us={:?}", self.peers.reader(now));
+                log::info!(
+                    "event=reader is_reader={is_reader} reads_for_us={:?}",
+                    self.peers.reader(now)
+                );
             }
             *was = is_reader;
             is_changed
@@ -301,7 +318,12 @@
                 };
                 self.targets.values().map(entry).collect()
             }
-            Topic::Evacuations => self.zones_out.iter().cloned().map(Change::ZoneOut).collect(),
+            Topic::Evacuations => self
+                .zones_out
+                .iter()
+                .cloned()
+                .map(Change::ZoneOut)
+                .collect(),
         }
     }
 }
--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -32,8 +32,9 @@
 #[derive(Clone)]
 pub struct EngineCalls {
     /// Copies a run's memory; a second call copies what is new.
-    pub move_run:
-        Arc<dyn Fn(MoveRun) -> BoxFuture<'static, Result<CopyHandle, EngineCallError>> + Send + Sync>,
+    pub move_run: Arc<
+        dyn Fn(MoveRun) -> BoxFuture<'static, Result<CopyHandle, EngineCallError>> + Send + Sync,
+    >,
     /// How a request names the copy that it goes on from: the address of the
     /// engine that made or keeps it, and its handle or the run's id.
     pub copy_name: fn(SocketAddr, &str) -> Box<str>,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -95,7 +95,11 @@
     }
 }
 
-async fn read_once(topic: Topic, store: &Store, from: Option<Revision>) -> Result<Update, ReadError> {
+async fn read_once(
+    topic: Topic,
+    store: &Store,
+    from: Option<Revision>,
+) -> Result<Update, ReadError> {
     let batch = match from {
         None => list(topic, store).await?,
         Some(from) => {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -25,12 +25,20 @@
 pub(super) struct Run {
     pub exchange: Exchange,
     pub target: Arc<Target>,
-    pub backup: Option<Arc<Target>>,
+    pub backup: Option<Backup>,
     pub place: Place,
     /// Prompt tokens that its first event waits for, and since when.
     pub awaits: Option<(Tokens, BootTime)>,
 }
 
+/// A copy of a run that an engine keeps as the run grows.
+#[derive(Debug)]
+pub(super) struct Backup {
+    pub target: Arc<Target>,
+    /// Memory that the copy takes there.
+    _place: Place,
+}
+
 impl Gateway {
     /// Serves a streamed request. The answer starts with the target's head.
     pub(crate) async fn serve_stream(
@@ -67,12 +75,14 @@
             }
             tried.push(choice.target.id.clone());
             let backup = self.place_backup(&fleet, &choice, &job.need(admitted.route.objective));
-            let sent = self.send_stream(job, &admitted, &choice, backup.clone()).await;
+            let sent = self
+                .send_stream(job, &admitted, &choice, backup.clone())
+                .await;
             let (id, target) = (&job.stated.request_id, &choice.target.id);
             let took = clock::now().saturating_sub(now).as_millis();
             match sent {
                 Sent::Answered(run) => {
-                    let backup = run.backup.as_ref().map_or("none", |t| &t.id);
+                    let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
                         "event=stream request={id} target={target} backup={backup} took_ms={took}"
                     );
@@ -121,7 +131,7 @@
         let sent = self.open_run(job, admitted, &choice.target, &extras, place, None);
         match sent.await {
             Sent::Answered(run) => Sent::Answered(Run {
-                backup,
+                backup: backup.map(|target| self.keep_backup(job, target)),
                 awaits: Some(awaits),
                 ..run
             }),
@@ -129,6 +139,17 @@
         }
     }
 
+    fn keep_backup(&self, job: &Job, target: Arc<Target>) -> Backup {
+        let work = Work {
+            tokens: job.tokens(),
+            ..Work::default()
+        };
+        Backup {
+            _place: self.loads.take(&target.id, work),
+            target,
+        }
+    }
+
     pub(super) async fn open_run(
         &self,
         job: &Job,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -10,7 +10,8 @@
     Gateway,
     headers::Stated,
     model::{Customer, Fleet, Repeat, Route, Service, Target, Tokens},
-    placement::{Candidate, Distance, Need, engine_cost, plain_cost},
+    peer_wire::target_key,
+    placement::{Candidate, Distance, Need, engine_cost, has_room_for_backup, plain_cost},
     refusal::Refusal,
     routing::Denied,
 };
@@ -165,8 +166,12 @@
         choice: &Choice,
         need: &Need,
     ) -> Option<Arc<Target>> {
-        choice.service.engine.as_ref().filter(|e| e.has_backups)?;
-        self.place_near(fleet, choice, need)
+        let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
+        let haven = self.place_near(fleet, choice, need)?;
+        let (mut work, _) = self.loads.at(&haven.id, clock::now());
+        work.add(self.standing.others().get(&target_key(&haven.id)));
+        let has_room = has_room_for_backup(&work, limits, need);
+        has_room.then_some(haven)
     }
 
     /// Chooses another engine of the same zone.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,10 +60,10 @@
     usage::Usage,
 };
 pub use self::{
+    change_log::ChangeLog,
     engines::{CopyHandle, EngineCallError, EngineCalls, MoveRun},
     events::{Event, EventId, EventSplitter},
     extra_sends::ExtraSends,
-    change_log::ChangeLog,
     feed::{ReadError, Store},
     fleet::FeedState,
     headers::{HeaderNames, Stated, end_to_end},
@@ -230,7 +230,10 @@
     let port = settings.peer_ports.0;
     let address = peer_address(&settings.ip, port);
     let address = address.ok_or_else(|| io::Error::other("step=peer_address: no IP address"))?;
-    let seeds = settings.seeds.iter().filter_map(|seed| peer_address(seed, port));
+    let seeds = settings
+        .seeds
+        .iter()
+        .filter_map(|seed| peer_address(seed, port));
     Ok(Identity {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -118,11 +118,18 @@
 
     async fn tick(&self) {
         let now = clock::now();
-        self.asked.borrow_mut().retain(|_, at| now.saturating_sub(*at) < ASKED_KEPT);
+        self.asked
+            .borrow_mut()
+            .retain(|_, at| now.saturating_sub(*at) < ASKED_KEPT);
         self.control.borrow_mut().tick();
         let mut to = self.control.borrow().peers.to_ask(now);
         if !self.control.borrow().peers.knows_any() {
-            to.extend(self.identity.seeds.iter().filter(|s| **s != self.identity.address));
+            to.extend(
+                self.identity
+                    .seeds
+                    .iter()
+                    .filter(|s| **s != self.identity.address),
+            );
         }
         self.ask_all(&to, false).await;
     }
@@ -142,7 +149,11 @@
         let now = clock::now();
         let to = {
             let control = self.control.borrow();
-            if control.peers.is_reader(now) { control.peers.to_ask_far(now) } else { Vec::new() }
+            if control.peers.is_reader(now) {
+                control.peers.to_ask_far(now)
+            } else {
+                Vec::new()
+            }
         };
         self.ask_all(&to, true).await;
     }
@@ -206,7 +217,9 @@
         match packet.message {
             Message::Ask(ask) => self.answer(&packet.from, ask, from).await,
             Message::Running(running) => {
-                self.control.borrow_mut().take_running(&packet.from, running);
+                self.control
+                    .borrow_mut()
+                    .take_running(&packet.from, running);
             }
             Message::Tell(tell) => self.take_tell(&packet.from, tell, from).await,
             Message::Push(updates) => self.control.borrow_mut().take_push(&updates),
@@ -311,9 +324,10 @@
             ..tell
         })),
         Message::Ask(_) => Some(message),
-        Message::Running(running) if running.far.is_some() => {
-            Some(Message::Running(Running { far: None, ..running }))
-        }
+        Message::Running(running) if running.far.is_some() => Some(Message::Running(Running {
+            far: None,
+            ..running
+        })),
         Message::Running(_) => Some(message),
         // Followers learn by asking.
         Message::Push(_) => None,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -124,7 +124,11 @@
             return false;
         }
         if self.listed.get(name) != Some(&listed) {
-            log::info!("event=daemon name={name} zone={} address={}", listed.zone, listed.address);
+            log::info!(
+                "event=daemon name={name} zone={} address={}",
+                listed.zone,
+                listed.address
+            );
             self.listed.insert(name.into(), listed);
         }
         let heard = self.heard.entry(name.into()).or_insert_with(|| Heard {
@@ -170,7 +174,9 @@
     /// Daemons of a zone, best reader first; this one is left out.
     fn ranked(&self, zone: &str) -> Vec<(u64, &str)> {
         let of_zone = self.listed.iter().filter(|(_, l)| *l.zone == *zone);
-        let mut ranked: Vec<_> = of_zone.map(|(name, _)| (cell::score(zone, name), &**name)).collect();
+        let mut ranked: Vec<_> = of_zone
+            .map(|(name, _)| (cell::score(zone, name), &**name))
+            .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked
     }
@@ -197,7 +203,9 @@
     /// Whether this daemon is to read the store.
     #[must_use]
     pub fn is_reader(&self, now: BootTime) -> bool {
-        let is_asked = self.asked_at.is_some_and(|at| now.saturating_sub(at) < ASKED_FOR);
+        let is_asked = self
+            .asked_at
+            .is_some_and(|at| now.saturating_sub(at) < ASKED_FOR);
         is_asked || self.reader(now).is_none()
     }
 
@@ -228,15 +236,24 @@
     }
 
     fn addresses(&self, names: &[&str]) -> Vec<SocketAddr> {
-        names.iter().map(|name| self.listed[*name].address).collect()
+        names
+            .iter()
+            .map(|name| self.listed[*name].address)
+            .collect()
     }
 
     /// Daemons of the own zone that were heard lately.
     #[must_use]
     pub fn mates(&self, now: BootTime) -> Vec<SocketAddr> {
-        let lately = self.heard.iter().filter(|(_, h)| now.saturating_sub(h.heard_at) < ASKED_FOR);
+        let lately = self
+            .heard
+            .iter()
+            .filter(|(_, h)| now.saturating_sub(h.heard_at) < ASKED_FOR);
         let listed = lately.filter_map(|(name, _)| self.listed.get(name));
-        listed.filter(|l| l.zone == self.zone).map(|l| l.address).collect()
+        listed
+            .filter(|l| l.zone == self.zone)
+            .map(|l| l.address)
+            .collect()
     }
 
     /// Fresh news of the other daemons of the own zone.
@@ -320,7 +337,9 @@
             let is_alive = heard.map_or(is_young, |h| now.saturating_sub(h.heard_at) < MEMBER_KEPT);
             is_alive && is_in(listed)
         });
-        u16::try_from(members.count()).unwrap_or(u16::MAX).saturating_add(1)
+        u16::try_from(members.count())
+            .unwrap_or(u16::MAX)
+            .saturating_add(1)
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -20,6 +20,8 @@
 const MEMORY_SAFE: f64 = 0.85;
 /// Cost of each further memory's worth; preempted runs are read again.
 const OVERFLOW_WEIGHT: f64 = 10.0;
+/// Share of an engine's memory that backups may fill it up to.
+const BACKUP_PART: f64 = 0.8;
 /// Cost of all slots being taken.
 const SLOT_WEIGHT: f64 = 1.0;
 /// Cost of one recent failure.
@@ -74,7 +76,12 @@
 
 /// Cost of placing a generation at a candidate; lowest first.
 #[must_use]
-pub fn engine_cost(candidate: &Candidate, limits: &EngineLimits, need: &Need, read_rate: f64) -> f64 {
+pub fn engine_cost(
+    candidate: &Candidate,
+    limits: &EngineLimits,
+    need: &Need,
+    read_rate: f64,
+) -> f64 {
     let objective = need.objective.as_secs_f64().max(MIN_OBJECTIVE_S);
     let wait = as_f64(candidate.work.unread + need.prompt) / read_rate / objective;
     let memory = as_f64(candidate.work.tokens + need.tokens) / as_f64(limits.memory.max(1));
@@ -89,6 +96,14 @@
         + far
 }
 
+/// Whether an engine has room for a backup: one that made runs wait or be
+/// preempted would cost more than it saves.
+#[must_use]
+pub fn has_room_for_backup(work: &Work, limits: &EngineLimits, need: &Need) -> bool {
+    let memory = as_f64(limits.memory.max(1));
+    as_f64(work.tokens + need.tokens) <= BACKUP_PART * memory
+}
+
 /// Prompt tokens that engines read in a second, learnt from first events.
 #[derive(Debug)]
 pub struct ReadRate(Mutex<f64>);
@@ -113,7 +128,10 @@
     /// Tokens per second.
     #[must_use]
     pub fn get(&self) -> f64 {
-        *self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        *self
+            .0
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Notes that `tokens`, the prompt and those before it, took `time`.
@@ -122,7 +140,10 @@
             return;
         }
         let sample = (as_f64(tokens) / time.as_secs_f64()).max(MIN_RATE);
-        let mut rate = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut rate = self
+            .0
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         *rate += SAMPLE_PART * (sample - *rate);
     }
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -134,7 +134,9 @@
             }
             Ended::Moved(copy) => {
                 let haven = &copy.target.id;
-                log::info!("event=run_moved request={id} target={target} haven={haven} events={events}");
+                log::info!(
+                    "event=run_moved request={id} target={target} haven={haven} events={events}"
+                );
             }
             Ended::Broken(reason) => {
                 log::warn!(
@@ -146,7 +148,7 @@
     }
 
     fn backup_of(&self, job: &Job, run: &Run) -> Option<Copy> {
-        let target = run.backup.clone()?;
+        let target = run.backup.as_ref()?.target.clone();
         Some(Copy {
             name: (self.engines.copy_name)(target.address, &job.stated.request_id),
             target,
@@ -197,7 +199,11 @@
                     if let Ok(data) = frame.into_data() {
                         splitter.push(&data);
                     }
-                    if self.pass_on(run, &mut splitter, delivered, tx).await.is_err() {
+                    if self
+                        .pass_on(run, &mut splitter, delivered, tx)
+                        .await
+                        .is_err()
+                    {
                         return Ended::CallerLeft;
                     }
                     continue;
@@ -254,7 +260,11 @@
         }
         let haven = self.haven(&fleet, job, run)?;
         let id = &job.stated.request_id;
-        log::info!("event=move request={id} target={} haven={}", run.target.id, haven.id);
+        log::info!(
+            "event=move request={id} target={} haven={}",
+            run.target.id,
+            haven.id
+        );
         let calls = self.engines.clone();
         let asked = |is_last| MoveRun {
             source: run.target.address,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -342,7 +342,9 @@
     let told = notices.into_iter().flat_map(|notice| {
         let seal = &seal;
         let peers = view.peers.iter().map(|p| p.address);
-        peers.map(move |to| peer::ask::<_, Frame>(seal, to, Frame::CrashMark(notice.clone()), TELL_TIMEOUT))
+        peers.map(move |to| {
+            peer::ask::<_, Frame>(seal, to, Frame::CrashMark(notice.clone()), TELL_TIMEOUT)
+        })
     });
     for error in join_all(told).await.into_iter().filter_map(Result::err) {
         log::debug!("event=crash_mark_not_told error={:?}", error.to_string());
