A run is copied on notice and goes on once its engine is gone

Change: the run stays until its engine is gone; the copy made on notice lacks little then. Up to three engines are asked, since one without room declines.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -167,25 +167,28 @@
         need: &Need,
     ) -> Option<Arc<Target>> {
         let limits = choice.service.engine.as_ref().filter(|e| e.has_backups)?;
-        let haven = self.place_near(fleet, choice, need)?;
+        let tried = [choice.target.id.clone()];
+        let haven = self.place_near(fleet, &choice.target, &tried, need)?;
         let (mut work, _) = self.loads.at(&haven.id, clock::now());
         work.add(self.standing.others().get(&target_key(&haven.id)));
         let has_room = has_room_for_backup(&work, limits, need);
         has_room.then_some(haven)
     }
 
-    /// Chooses another engine of the same zone.
+    /// Chooses another engine of the same service and zone.
     pub(crate) fn place_near(
         &self,
         fleet: &Fleet,
-        choice: &Choice,
+        target: &Target,
+        tried: &[Box<str>],
         need: &Need,
     ) -> Option<Arc<Target>> {
-        let limits = choice.service.engine.as_ref()?;
+        let services = &fleet.config.as_ref()?.services;
+        let limits = services.get(&target.service)?.engine.as_ref()?;
         let now = clock::now();
         let others = self.standing.others();
-        let fitting = fleet.open_targets(&choice.target.service).filter(|known| {
-            known.target.zone == choice.target.zone && known.target.id != choice.target.id
+        let fitting = fleet.open_targets(&target.service).filter(|known| {
+            known.target.zone == target.zone && !tried.contains(&known.target.id)
         });
         let costs = fitting.map(|known| {
             let (mut work, failures) = self.loads.at(&known.target.id, now);
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{
@@ -20,15 +19,18 @@
     events::{EventId, EventSplitter},
     exchange::connect,
     generation::Run,
-    job::{Admitted, Choice, Extras, Job},
-    load::Work,
+    job::{Admitted, Extras, Job},
+    load::{Place, Work},
     model::{Fleet, Target},
     plain::Sent,
 };
 use crate::clock::{self, BootTime};
 
-/// Longest wait for a copy whose run has stopped at its source.
-const LAST_COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a copy once its source is gone.
+const LAST_COPY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Engines that are asked in turn to take a copy; the time until a reclaimed
+/// engine is gone suffices for about as many.
+const HAVENS: usize = 3;
 
 /// What the caller has of a stream.
 #[derive(Debug, Default)]
@@ -58,8 +60,6 @@
     Whole,
     CallerLeft,
     Broken(Box<str>),
-    /// The run was moved to another engine.
-    Moved(Copy),
 }
 
 /// A copy of a run that it can go on from.
@@ -69,8 +69,8 @@
     name: Box<str>,
     /// A connection to its engine, if one is open already.
     tcp: Option<TcpStream>,
-    /// The run has stopped at its source, and goes on only here.
-    is_moved: bool,
+    /// Memory that a copy made on notice takes.
+    place: Option<Place>,
 }
 
 type Preparing = BoxFuture<'static, Result<Copy, Box<str>>>;
@@ -93,7 +93,6 @@
             self.note_end(&job, &run, &delivered, &ended);
             let copy = match ended {
                 Ended::Whole | Ended::CallerLeft => return,
-                Ended::Moved(copy) => Some(copy),
                 Ended::Broken(_) if !run.exchange.answer.status().is_success() => None,
                 Ended::Broken(_) => copy.or_else(|| self.backup_of(&job, &run)),
             };
@@ -132,12 +131,6 @@
             Ended::CallerLeft => {
                 log::info!("event=caller_left request={id} target={target} events={events}");
             }
-            Ended::Moved(copy) => {
-                let haven = &copy.target.id;
-                log::info!(
-                    "event=run_moved request={id} target={target} haven={haven} events={events}"
-                );
-            }
             Ended::Broken(reason) => {
                 log::warn!(
                     "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
@@ -153,7 +146,7 @@
             name: (self.engines.copy_name)(target.address, &job.stated.request_id),
             target,
             tcp: None,
-            is_moved: false,
+            place: None,
         })
     }
 
@@ -183,7 +176,6 @@
                 prepared = poll(&mut preparing) => {
                     preparing = None;
                     match prepared {
-                        Ok(copy) if copy.is_moved => return Ended::Moved(copy),
                         Ok(copy) => *ready = Some(copy),
                         Err(reason) => note_unprepared(job, run, &reason),
                     }
@@ -192,7 +184,6 @@
             };
             let broken: Box<str> = match frame {
                 None if splitter.has_rest() => "ended within an event".into(),
-                None if preparing.is_some() && is_unframed(run) => "closed".into(),
                 None => return Ended::Whole,
                 Some(Err(e)) => e.to_string().into(),
                 Some(Ok(frame)) => {
@@ -209,7 +200,7 @@
                     continue;
                 }
             };
-            // A run that is being moved ends at its source without its last event.
+            // A copy that is on its way may still arrive.
             let Some(preparing) = preparing else {
                 return Ended::Broken(broken);
             };
@@ -250,7 +241,8 @@
         Ok(())
     }
 
-    /// Starts to get a copy ready for a run whose engine leaves.
+    /// Starts to get a copy ready for a run whose engine leaves: the backup if
+    /// its engine stays, or else a copy made now.
     fn prepare(&self, job: &Job, run: &Run) -> Option<Preparing> {
         let fleet = self.standing.fleet();
         if let Some(copy) = self.backup_of(job, run)
@@ -258,50 +250,60 @@
         {
             return Some(Box::pin(open_early(copy)));
         }
-        let haven = self.haven(&fleet, job, run)?;
-        let id = &job.stated.request_id;
-        log::info!(
-            "event=move request={id} target={} haven={}",
-            run.target.id,
-            haven.id
-        );
-        let calls = self.engines.clone();
-        let asked = |is_last| MoveRun {
-            source: run.target.address,
-            request_id: id.clone(),
-            haven: haven.address,
-            is_last,
+        let havens = self.havens(&fleet, job, run);
+        let work = Work {
+            tokens: job.tokens(),
+            ..Work::default()
         };
-        let (first, last) = (asked(false), asked(true));
+        let places = havens.iter().map(|haven| self.loads.take(&haven.id, work));
+        let mut places: Vec<_> = places.take(1).collect();
+        let calls = self.engines.clone();
+        let (source, id) = (run.target.clone(), job.stated.request_id.clone());
         Some(Box::pin(async move {
-            let source = first.source;
-            let failed = |e: super::engines::EngineCallError| Box::from(e.to_string());
-            (calls.move_run)(first).await.map_err(failed)?;
-            let (moved, tcp) = futures::join!((calls.move_run)(last), connect(haven.address));
-            Ok(Copy {
-                name: (calls.copy_name)(source, &moved.map_err(failed)?),
-                target: haven,
-                tcp: tcp.ok(),
-                is_moved: true,
-            })
+            let mut failed: Box<str> = "no engine to move it to".into();
+            for haven in havens {
+                log::info!("event=move request={id} target={} haven={}", source.id, haven.id);
+                let asked = MoveRun {
+                    source: source.address,
+                    request_id: id.clone(),
+                    haven: haven.address,
+                    is_last: false,
+                };
+                let (moved, tcp) = futures::join!((calls.move_run)(asked), connect(haven.address));
+                match moved {
+                    Ok(handle) => {
+                        return Ok(Copy {
+                            name: (calls.copy_name)(source.address, &handle),
+                            target: haven,
+                            tcp: tcp.ok(),
+                            place: places.pop(),
+                        });
+                    }
+                    Err(e) => failed = e.to_string().into(),
+                }
+            }
+            Err(failed)
         }))
     }
 
-    /// An engine to move a run to: of the same zone if there is one, since
-    /// copies between zones take twice as long.
-    fn haven(&self, fleet: &Fleet, job: &Job, run: &Run) -> Option<Arc<Target>> {
-        let admitted = self.readmit(fleet, job).ok()?;
-        let service = fleet.config.as_ref()?.services.get(&run.target.service)?;
-        service.engine.as_ref().filter(|e| e.has_moves)?;
-        let choice = Choice {
-            target: run.target.clone(),
-            service: service.clone(),
-            ahead: 0,
+    /// Engines to move a run to, best first: of the same zone if there are any,
+    /// since copies between zones take twice as long.
+    fn havens(&self, fleet: &Fleet, job: &Job, run: &Run) -> Vec<Arc<Target>> {
+        let Ok(admitted) = self.readmit(fleet, job) else {
+            return Vec::new();
         };
-        let need = job.need(admitted.route.objective);
-        let near = self.place_near(fleet, &choice, &need);
-        let tried = [run.target.id.clone()];
-        near.or_else(|| self.place(fleet, job, &admitted, &tried).map(|c| c.target))
+        let mut tried = vec![run.target.id.clone()];
+        let mut havens = Vec::new();
+        for _ in 0..HAVENS {
+            let near = self.place_near(fleet, &run.target, &tried, &job.need(admitted.route.objective));
+            let any = || self.place(fleet, job, &admitted, &tried).map(|c| c.target);
+            let Some(haven) = near.or_else(any) else {
+                break;
+            };
+            tried.push(haven.id.clone());
+            havens.push(haven);
+        }
+        havens
     }
 
     fn readmit(&self, fleet: &Fleet, job: &Job) -> Result<Admitted, Box<str>> {
@@ -335,6 +337,8 @@
             tokens: job.tokens(),
             unread: 0,
         };
+        let is_moved = copy.place.is_some();
+        drop(copy.place);
         let place = self.loads.take(&target.id, work);
         let sent = self.open_run(job, &admitted, target, &extras, place, copy.tcp);
         let sent = tokio::time::timeout(job.left(now), sent).await;
@@ -343,9 +347,8 @@
         match sent {
             Ok(Sent::Answered(run)) if run.exchange.answer.status().is_success() => {
                 log::info!(
-                    "event=stream_resumed request={id} target={} after={last:?} moved={} took_ms={took}",
-                    target.id,
-                    copy.is_moved
+                    "event=stream_resumed request={id} target={} after={last:?} moved={is_moved} took_ms={took}",
+                    target.id
                 );
                 Ok(run)
             }
@@ -367,7 +370,7 @@
             name: (self.engines.copy_name)(backup.address, &job.stated.request_id),
             target: backup,
             tcp: None,
-            is_moved: false,
+            place: None,
         };
         self.resume(job, copy, None).await
     }
@@ -390,13 +393,6 @@
     }
 }
 
-/// Whether the body has neither a length nor chunks, so that it ends with its
-/// connection.
-fn is_unframed(run: &Run) -> bool {
-    let headers = run.exchange.answer.headers();
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
-
 fn note_unprepared(job: &Job, run: &Run, reason: &str) {
     let (id, target) = (&job.stated.request_id, &run.target.id);
     log::warn!("event=copy_failed request={id} target={target} reason={reason:?}");
