A copy is sought again when its engine leaves too

Cause: reports were given up because the engine with the copy was leaving when its source ended. Change: up to three copies are sought for a run at one engine, and a run may go on at an engine within half of the time in which it may still be sent work.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -20,6 +20,10 @@
 /// write at least every two seconds, and one answer's delay is added.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Part of the time in which a leaving target may still be sent work that is
+/// used to rescue runs; others may have learnt of its leaving earlier.
+const LEAVING_PART: f64 = 0.5;
+
 /// State of the feed of one topic.
 #[derive(Clone, Debug, Default)]
 pub struct FeedState {
@@ -199,6 +203,17 @@
         known.is_some_and(|k| k.leaving_since.is_none()) && !self.zones_out.contains(&target.zone)
     }
 
+    /// Whether a run may go on at a target from its copy there: also for some
+    /// time after its leaving is known, as long as nobody bars it.
+    #[must_use]
+    pub fn takes_resumed(&self, target: &Target, bound: Duration, now: BootTime) -> bool {
+        let known = self.targets.get(&target.id);
+        let leaving = known.map(|k| k.leaving_since);
+        let is_late = |since: BootTime| now.saturating_sub(since) > bound.mul_f64(LEAVING_PART);
+        leaving.is_some_and(|since| !since.is_some_and(is_late))
+            && !self.zones_out.contains(&target.zone)
+    }
+
     /// Whether a target takes no new work and will be gone.
     #[must_use]
     pub fn is_leaving(&self, target: &Target) -> bool {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -30,7 +30,7 @@
 const COLD_COST: f64 = 1.0;
 /// Cost of another region for a generation: a run that goes on elsewhere
 /// pauses for two round trips more, and bytes between regions are paid.
-const FAR_ENGINE_COST: f64 = 0.15;
+const FAR_ENGINE_COST: f64 = 0.3;
 /// Cost of another region for a plain call, whose objective is a few round
 /// trips.
 const FAR_PLAIN_COST: f64 = 0.8;
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -31,6 +31,9 @@
 /// Engines that are asked in turn to take a copy; the time until a reclaimed
 /// engine is gone suffices for about as many.
 const HAVENS: usize = 3;
+/// Times that a copy is sought for one run at one engine: its first haven may
+/// leave as well.
+const COPY_TRIES: usize = 3;
 
 /// What the caller has of a stream.
 #[derive(Debug, Default)]
@@ -162,17 +165,23 @@
     ) -> Ended {
         let mut splitter = EventSplitter::default();
         let mut preparing: Option<Preparing> = None;
-        let mut is_leaving = false;
+        let mut tries = 0;
         loop {
             let changed = self.standing.changed();
-            if !is_leaving && self.standing.fleet().is_leaving(&run.target) {
-                is_leaving = true;
-                preparing = self.prepare(job, run);
+            let fleet = self.standing.fleet();
+            let lacks_copy = || ready.as_ref().is_none_or(|copy| !fleet.is_open(&copy.target));
+            if preparing.is_none()
+                && tries < COPY_TRIES
+                && fleet.is_leaving(&run.target)
+                && lacks_copy()
+            {
+                tries += 1;
+                preparing = self.prepare(&fleet, job, run);
             }
             let frame = tokio::select! {
                 frame = run.exchange.answer.body_mut().frame() => frame,
                 () = tx.closed() => return Ended::CallerLeft,
-                () = changed, if !is_leaving => continue,
+                () = changed, if tries < COPY_TRIES => continue,
                 prepared = poll(&mut preparing) => {
                     preparing = None;
                     match prepared {
@@ -243,14 +252,13 @@
 
     /// Starts to get a copy ready for a run whose engine leaves: the backup if
     /// its engine stays, or else a copy made now.
-    fn prepare(&self, job: &Job, run: &Run) -> Option<Preparing> {
-        let fleet = self.standing.fleet();
+    fn prepare(&self, fleet: &Fleet, job: &Job, run: &Run) -> Option<Preparing> {
         if let Some(copy) = self.backup_of(job, run)
             && fleet.is_open(&copy.target)
         {
             return Some(Box::pin(open_early(copy)));
         }
-        let havens = self.havens(&fleet, job, run);
+        let havens = self.havens(fleet, job, run);
         let work = Work {
             tokens: job.tokens(),
             ..Work::default()
@@ -321,7 +329,8 @@
         let fleet = self.standing.fleet();
         let admitted = self.readmit(&fleet, job)?;
         let target = &copy.target;
-        if !fleet.is_open(target) {
+        let bound = Duration::from_millis(self.settings().bounds.drain_ms);
+        if !fleet.takes_resumed(target, bound, now) {
             return Err("the copy's target takes no work".into());
         }
         if !self.may_send(job, true, now) {
