One daemon reads the store for all zones

Change: the first daemon of a zone relies on that of a higher-ranked zone while its proofs are young; changes are passed on at once along the same way; changes within 100 ms come in one answer. A daemon whose reader is gone reads itself; where the reader lives without young proofs, two more of a zone read.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -145,31 +145,45 @@
         self.standing.prove_config(sent);
     }
 
-    /// Takes changes that a reader passed on unasked.
-    pub fn take_push(&mut self, updates: &[Update]) {
+    /// Takes changes that another daemon passed on; returns what followers may
+    /// lack of them.
+    pub fn take_updates(&mut self, updates: &[Update]) -> Vec<Update> {
         let now = clock::now();
+        let mut news = Vec::new();
         for update in updates {
-            self.take(update, now);
+            let before = self
+                .logs
+                .get(&update.topic)
+                .map_or(0, ChangeLog::changed_at);
+            if self.take(update, now) && !update.is_whole {
+                news.push(Update {
+                    from: before,
+                    ..update.clone()
+                });
+            }
         }
+        news
     }
 
-    /// Takes a reader's answer to the question asked at `asked`.
-    pub fn take_tell(&mut self, from: &str, tell: Tell, asked: BootTime) {
+    /// Takes a reader's answer to the question asked at `asked`; returns what
+    /// followers may lack of it.
+    pub fn take_tell(&mut self, from: &str, tell: &Tell, asked: BootTime) -> Vec<Update> {
         let now = clock::now();
         if let Some(back) = tell.store_back_ms.map(Duration::from_millis) {
             let feed = self.feeds.entry(Topic::Targets).or_default();
             feed.back_since = feed.back_since.max(now.checked_sub(back));
         }
-        for update in &tell.updates {
-            self.take(update, now);
-        }
-        if let Some(age) = tell.proof_age_ms.map(Duration::from_millis)
+        let news = self.take_updates(&tell.updates);
+        let proof_age = tell.proof_age_ms.map(Duration::from_millis);
+        if let Some(age) = proof_age
             && self.at(Topic::Config) >= tell.config_at
             && let Some(sent) = asked.checked_sub(age)
         {
             self.prove(sent);
         }
-        self.peers.note_tell(from, now);
+        self.peers
+            .note_tell(from, proof_age.filter(|_| !tell.is_away), now);
+        news
     }
 
     /// A question for a reader.
@@ -186,10 +200,9 @@
     /// What this daemon has running, for its zone.
     pub fn running(&self) -> Running {
         let now = clock::now();
-        let is_first = self.peers.reader(now).is_none();
         Running {
             own: self.own_works(),
-            far: is_first.then(|| self.peers.far_works(now)),
+            far: self.peers.is_first(now).then(|| self.peers.far_works(now)),
         }
     }
 
@@ -222,6 +235,10 @@
                 .config_proof
                 .map(|at| clock::millis(now.saturating_sub(at)) + 1),
             config_at: self.at(Topic::Config),
+            is_away: self
+                .feeds
+                .get(&Topic::Config)
+                .is_some_and(|f| f.away_since.is_some()),
             updates,
             is_partial,
             store_back_ms: back.map(clock::millis),
@@ -282,7 +299,8 @@
         if self.fleet.expire(now) {
             self.standing.publish(self.fleet.clone());
         }
-        let is_reader = self.peers.is_reader(now);
+        let proof_age = self.config_proof.map(|at| now.saturating_sub(at));
+        let is_reader = self.peers.is_reader(proof_age, now);
         self.reads.send_if_modified(|was| {
             let is_changed = *was != is_reader;
             if is_changed {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -17,10 +17,12 @@
 /// Longest wait of a watch. Two of them and an answer's delay stay below the
 /// age at which keys are no longer trusted; shorter ones cost more calls, and
 /// ones below a second could fall whole into a gap of the store's watches.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(1_200);
 /// Longest delay of an answer beyond the wait asked for: a slow store takes up
 /// to some hundred milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after changes, so that those which follow come in one answer.
+const GATHER: Duration = Duration::from_millis(100);
 /// First and longest pause after a failed read.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
@@ -75,11 +77,15 @@
             Ok(update) => {
                 is_listed = true;
                 pause = RETRY_PAUSE.0;
+                let is_changed = !update.changes.is_empty();
                 let lacking = control.borrow_mut().take_read(&update, sent);
                 if let Some(lacking) = lacking {
                     // Without a receiver, followers learn by asking.
                     let _ = news.send(lacking);
                 }
+                if is_changed {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(e) => {
                 is_listed = false;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -187,9 +187,9 @@
         let limits = services.get(&target.service)?.engine.as_ref()?;
         let now = clock::now();
         let others = self.standing.others();
-        let fitting = fleet.open_targets(&target.service).filter(|known| {
-            known.target.zone == target.zone && !tried.contains(&known.target.id)
-        });
+        let fitting = fleet
+            .open_targets(&target.service)
+            .filter(|known| known.target.zone == target.zone && !tried.contains(&known.target.id));
         let costs = fitting.map(|known| {
             let (mut work, failures) = self.loads.at(&known.target.id, now);
             work.add(others.get(&known.key));
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -149,7 +149,7 @@
         let now = clock::now();
         let to = {
             let control = self.control.borrow();
-            if control.peers.is_reader(now) {
+            if control.peers.is_first(now) {
                 control.peers.to_ask_far(now)
             } else {
                 Vec::new()
@@ -167,13 +167,30 @@
         }
     }
 
+    /// Passes a change of the store on to all that follow this daemon.
     async fn push(&self, update: Update) {
-        let to = self.control.borrow().peers.mates(clock::now());
+        let to = self.control.borrow().peers.followers(clock::now());
         for peer in to {
             self.send(peer, Message::Push(vec![update.clone()])).await;
         }
     }
 
+    /// Passes changes that another daemon told on to the own zone, where this
+    /// daemon is its first.
+    async fn pass_on(&self, updates: Vec<Update>) {
+        let now = clock::now();
+        let to = {
+            let peers = &self.control.borrow().peers;
+            if updates.is_empty() || !peers.is_first(now) {
+                return;
+            }
+            peers.mates(now)
+        };
+        for peer in to {
+            self.send(peer, Message::Push(updates.clone())).await;
+        }
+    }
+
     async fn send(&self, to: SocketAddr, message: Message) {
         let packet = Packet {
             from: self.identity.name.clone(),
@@ -222,7 +239,10 @@
                     .take_running(&packet.from, running);
             }
             Message::Tell(tell) => self.take_tell(&packet.from, tell, from).await,
-            Message::Push(updates) => self.control.borrow_mut().take_push(&updates),
+            Message::Push(updates) => {
+                let news = self.control.borrow_mut().take_updates(&updates);
+                self.pass_on(news).await;
+            }
         }
     }
 
@@ -237,7 +257,8 @@
             return;
         };
         let is_partial = tell.is_partial;
-        self.control.borrow_mut().take_tell(name, tell, asked);
+        let news = self.control.borrow_mut().take_tell(name, &tell, asked);
+        self.pass_on(news).await;
         if is_partial {
             self.fetch(from).await;
         }
@@ -248,7 +269,9 @@
         let fetch = self.control.borrow().fetch();
         let fetched = ask::<Fetch, Vec<Update>>(&self.seal, from, fetch, FETCH_TIMEOUT).await;
         match fetched {
-            Ok(updates) => self.control.borrow_mut().take_push(&updates),
+            Ok(updates) => {
+                self.control.borrow_mut().take_updates(&updates);
+            }
             Err(e) => log::warn!("event=fetch_failed error={:?}", e.to_string()),
         }
     }
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -80,6 +80,8 @@
     pub proof_age_ms: Option<u64>,
     /// Revision of the configuration that the proof is for.
     pub config_at: Revision,
+    /// The sender's own calls to the store fail, or have not begun.
+    pub is_away: bool,
     /// Changes that the asker lacks.
     pub updates: Vec<Update>,
     /// Some topics are to be fetched whole.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,9 +30,16 @@
 /// Silence after which a reader is replaced: two questions and a round trip
 /// between regions.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
-/// How long a daemon reads the store after it was last asked; longer than a
-/// watch, so that a lost question does not end one.
-const ASKED_FOR: Duration = Duration::from_secs(2);
+/// How long changes are passed on to a daemon that was last heard.
+const FOLLOWS_FOR: Duration = Duration::from_secs(2);
+/// Age of a proof up to which its bearer is relied on: two waits of a watch
+/// and the ways from zone to zone.
+const RELIABLE_PROOF_AGE: Duration = Duration::from_millis(3_000);
+/// Age of the own proof from which on a few daemons read beside the one that
+/// reads for them; keys are trusted a little longer.
+const STALE_PROOF_AGE: Duration = Duration::from_millis(3_400);
+/// Daemons of a zone that do so.
+const STAND_INS: usize = 3;
 /// How long the work of a silent daemon counts.
 const WORK_KEPT: Duration = Duration::from_millis(1_500);
 /// How long a silent daemon counts as one that shares budgets: a pause does
@@ -58,6 +65,8 @@
     heard_at: BootTime,
     /// When it last answered a question.
     told_at: Option<BootTime>,
+    /// When it last answered with a proof that is young enough to rely on.
+    proved_at: Option<BootTime>,
     /// Its own work.
     works: Works,
     /// Work of its zone, from a reader of another zone; when that was.
@@ -73,8 +82,6 @@
     zone: ZoneName,
     listed: BTreeMap<DaemonName, Listed>,
     heard: HashMap<DaemonName, Heard>,
-    /// When another daemon last asked.
-    asked_at: Option<BootTime>,
     /// When this daemon began to look for a reader.
     started: BootTime,
 }
@@ -88,7 +95,6 @@
             zone: zone.into(),
             listed: BTreeMap::new(),
             heard: HashMap::new(),
-            asked_at: None,
             started: now,
         }
     }
@@ -135,6 +141,7 @@
             incarnation,
             heard_at: now,
             told_at: None,
+            proved_at: None,
             works: Works::new(),
             zone: None,
             far: None,
@@ -146,7 +153,6 @@
 
     /// Notes a question, with the work of the asker's zone if it is another.
     pub fn note_ask(&mut self, name: &str, zone: Option<ZoneWorks>, now: BootTime) {
-        self.asked_at = Some(now);
         if let Some(heard) = self.heard.get_mut(name)
             && let Some(zone) = zone
         {
@@ -154,10 +160,13 @@
         }
     }
 
-    /// Notes an answer.
-    pub fn note_tell(&mut self, name: &str, now: BootTime) {
+    /// Notes an answer, and the age of the proof that came with it.
+    pub fn note_tell(&mut self, name: &str, proof_age: Option<Duration>, now: BootTime) {
         if let Some(heard) = self.heard.get_mut(name) {
             heard.told_at = Some(now);
+            if proof_age.is_some_and(|age| age < RELIABLE_PROOF_AGE) {
+                heard.proved_at = Some(now);
+            }
         }
     }
 
@@ -200,13 +209,34 @@
         self.better().into_iter().find(|name| self.tells(name, now))
     }
 
-    /// Whether this daemon is to read the store.
+    /// Whether a daemon of a zone that ranks higher than the own one supplies
+    /// young proofs. Ranks keep two zones from relying on each other.
+    fn has_far_source(&self, now: BootTime) -> bool {
+        let own = zone_rank(&self.zone);
+        let proves = |name: &str| {
+            let proved = self.heard.get(name).and_then(|h| h.proved_at);
+            proved.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER)
+        };
+        let mut listed = self.listed.iter();
+        listed.any(|(name, l)| zone_rank(&l.zone) > own && proves(name))
+    }
+
+    /// Whether this daemon is to read the store, given the age of its own
+    /// proof: where nobody reads for it, or, being one of a few, where the one
+    /// that does has had no young proof for long.
     #[must_use]
-    pub fn is_reader(&self, now: BootTime) -> bool {
-        let is_asked = self
-            .asked_at
-            .is_some_and(|at| now.saturating_sub(at) < ASKED_FOR);
-        is_asked || self.reader(now).is_none()
+    pub fn is_reader(&self, proof_age: Option<Duration>, now: BootTime) -> bool {
+        if self.reader(now).is_none() {
+            return !self.has_far_source(now);
+        }
+        let age = proof_age.unwrap_or_else(|| now.saturating_sub(self.started));
+        age > STALE_PROOF_AGE && self.better().len() < STAND_INS
+    }
+
+    /// Whether this daemon reads or asks other zones for its own.
+    #[must_use]
+    pub fn is_first(&self, now: BootTime) -> bool {
+        self.reader(now).is_none()
     }
 
     /// Whom to ask now in the own zone: the reader, or all that could be.
@@ -248,7 +278,7 @@
         let lately = self
             .heard
             .iter()
-            .filter(|(_, h)| now.saturating_sub(h.heard_at) < ASKED_FOR);
+            .filter(|(_, h)| now.saturating_sub(h.heard_at) < FOLLOWS_FOR);
         let listed = lately.filter_map(|(name, _)| self.listed.get(name));
         listed
             .filter(|l| l.zone == self.zone)
@@ -256,6 +286,17 @@
             .collect()
     }
 
+    /// Daemons to pass changes on to: the own zone, and readers of others.
+    #[must_use]
+    pub fn followers(&self, now: BootTime) -> Vec<SocketAddr> {
+        let lately = self
+            .heard
+            .iter()
+            .filter(|(_, h)| now.saturating_sub(h.heard_at) < FOLLOWS_FOR);
+        let listed = lately.filter_map(|(name, _)| self.listed.get(name));
+        listed.map(|l| l.address).collect()
+    }
+
     /// Fresh news of the other daemons of the own zone.
     fn near(&self, now: BootTime) -> impl Iterator<Item = &Heard> {
         self.heard.iter().filter_map(move |(name, heard)| {
@@ -343,6 +384,11 @@
     }
 }
 
+/// Rank of a zone among those that read for others.
+fn zone_rank(zone: &str) -> (u64, &str) {
+    (cell::score("store", zone), zone)
+}
+
 fn sum<'a>(all: impl Iterator<Item = &'a Works>) -> Works {
     let mut total: BTreeMap<TargetKey, Work> = BTreeMap::new();
     for (key, work) in all.flatten() {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -169,7 +169,11 @@
         loop {
             let changed = self.standing.changed();
             let fleet = self.standing.fleet();
-            let lacks_copy = || ready.as_ref().is_none_or(|copy| !fleet.is_open(&copy.target));
+            let lacks_copy = || {
+                ready
+                    .as_ref()
+                    .is_none_or(|copy| !fleet.is_open(&copy.target))
+            };
             if preparing.is_none()
                 && tries < COPY_TRIES
                 && fleet.is_leaving(&run.target)
@@ -270,7 +274,11 @@
         Some(Box::pin(async move {
             let mut failed: Box<str> = "no engine to move it to".into();
             for haven in havens {
-                log::info!("event=move request={id} target={} haven={}", source.id, haven.id);
+                log::info!(
+                    "event=move request={id} target={} haven={}",
+                    source.id,
+                    haven.id
+                );
                 let asked = MoveRun {
                     source: source.address,
                     request_id: id.clone(),
@@ -303,7 +311,12 @@
         let mut tried = vec![run.target.id.clone()];
         let mut havens = Vec::new();
         for _ in 0..HAVENS {
-            let near = self.place_near(fleet, &run.target, &tried, &job.need(admitted.route.objective));
+            let near = self.place_near(
+                fleet,
+                &run.target,
+                &tried,
+                &job.need(admitted.route.objective),
+            );
             let any = || self.place(fleet, job, &admitted, &tried).map(|c| c.target);
             let Some(haven) = near.or_else(any) else {
                 break;
