--- a/src/log.rs
+++ b/src/log.rs
@@ -1,12 +1,24 @@
 //! Logs: one line of key=value pairs for each event.
 
-use std::{io, time::SystemTime};
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, SyncSender},
+    },
+    time::SystemTime,
+};
 
 use log::LevelFilter;
 use snafu::Snafu;
 
 use crate::settings::LogSettings;
 
+/// Lines that may wait for the writer: a burst of some hundred requests. More
+/// are dropped and counted, so that traffic never waits for a log.
+const LINES_WAITING: usize = 2_048;
+
 /// Logging that could not be set up.
 #[derive(Debug, Snafu)]
 pub enum LogError {
@@ -51,7 +63,13 @@
         dispatch = dispatch.level_for(module.to_string(), parse_level(level)?);
     }
     let dispatch = match &settings.file {
-        None => dispatch.chain(io::stderr()),
+        None => {
+            let lines = spawn_writer(io::stdout()).map_err(|source| LogError::Open {
+                file: "standard output".into(),
+                source,
+            })?;
+            dispatch.chain(fern::Output::call(move |record| lines.put(record)))
+        }
         Some(file) => {
             let opened = fern::log_file(&**file).map_err(|source| LogError::Open {
                 file: file.clone(),
@@ -63,6 +81,49 @@
     dispatch.apply().map_err(|_| LogError::Twice)
 }
 
+/// Lines on their way to a writer that may be slow.
+struct Lines {
+    tx: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Lines {
+    /// Hands a line over, or counts it as dropped; never waits.
+    fn put(&self, record: &log::Record<'_>) {
+        if self.tx.try_send(record.args().to_string()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("bluebell_log_lines_dropped").increment(1);
+        }
+    }
+}
+
+/// Starts a thread that writes lines, and says how many it had to leave out.
+fn spawn_writer(mut out: impl Write + Send + 'static) -> io::Result<Lines> {
+    let (tx, rx) = mpsc::sync_channel::<String>(LINES_WAITING);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let missed = dropped.clone();
+    let write = move || {
+        for first in rx.iter() {
+            let mut text = first;
+            text.push('\n');
+            for line in rx.try_iter().take(LINES_WAITING) {
+                text.push_str(&line);
+                text.push('\n');
+            }
+            let missed = missed.swap(0, Ordering::Relaxed);
+            if missed > 0 {
+                text.push_str(&format!("event=log_lines_dropped count={missed}\n"));
+            }
+            // Without a reader of standard output there is nowhere to tell.
+            let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        }
+    };
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(write)?;
+    Ok(Lines { tx, dropped })
+}
+
 fn parse_level(level: &str) -> Result<LevelFilter, LogError> {
     level.parse().map_err(|_| LogError::Level {
         level: level.into(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -274,7 +274,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
-    /// File to append to; standard error when absent.
+    /// File to append to; standard output when absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub file: Option<Box<str>>,
     /// Level for all modules: `error`, `warn`, `info`, `debug` or `trace`.
