--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -67,6 +67,15 @@
     pub hint: Option<Tokens>,
 }
 
+impl Stated {
+    /// Tokens that the output is expected to have.
+    #[must_use]
+    pub fn output(&self) -> Tokens {
+        let hint = self.hint.unwrap_or(self.most_output);
+        hint.min(self.most_output.max(1))
+    }
+}
+
 impl HeaderNames {
     /// Reads what a request's head says; `None` without a usable id.
     #[must_use]
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -79,8 +79,7 @@
 
     /// Tokens of memory that it is expected to take.
     pub fn tokens(&self) -> Tokens {
-        let output = self.stated.hint.unwrap_or(self.stated.most_output);
-        let tokens = self.stated.prompt + output.min(self.stated.most_output.max(1));
+        let tokens = self.stated.prompt + self.stated.output();
         if tokens == 0 { DEFAULT_TOKENS } else { tokens }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod routing;
 mod settings;
 mod standing;
+mod stop;
 mod usage;
 
 use std::{
@@ -57,6 +58,7 @@
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
+    stop::{IDLE_CLOSE_PART, STOP_PART},
     usage::Usage,
 };
 pub use self::{
@@ -77,16 +79,12 @@
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     standing::Standing,
+    stop::{ends_in_time, expected_time},
 };
 use crate::clock;
 
 /// Longest wait for a caller that names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-/// Part of the time between SIGTERM and SIGKILL after which connections that
-/// are idle are closed; before it, callers learn from answers that they end.
-const IDLE_CLOSE_PART: f64 = 0.4;
-/// Part of that time after which the process ends in any case.
-const STOP_PART: f64 = 0.95;
 /// Period at which a process that stops looks for work left.
 const STOP_PERIOD: Duration = Duration::from_millis(50);
 
@@ -169,7 +167,7 @@
             .unwrap_or_else(PoisonError::into_inner) = Some(began);
         gateway.standing.stop();
         log::info!("event=stopping running={}", gateway.running.count());
-        let grace = Duration::from_secs_f64(gateway.settings().bounds.stop_grace_s);
+        let grace = gateway.stop_grace();
         loop {
             tokio::time::sleep(STOP_PERIOD).await;
             let waited = clock::now().saturating_sub(began);
@@ -256,15 +254,36 @@
             .map_or_else(CallerLimits::default, |c| c.limits)
     }
 
-    /// Whether idle connections are to be closed.
-    fn closes_idle(&self) -> bool {
+    /// How long ago the process was told to stop.
+    fn stopping_for(&self) -> Option<Duration> {
         let stopped_at = *self
             .stopped_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let grace = Duration::from_secs_f64(self.settings().bounds.stop_grace_s);
-        stopped_at
-            .is_some_and(|at| clock::now().saturating_sub(at) > grace.mul_f64(IDLE_CLOSE_PART))
+        stopped_at.map(|at| clock::now().saturating_sub(at))
+    }
+
+    fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.settings().bounds.stop_grace_s)
+    }
+
+    /// Whether idle connections are to be closed.
+    fn closes_idle(&self) -> bool {
+        let stopping = self.stopping_for();
+        stopping.is_some_and(|since| since > self.stop_grace().mul_f64(IDLE_CLOSE_PART))
+    }
+
+    /// Refuses a request that would still run when the process ends.
+    fn check_stop(&self, route: &Route, stated: &Stated) -> Result<(), Refusal> {
+        let Some(since) = self.stopping_for() else {
+            return Ok(());
+        };
+        let expected = match route.repeat {
+            Repeat::Stream => expected_time(route.objective, stated.output()),
+            Repeat::Idempotent | Repeat::AtMostOnce => route.objective,
+        };
+        let is_taken = ends_in_time(expected, since, self.stop_grace());
+        is_taken.then_some(()).ok_or(Refusal::Stopping)
     }
 
     fn with_extra_sends<T>(&self, service: &str, act: impl FnOnce(&mut ExtraSends) -> T) -> T {
@@ -320,8 +339,9 @@
             .get(&self.names.key)
             .and_then(|k| k.to_str().ok());
         let path = head.uri.path();
-        self.admit(&fleet, &host, path, key, arrived)?;
+        let admitted = self.admit(&fleet, &host, path, key, arrived)?;
         let stated = self.names.stated(&head.headers).ok_or(Refusal::NoId)?;
+        self.check_stop(&admitted.route, &stated)?;
         let limits = self.limits();
         let body = Limited::new(body, limits.max_body_bytes);
         let body = body.collect().await.map_err(|e| {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The body did not arrive whole.
     BodyCut,
+    /// The process stops before the request could end.
+    Stopping,
     /// No target may take it now; it has not run.
     NoTarget,
     /// Every target that was asked declined; it has not run.
@@ -46,9 +48,12 @@
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::StaleKeys | Self::NoTarget | Self::Declined | Self::Expired => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::StaleKeys
+            | Self::Stopping
+            | Self::NoTarget
+            | Self::Declined
+            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoId | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
             Self::Denied(Denied::UnknownKey) => StatusCode::UNAUTHORIZED,
@@ -62,7 +67,9 @@
     fn retry_after(self, spread: f64) -> Option<Duration> {
         match self {
             Self::NoTarget | Self::Declined => Some(RETRY_SOON.mul_f64(1.0 + spread)),
-            Self::NoConfig | Self::StaleKeys => Some(RETRY_ELSEWHERE.mul_f64(1.0 + spread)),
+            Self::NoConfig | Self::StaleKeys | Self::Stopping => {
+                Some(RETRY_ELSEWHERE.mul_f64(1.0 + spread))
+            }
             _ => None,
         }
     }
