A send without a connection is no repeat, and daemons share the budget

Change: what never left is not counted; an address without a listener is passed over; daemons tell their sends, 0.4 of the budget is shared out beforehand, and the rest goes to whoever needs it up to 0.55 of the whole.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,12 +12,13 @@
 
 use super::{
     change_log::ChangeLog,
+    extra_sends::SendBook,
     fleet::FeedState,
     load::LoadBook,
     model::{Change, Fleet, Topic},
     peer_wire::{Ask, Fetch, Running, Tell, Update, Works, target_key},
     peers::Peers,
-    standing::Standing,
+    standing::{Others, Standing},
 };
 use crate::{
     clock::{self, BootTime},
@@ -38,13 +39,22 @@
     config_proof: Option<BootTime>,
     pub peers: Peers,
     loads: LoadBook,
+    sends: SendBook,
+    /// Window of the budget for repeated sends.
+    window: Duration,
     standing: Arc<Standing>,
     reads: watch::Sender<bool>,
 }
 
 impl Control {
     /// Starts with nothing known.
-    pub fn new(peers: Peers, loads: LoadBook, standing: Arc<Standing>) -> Self {
+    pub fn new(
+        peers: Peers,
+        loads: LoadBook,
+        sends: SendBook,
+        window: Duration,
+        standing: Arc<Standing>,
+    ) -> Self {
         let (reads, _) = watch::channel(true);
         Self {
             fleet: Fleet::default(),
@@ -54,6 +64,8 @@
             config_proof: None,
             peers,
             loads,
+            sends,
+            window,
             standing,
             reads,
         }
@@ -188,8 +200,11 @@
 
     /// A question for a reader.
     pub fn ask(&self, nonce: u64, is_far: bool) -> Ask {
-        let own = self.own_works();
-        let zone = is_far.then(|| self.peers.zone_works(&own, clock::now()));
+        let zone = is_far.then(|| {
+            let now = clock::now();
+            let sends = self.sends.all(now, self.window);
+            self.peers.zone_works(&self.own_works(), &sends, now)
+        });
         Ask {
             nonce,
             have: self.have(),
@@ -202,6 +217,7 @@
         let now = clock::now();
         Running {
             own: self.own_works(),
+            sends: self.sends.all(now, self.window),
             far: self.peers.is_first(now).then(|| self.peers.far_works(now)),
         }
     }
@@ -284,8 +300,12 @@
     }
 
     fn share_others(&self, now: BootTime) {
-        let others = self.peers.others(now);
-        self.standing.set_others(others.into_iter().collect());
+        let (works, sends) = self.peers.others(now);
+        let others = Others {
+            works: works.into_iter().collect(),
+            sends: sends.into_iter().collect(),
+        };
+        self.standing.set_others(others);
     }
 
     fn own_works(&self) -> Works {
--- a/src/gateway/extra_sends.rs
+++ b/src/gateway/extra_sends.rs
@@ -1,22 +1,59 @@
-//! The share of the fleet's budget for repeated sends that this daemon may use.
+//! How many repeated sends the budget of all daemons leaves this one.
 //!
-//! Load pattern: a target or zone that fails makes every daemon resend at
-//! once. Each keeps to its own share, so that the sum holds without talk.
+//! Load pattern: an engine that is reclaimed breaks all of its runs at once, at
+//! the few daemons that have them, while the fleet as a whole repeats little.
+//! Each daemon may use its own share of a part of the budget in any case, so
+//! that the sum holds while daemons do not hear from each other; the rest goes
+//! to whoever needs it, by what all have told.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
+use serde::{Deserialize, Serialize};
+
+use super::peer_wire::{TargetKey, target_key};
 use crate::clock::BootTime;
 
-/// Part of the budget that is planned with; the rest covers windows that lie
-/// across the ones counted here, and daemons that this one has not heard of.
-const USED_PART: f64 = 0.8;
+/// Part of the budget that is shared out among daemons beforehand.
+const SHARED_OUT: f64 = 0.4;
+/// Part of the budget up to which what all have used is let grow. The rest
+/// covers sends that others have not told of yet.
+const USED_MOST: f64 = 0.55;
+
+/// Sends within a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SendCounts {
+    /// First sends of requests.
+    pub firsts: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+}
 
-/// Repeated sends of one service.
-#[derive(Debug)]
+impl SendCounts {
+    /// Adds the sends of others.
+    pub fn add(&mut self, other: SendCounts) {
+        self.firsts += other.firsts;
+        self.repeats += other.repeats;
+    }
+}
+
+/// What the promised bounds allow all daemons together.
+#[derive(Clone, Copy, Debug)]
+pub struct SendBudget {
+    /// Repeated sends per first send…
+    pub share: f64,
+    /// …and so many more in a window…
+    pub extra: f64,
+    /// …of this length.
+    pub window: Duration,
+}
+
+/// Sends to one service.
+#[derive(Debug, Default)]
 pub struct ExtraSends {
-    share: f64,
-    extra: f64,
-    window: Duration,
     /// Times of first sends, oldest first.
     firsts: VecDeque<BootTime>,
     /// Times of repeated sends, oldest first.
@@ -24,46 +61,70 @@
 }
 
 impl ExtraSends {
-    /// Starts with nothing sent. `extra` is for all daemons together.
-    #[must_use]
-    pub fn new(share: f64, extra: f64, window: Duration) -> Self {
-        Self {
-            share,
-            extra,
-            window,
-            firsts: VecDeque::new(),
-            repeats: VecDeque::new(),
-        }
-    }
-
     /// Counts a request's first send.
     pub fn note_first(&mut self, now: BootTime) {
-        self.forget(now);
         self.firsts.push_back(now);
     }
 
-    /// Takes one repeated send if `daemons` that share the budget leave one.
-    pub fn try_repeat(&mut self, now: BootTime, daemons: usize) -> bool {
-        self.forget(now);
-        let all = count(self.firsts.len()) * self.share + self.extra / count(daemons.max(1));
-        let is_left = count(self.repeats.len()) + 1.0 <= all * USED_PART;
+    /// Takes one repeated send if the budget leaves one, given how many
+    /// `daemons` there are and what the `others` have sent.
+    pub fn try_repeat(
+        &mut self,
+        now: BootTime,
+        budget: &SendBudget,
+        daemons: usize,
+        others: SendCounts,
+    ) -> bool {
+        let own = self.counts(now, budget.window);
+        let daemons = u32::try_from(daemons.max(1)).unwrap_or(u32::MAX);
+        let reserved = f64::from(own.firsts) * budget.share + budget.extra / f64::from(daemons);
+        let mut all = own;
+        all.add(others);
+        let allowed = f64::from(all.firsts) * budget.share + budget.extra;
+        let is_left = f64::from(own.repeats + 1) <= reserved * SHARED_OUT
+            || f64::from(all.repeats + 1) <= allowed * USED_MOST;
         if is_left {
             self.repeats.push_back(now);
         }
         is_left
     }
 
-    fn forget(&mut self, now: BootTime) {
-        let from = now.saturating_sub(self.window);
+    /// Sends within the window that ends now.
+    pub fn counts(&mut self, now: BootTime, window: Duration) -> SendCounts {
+        let from = now.saturating_sub(window);
         for times in [&mut self.firsts, &mut self.repeats] {
             while times.front().is_some_and(|at| *at < from) {
                 times.pop_front();
             }
         }
+        let count = |times: &VecDeque<_>| u32::try_from(times.len()).unwrap_or(u32::MAX);
+        SendCounts {
+            firsts: count(&self.firsts),
+            repeats: count(&self.repeats),
+        }
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
-fn count(n: usize) -> f64 {
-    n as f64
+/// Sends of this daemon, by service.
+#[derive(Clone, Debug, Default)]
+pub struct SendBook(Arc<Mutex<HashMap<TargetKey, ExtraSends>>>);
+
+impl SendBook {
+    /// Works on the sends of a service.
+    pub fn with<T>(&self, service: &str, act: impl FnOnce(&mut ExtraSends) -> T) -> T {
+        let mut book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        act(book.entry(target_key(service)).or_default())
+    }
+
+    /// Counts of all services.
+    #[must_use]
+    pub fn all(&self, now: BootTime, window: Duration) -> Vec<(TargetKey, SendCounts)> {
+        let mut book = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = book
+            .iter_mut()
+            .map(|(key, sends)| (*key, sends.counts(now, window)));
+        counts
+            .filter(|(_, counts)| *counts != SendCounts::default())
+            .collect()
+    }
 }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -62,6 +62,7 @@
     async fn start(&self, job: &Job, mut admitted: Admitted) -> Result<Run, Refusal> {
         let mut tried = Vec::new();
         let mut outcome = Refusal::NoTarget;
+        let mut was_sent = false;
         loop {
             let now = clock::now();
             let fleet = self.standing.fleet();
@@ -70,7 +71,7 @@
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
             let choice = self.place(&fleet, job, &admitted, &tried).ok_or(outcome)?;
-            if !self.may_send(job, !tried.is_empty(), now) {
+            if !self.may_send(job, was_sent, now) {
                 return Err(outcome);
             }
             tried.push(choice.target.id.clone());
@@ -80,7 +81,15 @@
                 .await;
             let (id, target) = (&job.stated.request_id, &choice.target.id);
             let took = clock::now().saturating_sub(now).as_millis();
+            was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
+                Sent::Unsent(reason) => {
+                    log::info!(
+                        "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
+                    self.loads.note_down(target, clock::now());
+                    outcome = Refusal::Declined;
+                }
                 Sent::Answered(run) => {
                     let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
@@ -166,7 +175,7 @@
         };
         let exchange = match opened {
             Ok(exchange) => exchange,
-            Err(e @ ExchangeError::Connect { .. }) => return Sent::NotRun(e.to_string().into()),
+            Err(e @ ExchangeError::Connect { .. }) => return Sent::Unsent(e.to_string().into()),
             Err(e) => return Sent::Unknown(e.to_string().into()),
         };
         if let Some(verdict) = self.judge_head(&exchange.answer, &job.stated.request_id) {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -134,7 +134,7 @@
         let costs = open.map(|known| {
             let target = &known.target;
             let (mut work, failures) = self.loads.at(&target.id, now);
-            work.add(others.get(&known.key));
+            work.add(others.works.get(&known.key));
             let candidate = Candidate {
                 work,
                 slots: target.slots,
@@ -169,7 +169,7 @@
         let tried = [choice.target.id.clone()];
         let haven = self.place_near(fleet, &choice.target, &tried, need)?;
         let (mut work, _) = self.loads.at(&haven.id, clock::now());
-        work.add(self.standing.others().get(&target_key(&haven.id)));
+        work.add(self.standing.others().works.get(&target_key(&haven.id)));
         let has_room = has_room_for_backup(&work, limits, need);
         has_room.then_some(haven)
     }
@@ -191,7 +191,7 @@
             .filter(|known| known.target.zone == target.zone && !tried.contains(&known.target.id));
         let costs = fitting.map(|known| {
             let (mut work, failures) = self.loads.at(&known.target.id, now);
-            work.add(others.get(&known.key));
+            work.add(others.works.get(&known.key));
             let candidate = Candidate {
                 work,
                 slots: known.target.slots,
@@ -261,11 +261,14 @@
     /// Counts a first send, or takes a repeated one from the budget.
     pub(crate) fn may_send(&self, job: &Job, is_repeat: bool, now: BootTime) -> bool {
         let daemons = self.standing.daemons();
-        self.with_extra_sends(&job.service, |extra| {
+        let others = self.standing.others();
+        let sent = others.sends.get(&target_key(&job.service)).copied();
+        let budget = self.settings().send_budget();
+        self.sends.with(&job.service, |sends| {
             if is_repeat {
-                return extra.try_repeat(now, daemons);
+                return sends.try_repeat(now, &budget, daemons, sent.unwrap_or_default());
             }
-            extra.note_first(now);
+            sends.note_first(now);
             true
         })
     }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -50,6 +50,9 @@
     noted_at: BootTime,
 }
 
+/// Failures that an address without an answer counts as: enough to pass it over
+/// until its entry is removed, which takes up to three heartbeats.
+const DOWN_FAILURES: f64 = 8.0;
 /// Time in which the memory of failures halves.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -95,8 +98,17 @@
 
     /// Notes a failure of a target.
     pub fn note_failure(&self, target: &str, now: BootTime) {
+        self.note(target, 1.0, now);
+    }
+
+    /// Notes that nothing answers at a target's address.
+    pub fn note_down(&self, target: &str, now: BootTime) {
+        self.note(target, DOWN_FAILURES, now);
+    }
+
+    fn note(&self, target: &str, failures: f64, now: BootTime) {
         self.with(target, |entry| {
-            entry.failures = entry.failures_at(now) + 1.0;
+            entry.failures = entry.failures_at(now) + failures;
             entry.noted_at = now;
         });
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,7 +35,6 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
     io,
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
@@ -65,7 +64,7 @@
     change_log::ChangeLog,
     engines::{CopyHandle, EngineCallError, EngineCalls, MoveRun},
     events::{Event, EventId, EventSplitter},
-    extra_sends::ExtraSends,
+    extra_sends::{ExtraSends, SendBook, SendBudget, SendCounts},
     feed::{ReadError, Store},
     fleet::FeedState,
     headers::{HeaderNames, Stated, end_to_end},
@@ -78,7 +77,7 @@
     placement::{Candidate, Distance, Need, ReadRate, engine_cost, plain_cost},
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
-    standing::Standing,
+    standing::{Others, Standing},
     stop::{ends_in_time, expected_time},
 };
 use crate::clock;
@@ -96,7 +95,7 @@
     standing: Arc<Standing>,
     loads: LoadBook,
     read_rate: ReadRate,
-    extra_sends: Mutex<HashMap<Box<str>, ExtraSends>>,
+    sends: SendBook,
     running: Usage,
     /// When the process was told to stop.
     stopped_at: Mutex<Option<clock::BootTime>>,
@@ -124,10 +123,12 @@
         let standing = Arc::new(Standing::default());
         let control = CancellationToken::new();
         let loads = LoadBook::default();
+        let sends = SendBook::default();
         let spawned = spawn_control(
             store,
             &settings,
             loads.clone(),
+            sends.clone(),
             standing.clone(),
             control.clone(),
         );
@@ -139,7 +140,7 @@
             standing,
             loads,
             read_rate: ReadRate::default(),
-            extra_sends: Mutex::default(),
+            sends,
             running: Usage::default(),
             stopped_at: Mutex::default(),
         });
@@ -187,6 +188,7 @@
     store: Store,
     settings: &GatewaySettings,
     loads: LoadBook,
+    sends: SendBook,
     standing: Arc<Standing>,
     stop: CancellationToken,
 ) -> io::Result<()> {
@@ -194,11 +196,14 @@
         .enable_all()
         .build()?;
     let identity = identity(settings)?;
+    let window = settings.send_budget().window;
     let (bound, is_bound) = oneshot::channel();
     let body = move || {
         let tasks = tokio::task::LocalSet::new();
         let peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now());
-        let control = Rc::new(RefCell::new(Control::new(peers, loads, standing)));
+        let control = Rc::new(RefCell::new(Control::new(
+            peers, loads, sends, window, standing,
+        )));
         tasks.block_on(&runtime, async move {
             let port = PeerPort::bind(identity, control.clone()).await;
             let started = port.map(|port| start_control(Rc::new(port), &store, &control));
@@ -286,22 +291,6 @@
         is_taken.then_some(()).ok_or(Refusal::Stopping)
     }
 
-    fn with_extra_sends<T>(&self, service: &str, act: impl FnOnce(&mut ExtraSends) -> T) -> T {
-        let mut extra = self
-            .extra_sends
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if !extra.contains_key(service) {
-            let settings = self.settings();
-            let bounds = &settings.bounds;
-            let window = Duration::from_secs_f64(bounds.retry_window_s);
-            let sends = ExtraSends::new(bounds.retry_share, bounds.retry_extra, window);
-            extra.insert(service.into(), sends);
-        }
-        let extra = extra.get_mut(service);
-        act(extra.expect("inserted above if missing"))
-    }
-
     /// Answers a caller's request.
     async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
         let id = req.headers().get(&self.names.request_id);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    extra_sends::SendCounts,
     load::Work,
     model::{Change, Topic},
 };
@@ -16,6 +17,9 @@
 /// Work of some daemons at targets.
 pub type Works = Vec<(TargetKey, Work)>;
 
+/// Sends of some daemons by service; services are keyed like targets.
+pub type Sends = Vec<(TargetKey, SendCounts)>;
+
 /// A datagram between daemons.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Packet {
@@ -58,6 +62,8 @@
 pub struct ZoneWorks {
     /// Their work.
     pub works: Works,
+    /// Their sends, by service.
+    pub sends: Sends,
     /// How many they are.
     pub daemons: u16,
 }
@@ -67,6 +73,8 @@
 pub struct Running {
     /// Work of the sender.
     pub own: Works,
+    /// Sends of the sender, by service.
+    pub sends: Sends,
     /// Work of all other zones, from a reader.
     pub far: Option<ZoneWorks>,
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,9 +13,10 @@
 };
 
 use super::{
+    extra_sends::SendCounts,
     load::Work,
     model::ZoneName,
-    peer_wire::{Incarnation, Running, TargetKey, Works, ZoneWorks},
+    peer_wire::{Incarnation, Running, Sends, TargetKey, Works, ZoneWorks},
 };
 use crate::{cell, clock::BootTime};
 
@@ -69,6 +70,8 @@
     proved_at: Option<BootTime>,
     /// Its own work.
     works: Works,
+    /// Its own sends.
+    sends: Sends,
     /// Work of its zone, from a reader of another zone; when that was.
     zone: Option<(BootTime, ZoneWorks)>,
     /// Work of all other zones, from a reader of the own zone; when that was.
@@ -143,6 +146,7 @@
             told_at: None,
             proved_at: None,
             works: Works::new(),
+            sends: Sends::new(),
             zone: None,
             far: None,
         });
@@ -174,6 +178,7 @@
     pub fn note_running(&mut self, name: &str, running: Running, now: BootTime) {
         if let Some(heard) = self.heard.get_mut(name) {
             heard.works = running.own;
+            heard.sends = running.sends;
             if let Some(far) = running.far {
                 heard.far = Some((now, far));
             }
@@ -306,12 +311,14 @@
         })
     }
 
-    /// Work of the whole own zone, `own` being that of this daemon.
+    /// What the whole own zone has running, given that of this daemon.
     #[must_use]
-    pub fn zone_works(&self, own: &Works, now: BootTime) -> ZoneWorks {
-        let near = self.near(now).map(|h| &h.works);
+    pub fn zone_works(&self, own: &Works, sends: &Sends, now: BootTime) -> ZoneWorks {
+        let works = self.near(now).map(|h| &h.works);
+        let sent = self.near(now).map(|h| &h.sends);
         ZoneWorks {
-            works: sum(near.chain([own])),
+            works: sum(works.chain([own])),
+            sends: sum_sends(sent.chain([sends])),
             daemons: self.zone_daemons(now),
         }
     }
@@ -333,6 +340,7 @@
         }
         ZoneWorks {
             works: sum(zones.values().map(|(_, told)| &told.works)),
+            sends: sum_sends(zones.values().map(|(_, told)| &told.sends)),
             daemons: zones.values().map(|(_, told)| told.daemons).sum(),
         }
     }
@@ -348,12 +356,16 @@
         newest.map(|(_, far)| far.clone()).unwrap_or_default()
     }
 
-    /// Work of all other daemons.
+    /// Work and sends of all other daemons.
     #[must_use]
-    pub fn others(&self, now: BootTime) -> Works {
+    pub fn others(&self, now: BootTime) -> (Works, Sends) {
         let far = self.far(now);
-        let near = self.near(now).map(|h| &h.works);
-        sum(near.chain([&far.works]))
+        let works = self.near(now).map(|h| &h.works);
+        let sends = self.near(now).map(|h| &h.sends);
+        (
+            sum(works.chain([&far.works])),
+            sum_sends(sends.chain([&far.sends])),
+        )
     }
 
     /// Daemons of the own zone, this one included.
@@ -396,3 +408,11 @@
     }
     total.into_iter().collect()
 }
+
+fn sum_sends<'a>(all: impl Iterator<Item = &'a Sends>) -> Sends {
+    let mut total: BTreeMap<TargetKey, SendCounts> = BTreeMap::new();
+    for (key, counts) in all.flatten() {
+        total.entry(*key).or_default().add(*counts);
+    }
+    total.into_iter().collect()
+}
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Sent<A> {
     /// The target answered, and the answer is its own and whole.
     Answered(A),
+    /// Nothing was sent: no connection came about.
+    Unsent(Box<str>),
     /// The target certainly did not run it.
     NotRun(Box<str>),
     /// It may have run; there is no answer to pass on.
@@ -67,7 +69,7 @@
             let Some(choice) = self.place(&fleet, job, &admitted, &tried) else {
                 break;
             };
-            if !self.may_send(job, !tried.is_empty(), now) {
+            if !self.may_send(job, progress.was_sent, now) {
                 log::info!(
                     "event=budget_empty request={} service={}",
                     job.stated.request_id,
@@ -76,12 +78,20 @@
                 break;
             }
             tried.push(choice.target.id.clone());
-            progress.was_sent = true;
             let sent = self.send_plain(job, &admitted, &choice.target).await;
             let id = &job.stated.request_id;
             let target = &choice.target.id;
             let took = clock::now().saturating_sub(now).as_millis();
+            progress.was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
+                Sent::Unsent(reason) => {
+                    log::info!(
+                        "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
+                    );
+                    self.loads.note_down(target, clock::now());
+                    outcome = Refusal::Declined;
+                    continue;
+                }
                 Sent::Answered(res) => {
                     log::info!(
                         "event=answer request={id} target={target} status={} took_ms={took}",
@@ -133,7 +143,7 @@
         let req = self.request_for(job, admitted, target, &Extras::default(), clock::now());
         let exchange = match Exchange::open(target.address, req).await {
             Ok(exchange) => exchange,
-            Err(e @ ExchangeError::Connect { .. }) => return Sent::NotRun(e.to_string().into()),
+            Err(e @ ExchangeError::Connect { .. }) => return Sent::Unsent(e.to_string().into()),
             Err(e) => return Sent::Unknown(e.to_string().into()),
         };
         let verdict = self.judge_head(&exchange.answer, &job.stated.request_id);
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -377,7 +377,7 @@
             Ok(Sent::Answered(run)) => {
                 Err(format!("status={}", run.exchange.answer.status()).into())
             }
-            Ok(Sent::NotRun(reason) | Sent::Unknown(reason)) => Err(reason),
+            Ok(Sent::Unsent(reason) | Sent::NotRun(reason) | Sent::Unknown(reason)) => Err(reason),
             Err(_) => Err("deadline".into()),
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use super::extra_sends::SendBudget;
 use crate::settings::SettingsError;
 
 /// Settings of one gateway.
@@ -92,6 +93,16 @@
         serde_json::from_str(&text).map_err(|source| SettingsError::Parse { file: name, source })
     }
 
+    /// Budget of all daemons for repeated sends.
+    #[must_use]
+    pub fn send_budget(&self) -> SendBudget {
+        SendBudget {
+            share: self.bounds.retry_share,
+            extra: self.bounds.retry_extra,
+            window: Duration::from_secs_f64(self.bounds.retry_window_s),
+        }
+    }
+
     /// Region of a zone; the zone's own name where it is not listed.
     #[must_use]
     pub fn region_of<'a>(&'a self, zone: &'a str) -> &'a str {
--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -12,9 +12,18 @@
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
 
-use super::{load::Work, model::Fleet, peer_wire::TargetKey};
+use super::{extra_sends::SendCounts, load::Work, model::Fleet, peer_wire::TargetKey};
 use crate::clock::{self, BootTime};
 
+/// What other daemons do, as last heard.
+#[derive(Clone, Debug, Default)]
+pub struct Others {
+    /// Their work, by target.
+    pub works: HashMap<TargetKey, Work>,
+    /// Their sends, by service.
+    pub sends: HashMap<TargetKey, SendCounts>,
+}
+
 /// The newest view of the fleet. The control thread writes, traffic reads
 /// without locks.
 #[derive(Debug, Default)]
@@ -25,8 +34,8 @@
     config_proof_ms: AtomicU64,
     /// Daemons that share budgets, this one included.
     daemons: AtomicU64,
-    /// Work of all other daemons.
-    others: ArcSwap<HashMap<TargetKey, Work>>,
+    /// What all other daemons do.
+    others: ArcSwap<Others>,
     is_stopping: AtomicBool,
     /// Told when the fleet changes.
     changed: Notify,
@@ -76,14 +85,14 @@
         self.daemons.store(count as u64, Ordering::Relaxed);
     }
 
-    /// Work of all other daemons, as last heard.
+    /// What all other daemons do, as last heard.
     #[must_use]
-    pub fn others(&self) -> Arc<HashMap<TargetKey, Work>> {
+    pub fn others(&self) -> Arc<Others> {
         self.others.load_full()
     }
 
-    /// Notes the work of all other daemons.
-    pub fn set_others(&self, others: HashMap<TargetKey, Work>) {
+    /// Notes what all other daemons do.
+    pub fn set_others(&self, others: Others) {
         self.others.store(Arc::new(others));
     }
 
