Metrics of the gateway on a port of their own

Cause: counters and latency histograms had no address on the platform. Change: sends, runs and refusals by outcome, time to the first event and of a send, age of the configuration; the port stands in the settings.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -120,6 +120,8 @@
     ) -> io::Result<Self> {
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let readiness = TcpListener::bind(settings.listen.readiness).await?;
+        let metrics = TcpListener::bind(settings.listen.metrics).await?;
+        crate::metrics::install();
         let standing = Arc::new(Standing::default());
         let control = CancellationToken::new();
         let loads = LoadBook::default();
@@ -146,6 +148,7 @@
         });
         tokio::spawn(listener::accept(callers, gateway.clone()));
         tokio::spawn(readiness::serve(readiness, gateway.clone()));
+        tokio::spawn(readiness::serve_metrics(metrics, gateway.clone()));
         Ok(Self { gateway, control })
     }
 
@@ -309,6 +312,8 @@
                     "event=refusal request={id} reason={refusal} config={version} config_age_ms={}",
                     age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
                 );
+                metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
+                    .increment(1);
                 refusal.answer(rand::random())
             }
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -19,7 +19,8 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// How one send ended.
-#[derive(Debug)]
+#[derive(Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum Sent<A> {
     /// The target answered, and the answer is its own and whole.
     Answered(A),
@@ -81,7 +82,10 @@
             let sent = self.send_plain(job, &admitted, &choice.target).await;
             let id = &job.stated.request_id;
             let target = &choice.target.id;
-            let took = clock::now().saturating_sub(now).as_millis();
+            let took = clock::now().saturating_sub(now);
+            metrics::histogram!("bluebell_gateway_send_seconds").record(took.as_secs_f64());
+            let took = took.as_millis();
+            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent)).increment(1);
             progress.was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
                 Sent::Unsent(reason) => {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -59,6 +59,8 @@
 }
 
 /// How reading a run ended.
+#[derive(strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 enum Ended {
     Whole,
     CallerLeft,
@@ -121,6 +123,7 @@
     }
 
     fn note_end(&self, job: &Job, run: &Run, delivered: &Delivered, ended: &Ended) {
+        metrics::counter!("bluebell_gateway_runs", "end" => <&str>::from(ended)).increment(1);
         let (id, target, events) = (&job.stated.request_id, &run.target.id, delivered.events);
         match ended {
             Ended::Whole => {
@@ -246,7 +249,9 @@
             let now = clock::now();
             if let Some((tokens, sent)) = run.awaits.take() {
                 run.place.note_read();
-                self.read_rate.note(tokens, now.saturating_sub(sent));
+                let waited = now.saturating_sub(sent);
+                self.read_rate.note(tokens, waited);
+                metrics::histogram!("bluebell_gateway_first_event_seconds").record(waited.as_secs_f64());
             }
             delivered.note(event.id, now);
             tx.send(Ok(event.raw)).await.map_err(|_| ())?;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -1,4 +1,5 @@
-//! Tells the platform's balancer whether this daemon takes callers.
+//! Tells the platform's balancer whether this daemon takes callers, and
+//! operators what it counts.
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
@@ -28,21 +29,48 @@
     }
 }
 
-/// Answers any path, for good.
+/// Answers whether this daemon takes callers, on any path, for good.
 pub(crate) async fn serve(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve_text(listener, move || {
+        if gateway.is_ready() {
+            (StatusCode::OK, "ready\n".to_owned())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+        }
+    })
+    .await;
+}
+
+/// Answers all metrics as text, on any path, for good.
+pub(crate) async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve_text(listener, move || {
+        let age = gateway.standing.config_age(clock::now());
+        metrics::gauge!("bluebell_gateway_config_age_seconds")
+            .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
+        (StatusCode::OK, crate::metrics::text())
+    })
+    .await;
+}
+
+async fn serve_text<F>(listener: TcpListener, text: F)
+where
+    F: Fn() -> (StatusCode, String) + Clone + Send + 'static,
+{
     loop {
         let tcp = match listener.accept().await {
             Ok((tcp, _)) => tcp,
             Err(e) => {
-                log::warn!("event=accept_failed port=readiness error={e:?}");
+                log::warn!("event=accept_failed error={e:?}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let gateway = gateway.clone();
+        let text = text.clone();
         let service = service_fn(move |_: Request<Incoming>| {
-            let is_ready = gateway.is_ready();
-            async move { Ok::<_, Infallible>(answer(is_ready)) }
+            let (status, text) = text();
+            let mut res = Response::new(Full::new(Bytes::from(text)));
+            *res.status_mut() = status;
+            async move { Ok::<_, Infallible>(res) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -50,19 +78,8 @@
             .serve_connection(TokioIo::new(tcp), service);
         tokio::spawn(async move {
             if let Err(e) = connection.await {
-                log::debug!("event=readiness_connection_ended error={:?}", e.to_string());
+                log::debug!("event=connection_ended error={:?}", e.to_string());
             }
         });
     }
 }
-
-fn answer(is_ready: bool) -> Response<Full<Bytes>> {
-    let (status, text) = if is_ready {
-        (StatusCode::OK, "ready\n")
-    } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
-    };
-    let mut res = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *res.status_mut() = status;
-    res
-}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -41,6 +41,8 @@
     pub callers: SocketAddr,
     /// Port that tells whether the daemon takes callers.
     pub readiness: SocketAddr,
+    /// Port for metrics.
+    pub metrics: SocketAddr,
 }
 
 /// The store's address and pace.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,11 @@
 /// All metrics as Prometheus text, with the gauges of `view` brought up to date.
 pub(crate) fn render(view: &View) -> String {
     note_view(view, clock::now());
+    text()
+}
+
+/// All metrics as Prometheus text.
+pub(crate) fn text() -> String {
     let recorder = RECORDER.get().and_then(Option::as_ref);
     recorder.map(PrometheusHandle::render).unwrap_or_default()
 }
