Cold targets get no more than all daemons together may send

Cause: nothing bounded what daemons send to a cold target; the bound holds for all of them together, also while they do not hear from each other. Ruled out: choosing daemons by a hash alone, whose sum varies (the property test failed: more than the limit at 4 requests a second).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -334,6 +334,10 @@
         });
         self.standing.set_daemons(self.peers.daemons(now).into());
         self.share_others(now);
+        let names = self.peers.names();
+        if names.len() != self.standing.names().len() {
+            self.standing.set_names(names);
+        }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
     }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -81,7 +81,8 @@
                 .await;
             let (id, target) = (&job.stated.request_id, &choice.target.id);
             let took = clock::now().saturating_sub(now).as_millis();
-            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent)).increment(1);
+            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent))
+                .increment(1);
             was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
                 Sent::Unsent(reason) => {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -8,8 +8,9 @@
 
 use super::{
     Gateway,
+    cold::cold_share,
     headers::Stated,
-    model::{Customer, Fleet, Repeat, Route, Service, Target, Tokens},
+    model::{Customer, Fleet, Known, Repeat, Route, Service, Target, Tokens},
     peer_wire::target_key,
     placement::{Candidate, Distance, Need, engine_cost, has_room_for_backup, plain_cost},
     refusal::Refusal,
@@ -131,7 +132,8 @@
                     .route
                     .allows_region(admitted.customer.as_deref(), region)
         });
-        let costs = open.map(|known| {
+        let warm = open.filter(|known| self.bears_more(known, &service, now));
+        let costs = warm.map(|known| {
             let target = &known.target;
             let (mut work, failures) = self.loads.at(&target.id, now);
             work.add(others.works.get(&known.key));
@@ -151,6 +153,7 @@
             (cost, target, work.unread)
         });
         let (_, target, ahead) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        self.note_placed(fleet, target, now);
         Some(Choice {
             target: target.clone(),
             ahead,
@@ -206,6 +209,27 @@
         Some(target.clone())
     }
 
+    /// Whether a target, if it is cold, may be sent one more request.
+    fn bears_more(&self, known: &Known, service: &Service, now: BootTime) -> bool {
+        if known.cold_until <= now || service.cold_per_second <= 0.0 {
+            return true;
+        }
+        let settings = self.settings();
+        let bounds = &settings.bounds;
+        let limit = service.cold_per_second * bounds.cold_factor + bounds.cold_extra;
+        let target = &known.target.id;
+        let share = cold_share(target, &settings.name, limit, &self.standing.names());
+        self.cold_sends.has_room(target, share, now)
+    }
+
+    /// Counts a request to a target that is cold.
+    pub(crate) fn note_placed(&self, fleet: &Fleet, target: &Target, now: BootTime) {
+        let known = fleet.targets.get(&target.id);
+        if known.is_some_and(|k| k.cold_until > now) {
+            self.cold_sends.note(&target.id, now);
+        }
+    }
+
     fn distance(&self, zone: &str) -> Distance {
         let settings = self.settings();
         if *zone == *settings.zone {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod change_log;
+mod cold;
 mod control;
 mod engines;
 mod events;
@@ -62,6 +63,7 @@
 };
 pub use self::{
     change_log::ChangeLog,
+    cold::{ColdSends, cold_share},
     engines::{CopyHandle, EngineCallError, EngineCalls, MoveRun},
     events::{Event, EventId, EventSplitter},
     extra_sends::{ExtraSends, SendBook, SendBudget, SendCounts},
@@ -73,8 +75,11 @@
         Batch, CallerLimits, Change, Config, Customer, EngineLimits, Fleet, Known, Read, Repeat,
         Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
+    peer_wire::{Running, Sends, TargetKey, Works, ZoneWorks, target_key},
     peers::{DaemonName, Listed, Peers},
-    placement::{Candidate, Distance, Need, ReadRate, engine_cost, plain_cost},
+    placement::{
+        Candidate, Distance, Need, ReadRate, engine_cost, has_room_for_backup, plain_cost,
+    },
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     standing::{Others, Standing},
@@ -96,6 +101,7 @@
     loads: LoadBook,
     read_rate: ReadRate,
     sends: SendBook,
+    cold_sends: ColdSends,
     running: Usage,
     /// When the process was told to stop.
     stopped_at: Mutex<Option<clock::BootTime>>,
@@ -143,6 +149,7 @@
             loads,
             read_rate: ReadRate::default(),
             sends,
+            cold_sends: ColdSends::default(),
             running: Usage::default(),
             stopped_at: Mutex::default(),
         });
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -111,13 +111,21 @@
         }
     }
 
+    /// Names of all daemons that are listed, this one included.
+    #[must_use]
+    pub fn names(&self) -> Vec<DaemonName> {
+        self.listed.keys().chain([&self.name]).cloned().collect()
+    }
+
     /// Whether any other daemon is known.
     #[must_use]
     pub fn knows_any(&self) -> bool {
         !self.listed.is_empty()
     }
 
-    /// Notes a datagram of another daemon; false for one of an older run.
+    /// Notes a datagram of another daemon; false for one of an older run. A run
+    /// that has been silent may be followed by one that seems older, since the
+    /// time of day may have been set back.
     pub fn hear(
         &mut self,
         name: &str,
@@ -128,8 +136,10 @@
         if *name == *self.name {
             return false;
         }
-        let last = self.heard.get(name).map_or(0, |h| h.incarnation);
-        if incarnation < last {
+        let last = self.heard.get(name);
+        let is_old =
+            |h: &Heard| incarnation < h.incarnation && now.saturating_sub(h.heard_at) < WORK_KEPT;
+        if last.is_some_and(is_old) {
             return false;
         }
         if self.listed.get(name) != Some(&listed) {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -85,7 +85,8 @@
             let took = clock::now().saturating_sub(now);
             metrics::histogram!("bluebell_gateway_send_seconds").record(took.as_secs_f64());
             let took = took.as_millis();
-            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent)).increment(1);
+            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent))
+                .increment(1);
             progress.was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
                 Sent::Unsent(reason) => {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -251,7 +251,8 @@
                 run.place.note_read();
                 let waited = now.saturating_sub(sent);
                 self.read_rate.note(tokens, waited);
-                metrics::histogram!("bluebell_gateway_first_event_seconds").record(waited.as_secs_f64());
+                metrics::histogram!("bluebell_gateway_first_event_seconds")
+                    .record(waited.as_secs_f64());
             }
             delivered.note(event.id, now);
             tx.send(Ok(event.raw)).await.map_err(|_| ())?;
@@ -364,6 +365,7 @@
             tokens: job.tokens(),
             unread: 0,
         };
+        self.note_placed(&fleet, target, now);
         let is_moved = copy.place.is_some();
         drop(copy.place);
         let place = self.loads.take(&target.id, work);
--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -12,7 +12,9 @@
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
 
-use super::{extra_sends::SendCounts, load::Work, model::Fleet, peer_wire::TargetKey};
+use super::{
+    extra_sends::SendCounts, load::Work, model::Fleet, peer_wire::TargetKey, peers::DaemonName,
+};
 use crate::clock::{self, BootTime};
 
 /// What other daemons do, as last heard.
@@ -36,6 +38,8 @@
     daemons: AtomicU64,
     /// What all other daemons do.
     others: ArcSwap<Others>,
+    /// All daemons that are listed, this one included.
+    names: ArcSwap<Vec<DaemonName>>,
     is_stopping: AtomicBool,
     /// Told when the fleet changes.
     changed: Notify,
@@ -85,6 +89,17 @@
         self.daemons.store(count as u64, Ordering::Relaxed);
     }
 
+    /// All daemons that are listed, this one included.
+    #[must_use]
+    pub fn names(&self) -> Arc<Vec<DaemonName>> {
+        self.names.load_full()
+    }
+
+    /// Notes the daemons that are listed.
+    pub fn set_names(&self, names: Vec<DaemonName>) {
+        self.names.store(Arc::new(names));
+    }
+
     /// What all other daemons do, as last heard.
     #[must_use]
     pub fn others(&self) -> Arc<Others> {
