One topic probes a store that is down

Change: while the configuration cannot be read, the other topics wait for it up to two seconds; two daemons of a zone at most stand in for its reader.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -44,6 +44,8 @@
     window: Duration,
     standing: Arc<Standing>,
     reads: watch::Sender<bool>,
+    /// Whether the last read of the configuration succeeded.
+    is_up: watch::Sender<bool>,
 }
 
 impl Control {
@@ -68,6 +70,7 @@
             window,
             standing,
             reads,
+            is_up: watch::channel(true).0,
         }
     }
 
@@ -76,6 +79,11 @@
         self.reads.subscribe()
     }
 
+    /// Tells whether the store answers.
+    pub fn is_up(&self) -> watch::Receiver<bool> {
+        self.is_up.subscribe()
+    }
+
     /// Tells when this daemon's work changes.
     pub fn load_changes(&self) -> Arc<Notify> {
         self.loads.changes()
@@ -102,6 +110,9 @@
             );
         }
         feed.succeeded(sent, now);
+        if update.topic == Topic::Config {
+            self.is_up.send_replace(true);
+        }
         let before = self
             .logs
             .get(&update.topic)
@@ -126,6 +137,9 @@
             );
         }
         feed.failed(clock::now());
+        if topic == Topic::Config {
+            self.is_up.send_replace(false);
+        }
     }
 
     /// Applies an update where it leads on from what is known; true if it
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -26,6 +26,10 @@
 /// First and longest pause after a failed read.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
+/// Longest time that other topics wait for the configuration to be read again:
+/// calls that fail are paid too, so that one topic probes for all.
+const OTHERS_WAIT: Duration = Duration::from_secs(2);
+
 /// A call to the store that failed.
 #[derive(Debug, snafu::Snafu)]
 pub enum ReadError {
@@ -61,6 +65,7 @@
     news: mpsc::UnboundedSender<Update>,
 ) {
     let mut reads = control.borrow().reads();
+    let mut is_up = control.borrow().is_up();
     let mut pause = RETRY_PAUSE.0;
     let mut is_listed = false;
     loop {
@@ -96,6 +101,11 @@
                 }
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(RETRY_PAUSE.1);
+                if topic != Topic::Config {
+                    let back = is_up.wait_for(|is_up| *is_up);
+                    // Over either way: the store may answer for this topic only.
+                    let _ = tokio::time::timeout(OTHERS_WAIT, back).await;
+                }
             }
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -40,7 +40,7 @@
 /// reads for them; keys are trusted a little longer.
 const STALE_PROOF_AGE: Duration = Duration::from_millis(3_400);
 /// Daemons of a zone that do so.
-const STAND_INS: usize = 3;
+const STAND_INS: usize = 2;
 /// How long the work of a silent daemon counts.
 const WORK_KEPT: Duration = Duration::from_millis(1_500);
 /// How long a silent daemon counts as one that shares budgets: a pause does
