--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -48,6 +48,13 @@
     is_up: watch::Sender<bool>,
 }
 
+/// What a daemon lacks of a topic.
+enum Lacking {
+    Nothing,
+    Changes(Update),
+    Whole,
+}
+
 impl Control {
     /// Starts with nothing known.
     pub fn new(
@@ -254,9 +261,10 @@
         let mut updates = Vec::new();
         let mut is_partial = false;
         for (topic, have) in ask.have {
-            match self.update_since(topic, have) {
-                Some(update) => updates.extend(update),
-                None => is_partial = true,
+            match self.lacking(topic, have) {
+                Lacking::Nothing => {}
+                Lacking::Changes(update) => updates.push(update),
+                Lacking::Whole => is_partial = true,
             }
         }
         Tell {
@@ -275,29 +283,31 @@
         }
     }
 
-    /// What leads on from a revision: nothing, changes, or `None` where the
-    /// whole topic is needed.
-    fn update_since(&self, topic: Topic, have: Revision) -> Option<Option<Update>> {
+    /// What a daemon lacks of a topic that it has up to a revision.
+    fn lacking(&self, topic: Topic, have: Revision) -> Lacking {
         let at = self.at(topic);
         if at <= have {
-            return Some(None);
+            return Lacking::Nothing;
         }
-        let changes = self.logs.get(&topic)?.since(have)?;
-        Some(Some(Update {
-            topic,
-            from: have,
-            at,
-            is_whole: false,
-            changes,
-        }))
+        let changes = self.logs.get(&topic).and_then(|log| log.since(have));
+        changes.map_or(Lacking::Whole, |changes| {
+            Lacking::Changes(Update {
+                topic,
+                from: have,
+                at,
+                is_whole: false,
+                changes,
+            })
+        })
     }
 
     /// Answers a fetch.
     pub fn fetched(&self, fetch: &Fetch) -> Vec<Update> {
         let known = fetch.have.iter().filter(|(topic, _)| self.at(*topic) > 0);
-        let updates = known.filter_map(|(topic, have)| match self.update_since(*topic, *have) {
-            Some(update) => update,
-            None => Some(Update {
+        let updates = known.filter_map(|(topic, have)| match self.lacking(*topic, *have) {
+            Lacking::Nothing => None,
+            Lacking::Changes(update) => Some(update),
+            Lacking::Whole => Some(Update {
                 topic: *topic,
                 from: 0,
                 at: self.at(*topic),
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -44,6 +44,9 @@
     },
 }
 
+/// Daemons by name.
+pub type DaemonList = Vec<(DaemonName, Listed)>;
+
 type Call<T> = BoxFuture<'static, Result<T, ReadError>>;
 
 /// Calls to the store; supplied by the adapter.
@@ -54,7 +57,7 @@
     /// Enters this daemon into the list of daemons.
     pub register: Arc<dyn Fn(DaemonName, Listed) -> Call<()> + Send + Sync>,
     /// Reads the list of daemons, which may be some seconds old.
-    pub daemons: Arc<dyn Fn() -> Call<Vec<(DaemonName, Listed)>> + Send + Sync>,
+    pub daemons: Arc<dyn Fn() -> Call<DaemonList> + Send + Sync>,
 }
 
 /// Follows a topic for good. Changes for followers go to `news`.
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -346,12 +346,12 @@
             is_partial: true,
             ..tell
         })),
-        Message::Ask(_) => Some(message),
-        Message::Running(running) if running.far.is_some() => Some(Message::Running(Running {
+        Message::Running(Running { own, sends, .. }) => Some(Message::Running(Running {
+            own,
+            sends,
             far: None,
-            ..running
         })),
-        Message::Running(_) => Some(message),
+        Message::Ask(_) => Some(message),
         // Followers learn by asking.
         Message::Push(_) => None,
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -35,7 +35,7 @@
 const FOLLOWS_FOR: Duration = Duration::from_secs(2);
 /// Age of a proof up to which its bearer is relied on: two waits of a watch
 /// and the ways from zone to zone.
-const RELIABLE_PROOF_AGE: Duration = Duration::from_millis(3_000);
+const RELIABLE_PROOF_AGE: Duration = Duration::from_secs(3);
 /// Age of the own proof from which on a few daemons read beside the one that
 /// reads for them; keys are trusted a little longer.
 const STALE_PROOF_AGE: Duration = Duration::from_millis(3_400);
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug)]
 struct Heard {
     incarnation: Incarnation,
-    heard_at: BootTime,
+    last_at: BootTime,
     /// When it last answered a question.
     told_at: Option<BootTime>,
     /// When it last answered with a proof that is young enough to rely on.
@@ -138,7 +138,7 @@
         }
         let last = self.heard.get(name);
         let is_old =
-            |h: &Heard| incarnation < h.incarnation && now.saturating_sub(h.heard_at) < WORK_KEPT;
+            |h: &Heard| incarnation < h.incarnation && now.saturating_sub(h.last_at) < WORK_KEPT;
         if last.is_some_and(is_old) {
             return false;
         }
@@ -152,7 +152,7 @@
         }
         let heard = self.heard.entry(name.into()).or_insert_with(|| Heard {
             incarnation,
-            heard_at: now,
+            last_at: now,
             told_at: None,
             proved_at: None,
             works: Works::new(),
@@ -161,7 +161,7 @@
             far: None,
         });
         heard.incarnation = incarnation;
-        heard.heard_at = now;
+        heard.last_at = now;
         true
     }
 
@@ -293,7 +293,7 @@
         let lately = self
             .heard
             .iter()
-            .filter(|(_, h)| now.saturating_sub(h.heard_at) < FOLLOWS_FOR);
+            .filter(|(_, h)| now.saturating_sub(h.last_at) < FOLLOWS_FOR);
         let listed = lately.filter_map(|(name, _)| self.listed.get(name));
         listed
             .filter(|l| l.zone == self.zone)
@@ -307,7 +307,7 @@
         let lately = self
             .heard
             .iter()
-            .filter(|(_, h)| now.saturating_sub(h.heard_at) < FOLLOWS_FOR);
+            .filter(|(_, h)| now.saturating_sub(h.last_at) < FOLLOWS_FOR);
         let listed = lately.filter_map(|(name, _)| self.listed.get(name));
         listed.map(|l| l.address).collect()
     }
@@ -315,7 +315,7 @@
     /// Fresh news of the other daemons of the own zone.
     fn near(&self, now: BootTime) -> impl Iterator<Item = &Heard> {
         self.heard.iter().filter_map(move |(name, heard)| {
-            let is_fresh = now.saturating_sub(heard.heard_at) < WORK_KEPT;
+            let is_fresh = now.saturating_sub(heard.last_at) < WORK_KEPT;
             let is_near = self.listed.get(name).is_some_and(|l| l.zone == self.zone);
             (is_fresh && is_near).then_some(heard)
         })
@@ -397,7 +397,7 @@
         let is_young = now.saturating_sub(self.started) < MEMBER_KEPT;
         let members = self.listed.iter().filter(|(name, listed)| {
             let heard = self.heard.get(*name);
-            let is_alive = heard.map_or(is_young, |h| now.saturating_sub(h.heard_at) < MEMBER_KEPT);
+            let is_alive = heard.map_or(is_young, |h| now.saturating_sub(h.last_at) < MEMBER_KEPT);
             is_alive && is_in(listed)
         });
         u16::try_from(members.count())
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -183,7 +183,7 @@
                 && lacks_copy()
             {
                 tries += 1;
-                preparing = self.prepare(&fleet, job, run);
+                preparing = Some(self.prepare(&fleet, job, run));
             }
             let frame = tokio::select! {
                 frame = run.exchange.answer.body_mut().frame() => frame,
@@ -262,11 +262,11 @@
 
     /// Starts to get a copy ready for a run whose engine leaves: the backup if
     /// its engine stays, or else a copy made now.
-    fn prepare(&self, fleet: &Fleet, job: &Job, run: &Run) -> Option<Preparing> {
+    fn prepare(&self, fleet: &Fleet, job: &Job, run: &Run) -> Preparing {
         if let Some(copy) = self.backup_of(job, run)
             && fleet.is_open(&copy.target)
         {
-            return Some(Box::pin(open_early(copy)));
+            return Box::pin(open_early(copy));
         }
         let havens = self.havens(fleet, job, run);
         let work = Work {
@@ -277,7 +277,7 @@
         let mut places: Vec<_> = places.take(1).collect();
         let calls = self.engines.clone();
         let (source, id) = (run.target.clone(), job.stated.request_id.clone());
-        Some(Box::pin(async move {
+        Box::pin(async move {
             let mut failed: Box<str> = "no engine to move it to".into();
             for haven in havens {
                 log::info!(
@@ -305,7 +305,7 @@
                 }
             }
             Err(failed)
-        }))
+        })
     }
 
     /// Engines to move a run to, best first: of the same zone if there are any,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::extra_sends::SendBudget;
-use crate::settings::SettingsError;
+use crate::{
+    records::Fault,
+    settings::{SettingsError, fault},
+};
 
 /// Settings of one gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -92,7 +95,82 @@
             file: name.clone(),
             source,
         })?;
-        serde_json::from_str(&text).map_err(|source| SettingsError::Parse { file: name, source })
+        let parsed = serde_json::from_str(&text);
+        let settings: Self =
+            parsed.map_err(|source| SettingsError::Parse { file: name, source })?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Invalid { faults })
+        }
+    }
+
+    /// Settings to start from.
+    #[must_use]
+    pub fn example() -> Self {
+        let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            name: "entry-1".into(),
+            ip: "127.0.0.1".into(),
+            zone: "vest-bergen".into(),
+            zones: BTreeMap::from([("vest-bergen".into(), "vest".into())]),
+            seeds: Vec::new(),
+            peer_ports: (7200, 7215),
+            listen: GatewayListen {
+                callers: address(8740),
+                readiness: address(8749),
+                metrics: address(9464),
+            },
+            store: StoreSettings {
+                address: address(8742),
+                reads_per_second: 2_000,
+                heartbeat_ms: 1_200,
+            },
+            memory_mb: 110,
+            bounds: Bounds {
+                stop_grace_s: 8.0,
+                drain_ms: 3_000,
+                config_ms: 3_000,
+                key_removal_ms: 5_000,
+                evacuation_ms: 5_000,
+                cold_factor: 1.5,
+                cold_extra: 5.0,
+                retry_share: 0.2,
+                retry_extra: 58.0,
+                retry_window_s: 10.0,
+            },
+        }
+    }
+
+    /// Values of the right form that cannot be worked with.
+    fn faults(&self) -> Vec<Fault> {
+        let bounds = &self.bounds;
+        let spans = [
+            ("/bounds/stop_grace_s", bounds.stop_grace_s),
+            ("/bounds/retry_window_s", bounds.retry_window_s),
+        ];
+        let parts = [
+            ("/bounds/cold_factor", bounds.cold_factor),
+            ("/bounds/cold_extra", bounds.cold_extra),
+            ("/bounds/retry_share", bounds.retry_share),
+            ("/bounds/retry_extra", bounds.retry_extra),
+        ];
+        let is_span = |value: f64| Duration::try_from_secs_f64(value).is_ok() && value > 0.0;
+        let spans = spans.iter().filter(|(_, value)| !is_span(*value));
+        let parts = parts
+            .iter()
+            .filter(|(_, value)| !value.is_finite() || *value < 0.0);
+        let odd = spans.map(|(path, _)| fault(path, "not a time above zero"));
+        let negative = parts.map(|(path, _)| fault(path, "not zero or above"));
+        let mut faults: Vec<Fault> = odd.chain(negative).collect();
+        if self.ip.parse::<std::net::IpAddr>().is_err() {
+            faults.push(fault("/ip", "not an IP address"));
+        }
+        if bounds.key_removal_ms == 0 {
+            faults.push(fault("/bounds/key_removal_ms", "not above zero"));
+        }
+        faults
     }
 
     /// Budget of all daemons for repeated sends.
--- a/src/log.rs
+++ b/src/log.rs
@@ -103,7 +103,7 @@
     let dropped = Arc::new(AtomicU64::new(0));
     let missed = dropped.clone();
     let write = move || {
-        for first in rx.iter() {
+        for first in &rx {
             let mut text = first;
             text.push('\n');
             for line in rx.try_iter().take(LINES_WAITING) {
@@ -112,7 +112,9 @@
             }
             let missed = missed.swap(0, Ordering::Relaxed);
             if missed > 0 {
-                text.push_str(&format!("event=log_lines_dropped count={missed}\n"));
+                text.push_str("event=log_lines_dropped count=");
+                text.push_str(&missed.to_string());
+                text.push('\n');
             }
             // Without a reader of standard output there is nowhere to tell.
             let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -303,7 +303,7 @@
     }
 }
 
-fn fault(path: &str, reason: impl Into<Box<str>>) -> Fault {
+pub(crate) fn fault(path: &str, reason: impl Into<Box<str>>) -> Fault {
     Fault {
         path: path.into(),
         reason: reason.into(),
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -192,7 +192,8 @@
 
     #[test]
     fn events_are_the_same_however_they_arrive(cuts in proptest::collection::vec(1_usize..40, 0..60)) {
-        let text: String = (1..=20).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
+        let events = (1..=20).map(|id| format!("id: {id}\ndata: piece {id}\n\n"));
+        let text = events.collect::<Vec<_>>().concat();
         let mut splitter = EventSplitter::default();
         let mut rest = text.as_bytes();
         let mut events = vec![];
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -84,19 +84,19 @@
         }
     }
 
-    fn answer(&mut self, asker: usize, asked: usize, now: Duration) {
-        if self.silent.contains(&asked) {
+    fn answer(&mut self, asker: usize, reader: usize, now: Duration) {
+        if self.silent.contains(&reader) {
             return;
         }
         let name = self.peers[asker].0.clone();
         let of_asker = listed(asker, &self.zones[asker]);
-        self.peers[asked].1.hear(&name, of_asker, 1, now);
-        let age = self.age(asked, now);
-        let name = self.peers[asked].0.clone();
-        let of_asked = listed(asked, &self.zones[asked]);
-        self.peers[asker].1.hear(&name, of_asked, 1, now);
+        self.peers[reader].1.hear(&name, of_asker, 1, now);
+        let age = self.age(reader, now);
+        let name = self.peers[reader].0.clone();
+        let of_reader = listed(reader, &self.zones[reader]);
+        self.peers[asker].1.hear(&name, of_reader, 1, now);
         self.peers[asker].1.note_tell(&name, age, now);
-        if let Some(proof) = self.proof_at.get(&asked).copied() {
+        if let Some(proof) = self.proof_at.get(&reader).copied() {
             let known = self.proof_at.entry(asker).or_default();
             *known = proof.max(*known);
         }
