Two targets of other zones are looked at for one request

Change: two of them, chosen at random, are compared with those of the own zone. The test replays the rush to one empty engine.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -12,7 +12,9 @@
     headers::Stated,
     model::{Customer, Fleet, Known, Repeat, Route, Service, Target, Tokens},
     peer_wire::target_key,
-    placement::{Candidate, Distance, Need, engine_cost, has_room_for_backup, plain_cost},
+    placement::{
+        Candidate, Distance, Need, engine_cost, has_room_for_backup, plain_cost, sample_far,
+    },
     refusal::Refusal,
     routing::Denied,
 };
@@ -133,7 +135,11 @@
                     .allows_region(admitted.customer.as_deref(), region)
         });
         let warm = open.filter(|known| self.bears_more(known, &service, now));
-        let costs = warm.map(|known| {
+        let (near, far): (Vec<_>, Vec<_>) =
+            warm.partition(|known| known.target.zone == settings.zone);
+        let mut rng = rand::rng();
+        let sampled = sample_far(&far, &mut rng);
+        let costs = near.iter().chain(sampled).map(|known| {
             let target = &known.target;
             let (mut work, failures) = self.loads.at(&target.id, now);
             work.add(others.works.get(&known.key));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,6 +79,7 @@
     peers::{DaemonName, Listed, Peers},
     placement::{
         Candidate, Distance, Need, ReadRate, engine_cost, has_room_for_backup, plain_cost,
+        sample_far,
     },
     routing::Denied,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,6 +7,8 @@
 
 use std::{sync::Mutex, time::Duration};
 
+use rand::{Rng, seq::IndexedRandom};
+
 use super::{
     load::Work,
     model::{EngineLimits, Tokens},
@@ -34,6 +36,9 @@
 /// Cost of another region for a plain call, whose objective is a few round
 /// trips.
 const FAR_PLAIN_COST: f64 = 0.8;
+/// Targets of other zones that are looked at: the better of two chosen at
+/// random is nearly as good as the best, and seldom everybody's.
+const FAR_SAMPLE: usize = 2;
 /// Cost of another zone of the same region.
 const OTHER_ZONE_COST: f64 = 0.01;
 
@@ -148,6 +153,14 @@
     }
 }
 
+/// The targets of other zones that are looked at for one request.
+///
+/// Load pattern: what is known of them is some hundred milliseconds old and the
+/// same for all daemons, so that all would send to the same one meanwhile.
+pub fn sample_far<'a, T>(far: &'a [T], rng: &mut impl Rng) -> impl Iterator<Item = &'a T> {
+    far.sample(rng, FAR_SAMPLE)
+}
+
 /// Cost of placing a plain call at a candidate; lowest first.
 #[must_use]
 pub fn plain_cost(candidate: &Candidate) -> f64 {
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -4,7 +4,7 @@
 
 use bluebelldrift::gateway::{
     Candidate, Distance, EngineLimits, EventSplitter, ExtraSends, Need, SendBudget, SendCounts,
-    Work, ends_in_time, engine_cost, expected_time, has_room_for_backup, plain_cost,
+    Work, ends_in_time, engine_cost, expected_time, has_room_for_backup, plain_cost, sample_far,
 };
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -172,6 +172,31 @@
     assert_eq!(resumed, 20);
 }
 
+#[test]
+fn stale_news_of_an_empty_engine_does_not_draw_everybody_there() {
+    // Sixty engines of other zones, one of them new and empty; eighty requests
+    // come in a second, and news is half a second old.
+    let mut rng = StdRng::seed_from_u64(7);
+    let engines: Vec<_> = (0..60_u64)
+        .map(|i| {
+            engine(Work {
+                requests: 4,
+                tokens: 16_000 * u64::from(i > 0),
+                unread: 0,
+            })
+        })
+        .collect();
+    let numbered: Vec<_> = engines.iter().enumerate().collect();
+    let mut chosen = [0; 60];
+    for _ in 0..40 {
+        let looked_at = sample_far(&numbered, &mut rng);
+        let best = looked_at.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        chosen[best.expect("an engine").0] += 1;
+    }
+    // Four prompts read one after the other stay within the objective.
+    assert!(chosen.iter().all(|n| *n <= 4), "{chosen:?}");
+}
+
 proptest! {
     #[test]
     fn daemons_that_do_not_hear_from_each_other_keep_to_the_budget(
