A refusal says 'not run' only where nothing can have run

Change: a send counts from its start unless no connection came about; after a run, a refusal that says 'not run' is no longer given. Ruled out: streams, which answer 504 or 502 in both cases.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -64,8 +64,14 @@
             let now = clock::now();
             let fleet = self.standing.fleet();
             if !tried.is_empty() {
-                admitted =
-                    self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
+                let path = job.uri.path();
+                let again = self.admit(&fleet, &job.host, path, job.key.as_deref(), now);
+                match again {
+                    Ok(again) => admitted = again,
+                    Err(refusal) if runs == 0 => return Err(refusal),
+                    // A refusal would say that it did not run.
+                    Err(_) => break,
+                }
             }
             let Some(choice) = self.place(&fleet, job, &admitted, &tried) else {
                 break;
@@ -79,6 +85,8 @@
                 break;
             }
             tried.push(choice.target.id.clone());
+            // The deadline may end the send at any point from here on.
+            let was_sent = std::mem::replace(&mut progress.was_sent, true);
             let sent = self.send_plain(job, &admitted, &choice.target).await;
             let id = &job.stated.request_id;
             let target = &choice.target.id;
@@ -87,14 +95,16 @@
             let took = took.as_millis();
             metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent))
                 .increment(1);
-            progress.was_sent |= !matches!(sent, Sent::Unsent(_));
+            progress.was_sent = was_sent || !matches!(sent, Sent::Unsent(_));
             match sent {
                 Sent::Unsent(reason) => {
                     log::info!(
                         "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
                     );
                     self.loads.note_down(target, clock::now());
-                    outcome = Refusal::Declined;
+                    if runs == 0 {
+                        outcome = Refusal::Declined;
+                    }
                     continue;
                 }
                 Sent::Answered(res) => {
@@ -115,7 +125,9 @@
                         "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
                     );
                     self.loads.note_failure(target, clock::now());
-                    outcome = Refusal::Declined;
+                    if runs == 0 {
+                        outcome = Refusal::Declined;
+                    }
                     continue;
                 }
                 Sent::Unknown(reason) => {
@@ -187,6 +199,7 @@
 /// What a job has been through when its deadline passes.
 #[derive(Debug, Default)]
 struct Progress {
+    /// A target may have got it.
     was_sent: bool,
 }
 
