--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -21,8 +21,6 @@
     pub request_id: Box<str>,
     /// Engine that gets the copy.
     pub haven: SocketAddr,
-    /// The run stops at the source, and the copy is complete.
-    pub is_last: bool,
 }
 
 /// Name of a copy at its source.
@@ -31,7 +29,7 @@
 /// Calls to engines; supplied by the adapter.
 #[derive(Clone)]
 pub struct EngineCalls {
-    /// Copies a run's memory; a second call copies what is new.
+    /// Copies a run's memory while it goes on; a second call copies what is new.
     pub move_run: Arc<
         dyn Fn(MoveRun) -> BoxFuture<'static, Result<CopyHandle, EngineCallError>> + Send + Sync,
     >,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,11 +4,7 @@
 //! all of them at once would look like the loss of the whole fleet. They stay
 //! in use until shortly after the store's return, and count as gone only then.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
     model::{Change, Fleet, Known, Target, TargetId, Topic},
@@ -220,14 +216,4 @@
         let known = self.targets.get(&target.id);
         known.is_none_or(|k| k.leaving_since.is_some())
     }
-
-    /// Number of open targets by zone of a service.
-    #[must_use]
-    pub fn zones_of(&self, service: &str) -> BTreeMap<&str, usize> {
-        let mut zones = BTreeMap::new();
-        for known in self.open_targets(service) {
-            *zones.entry(&*known.target.zone).or_default() += 1;
-        }
-        zones
-    }
 }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -40,8 +40,6 @@
     pub token_count: HeaderName,
     /// Caller's estimate of the tokens of the output.
     pub length_hint: HeaderName,
-    /// Rank of a request at an engine.
-    pub priority: HeaderName,
     /// Engine that a run is copied to as it grows.
     pub backup: HeaderName,
     /// Copy that a run goes on from.
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -289,7 +289,6 @@
                     source: source.address,
                     request_id: id.clone(),
                     haven: haven.address,
-                    is_last: false,
                 };
                 let (moved, tcp) = futures::join!((calls.move_run)(asked), connect(haven.address));
                 match moved {
