A target's own failure of a stream is passed on whole

Cause: found by reading: a failed stream's body is no event, so that it was taken for a stream cut within one, and the caller got a broken answer. Change: an answer that is no success is read and passed on like a plain one.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -13,7 +13,7 @@
     job::{Admitted, Choice, Extras, Job},
     load::{Place, Work},
     model::{Target, Tokens},
-    plain::Sent,
+    plain::{MAX_ANSWER_BYTES, Sent, passed_on},
     refusal::Refusal,
 };
 use crate::clock::{self, BootTime};
@@ -49,6 +49,15 @@
         let left = job.left(clock::now());
         let starting = tokio::time::timeout(left, self.start(&job, admitted));
         let run = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
+        if !run.exchange.answer.status().is_success() {
+            let reading = run.exchange.collect(MAX_ANSWER_BYTES);
+            let read = tokio::time::timeout(job.left(clock::now()), reading).await;
+            return match read {
+                Ok(Ok(res)) => Ok(passed_on(res)),
+                Ok(Err(_)) => Err(Refusal::Lost),
+                Err(_) => Err(Refusal::TimedOut),
+            };
+        }
         let mut head = Response::new(());
         *head.status_mut() = run.exchange.answer.status();
         *head.headers_mut() = end_to_end(run.exchange.answer.headers());
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -16,7 +16,7 @@
 use crate::clock;
 
 /// Largest plain answer taken.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// How one send ended.
 #[derive(Debug, strum::IntoStaticStr)]
@@ -203,7 +203,8 @@
     was_sent: bool,
 }
 
-fn passed_on(res: Response<Bytes>) -> Response<AnswerBody> {
+/// An answer as the caller gets it.
+pub(crate) fn passed_on(res: Response<Bytes>) -> Response<AnswerBody> {
     let (mut head, body) = res.into_parts();
     head.headers = end_to_end(&head.headers);
     Response::from_parts(head, AnswerBody::whole(body))
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -98,7 +98,6 @@
             self.note_end(&job, &run, &delivered, &ended);
             let copy = match ended {
                 Ended::Whole | Ended::CallerLeft => return,
-                Ended::Broken(_) if !run.exchange.answer.status().is_success() => None,
                 Ended::Broken(_) => copy.or_else(|| self.backup_of(&job, &run)),
             };
             // The connection to the old engine closes before the new one starts.
