A new configuration goes to other daemons as a patch in a datagram

Each change carried the whole configuration, which no datagram holds, so that every daemon fetched it over TCP, from inside the loop that also answers questions. Readers that fetched answered nobody for longer than half a second; all daemons of their zones then took themselves for readers, asked everyone, and each answer started another fetch. On links of 10 Mbit/s the region stood still: connects timed out and some daemons had version 12 only at 5.09 s (written at 0.5 s).

Change: what a version changes is passed on as a patch; a patch for a configuration that a daemon never had is refused and the whole is fetched. Fetches run beside the loop, one at a time, and what they bring is passed on. A message that is too large loses its longest part only. When a reader falls silent the next best that is heard takes over alone.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,6 +12,7 @@
 
 use super::{
     change_log::ChangeLog,
+    config_patch::with_patches,
     extra_sends::SendBook,
     fleet::FeedState,
     load::LoadBook,
@@ -35,6 +36,9 @@
     feeds: HashMap<Topic, FeedState>,
     logs: HashMap<Topic, ChangeLog>,
     read_once: HashSet<Topic>,
+    /// Another daemon's patch was for a configuration that this one never had;
+    /// the configuration is to be taken whole.
+    lacks_config: bool,
     /// When the read was sent that the configuration stands on.
     config_proof: Option<BootTime>,
     pub peers: Peers,
@@ -70,6 +74,7 @@
             feeds: HashMap::new(),
             logs: HashMap::new(),
             read_once: HashSet::new(),
+            lacks_config: false,
             config_proof: None,
             peers,
             loads,
@@ -102,11 +107,15 @@
     }
 
     fn have(&self) -> Vec<(Topic, Revision)> {
-        Topic::iter().map(|topic| (topic, self.at(topic))).collect()
+        let have = |topic| match topic {
+            Topic::Config if self.lacks_config => 0,
+            _ => self.at(topic),
+        };
+        Topic::iter().map(|topic| (topic, have(topic))).collect()
     }
 
     /// Notes an answer of the store. Returns what followers may lack of it.
-    pub fn take_read(&mut self, update: &Update, sent: BootTime) -> Option<Update> {
+    pub fn take_read(&mut self, mut update: Update, sent: BootTime) -> Option<Update> {
         let now = clock::now();
         let feed = self.feeds.entry(update.topic).or_default();
         if feed.away_since.is_some() {
@@ -124,13 +133,17 @@
             .logs
             .get(&update.topic)
             .map_or(0, ChangeLog::changed_at);
-        let is_news = self.take(update, now);
+        if !update.is_whole {
+            let known = (self.fleet.config_revision, self.fleet.config.clone());
+            update.changes = with_patches(known, &update.changes);
+        }
+        let is_news = self.take(&update, now);
         if update.topic == Topic::Config && self.at(Topic::Config) <= update.at {
             self.prove(sent);
         }
-        (is_news && !update.is_whole).then(|| Update {
+        (is_news && !update.is_whole).then_some(Update {
             from: before,
-            ..update.clone()
+            ..update
         })
     }
 
@@ -156,7 +169,18 @@
         if update.at < log.at() || (!update.is_whole && update.from > log.at()) {
             return false;
         }
+        if !update.is_whole && !self.fleet.can_apply(&update.changes) {
+            log::info!(
+                "event=config_gap revision={} from={} at={}",
+                self.fleet.config_revision,
+                update.from,
+                update.at
+            );
+            self.lacks_config = true;
+            return false;
+        }
         let feed = self.feeds.entry(update.topic).or_default();
+        self.lacks_config &= update.topic != Topic::Config;
         if update.is_whole {
             log.restart(update.at);
             self.fleet.replace(update.topic, &update.changes, feed, now);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -86,7 +86,7 @@
                 is_listed = true;
                 pause = RETRY_PAUSE.0;
                 let is_changed = !update.changes.is_empty();
-                let lacking = control.borrow_mut().take_read(&update, sent);
+                let lacking = control.borrow_mut().take_read(update, sent);
                 if let Some(lacking) = lacking {
                     // Without a receiver, followers learn by asking.
                     let _ = news.send(lacking);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,10 +7,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
-    model::{Change, Fleet, Known, Target, TargetId, Topic},
+    model::{Change, Config, Fleet, Known, Target, TargetId, Topic},
     peer_wire::target_key,
 };
-use crate::clock::BootTime;
+use crate::{clock::BootTime, platform::Revision};
 
 /// How long a lapsed entry may take to come back once the store has: targets
 /// write at least every two seconds, and one answer's delay is added.
@@ -93,17 +93,17 @@
     fn apply_one(&mut self, change: &Change, feed: &FeedState, now: BootTime) {
         match change {
             Change::Config(revision, config) => {
-                if *revision <= self.config_revision {
-                    return;
+                if *revision > self.config_revision {
+                    self.put_config(*revision, config.clone());
+                }
+            }
+            Change::ConfigPatch(patch) => {
+                if let Some(old) = &self.config
+                    && patch.base == self.config_revision
+                {
+                    let config = Arc::new(patch.apply(old));
+                    self.put_config(patch.revision, config);
                 }
-                log::info!(
-                    "event=config version={} revision={revision} routes={} keys={}",
-                    config.version,
-                    config.routes.len(),
-                    config.keys.len()
-                );
-                self.config_revision = *revision;
-                self.config = Some(config.clone());
             }
             Change::Target(target) => self.put(target, now),
             Change::TargetGone(id) => self.remove(id, feed, now),
@@ -126,6 +126,34 @@
         }
     }
 
+    /// Whether changes lead on from the configuration that is known.
+    #[must_use]
+    pub fn can_apply(&self, changes: &[Change]) -> bool {
+        let mut revision = self.config_revision;
+        changes.iter().all(|change| {
+            let (base, newer) = match change {
+                Change::Config(newer, _) => (revision, *newer),
+                Change::ConfigPatch(patch) => (patch.base, patch.revision),
+                _ => return true,
+            };
+            let is_known = newer <= revision;
+            let leads_on = base == revision;
+            revision = revision.max(newer);
+            is_known || leads_on
+        })
+    }
+
+    fn put_config(&mut self, revision: Revision, config: Arc<Config>) {
+        log::info!(
+            "event=config version={} revision={revision} routes={} keys={}",
+            config.version,
+            config.routes.len(),
+            config.keys.len()
+        );
+        self.config_revision = revision;
+        self.config = Some(config);
+    }
+
     fn put(&mut self, target: &Target, now: BootTime) {
         let known = self.targets.get(&target.id);
         let was_leaving = known.and_then(|k| k.leaving_since);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod change_log;
 mod cold;
+mod config_patch;
 mod control;
 mod engines;
 mod events;
@@ -64,6 +65,7 @@
 pub use self::{
     change_log::ChangeLog,
     cold::{ColdSends, cold_share},
+    config_patch::{ConfigPatch, with_patches},
     engines::{CopyHandle, EngineCallError, EngineCalls, MoveRun},
     events::{Event, EventId, EventSplitter},
     extra_sends::{ExtraSends, SendBook, SendBudget, SendCounts},
@@ -75,7 +77,7 @@
         Batch, CallerLimits, Change, Config, Customer, EngineLimits, Fleet, Known, Read, Repeat,
         Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
-    peer_wire::{Running, Sends, TargetKey, Works, ZoneWorks, target_key},
+    peer_wire::{Running, Sends, TargetKey, Update, Works, ZoneWorks, target_key},
     peers::{DaemonName, Listed, Peers},
     placement::{
         Candidate, Distance, Need, ReadRate, engine_cost, has_room_for_backup, plain_cost,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::config_patch::ConfigPatch;
 use crate::{clock::BootTime, platform::Revision};
 
 /// Id of one incarnation of a target.
@@ -30,7 +31,7 @@
 }
 
 /// One route of the configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name, for logs.
     pub name: Box<str>,
@@ -57,7 +58,7 @@
 }
 
 /// Limits of an engine, from the configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineLimits {
     /// Requests decoded at once.
     pub slots: u32,
@@ -74,7 +75,7 @@
 }
 
 /// One service of the configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Requests per second that a cold target bears; 0 when unlimited.
     pub cold_per_second: f64,
@@ -83,7 +84,7 @@
 }
 
 /// One customer of the configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Customer {
     /// Name, passed to targets.
     pub name: Box<str>,
@@ -94,7 +95,7 @@
 }
 
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request head.
     pub max_header_bytes: usize,
@@ -118,7 +119,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// The operator's version number.
     pub version: u64,
@@ -189,6 +190,8 @@
 pub enum Change {
     /// A configuration, with the revision at which it was written.
     Config(Revision, Arc<Config>),
+    /// What a newer configuration changes; between daemons only.
+    ConfigPatch(Box<ConfigPatch>),
     /// A target as it stands.
     Target(Target),
     /// A target's entry was removed.
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -1,7 +1,7 @@
 //! Datagrams and fetches between daemons, and the list of daemons.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
@@ -71,6 +71,8 @@
     control: Rc<RefCell<Control>>,
     /// When each unanswered question was asked.
     asked: RefCell<HashMap<u64, BootTime>>,
+    /// A fetch is under way; one at a time, since all that is lacking comes with it.
+    is_fetching: Cell<bool>,
 }
 
 impl PeerPort {
@@ -87,6 +89,7 @@
             seal: Seal::new(SEAL),
             control,
             asked: RefCell::default(),
+            is_fetching: Cell::new(false),
         })
     }
 
@@ -198,14 +201,8 @@
             incarnation: self.incarnation,
             message,
         };
-        let sealed = self.seal.seal(&packet);
-        let sealed = if sealed.len() <= MAX_DATAGRAM_BYTES {
-            sealed
-        } else {
-            let Some(message) = without_updates(packet.message) else {
-                return;
-            };
-            self.seal.seal(&Packet { message, ..packet })
+        let Some(sealed) = self.seal_small(packet) else {
+            return;
         };
         metrics::counter!("bluebell_control_bytes", "direction" => "sent")
             .increment(sealed.len() as u64);
@@ -214,7 +211,24 @@
         }
     }
 
-    async fn receive(&self, sealed: &[u8], from: SocketAddr) {
+    /// Encodes a packet without what makes it larger than a datagram; `None`
+    /// if nothing is left of it.
+    fn seal_small(&self, mut packet: Packet) -> Option<Vec<u8>> {
+        loop {
+            let sealed = self.seal.seal(&packet);
+            if sealed.len() <= MAX_DATAGRAM_BYTES {
+                return Some(sealed);
+            }
+            match smaller(packet.message, &self.seal) {
+                Ok(Message::Push(updates)) if updates.is_empty() => return None,
+                Ok(message) => packet = Packet { message, ..packet },
+                // Sent in pieces; a lost one costs some knowledge of load.
+                Err(_) => return Some(sealed),
+            }
+        }
+    }
+
+    async fn receive(self: &Rc<Self>, sealed: &[u8], from: SocketAddr) {
         let Some(packet) = self.seal.open::<Packet>(sealed) else {
             log::debug!("event=datagram_unreadable peer={from}");
             return;
@@ -251,7 +265,7 @@
         self.send(to, Message::Tell(tell)).await;
     }
 
-    async fn take_tell(&self, name: &str, tell: Tell, from: SocketAddr) {
+    async fn take_tell(self: &Rc<Self>, name: &str, tell: Tell, from: SocketAddr) {
         let asked = self.asked.borrow_mut().remove(&tell.nonce);
         let Some(asked) = asked else {
             return;
@@ -259,18 +273,22 @@
         let is_partial = tell.is_partial;
         let news = self.control.borrow_mut().take_tell(name, &tell, asked);
         self.pass_on(news).await;
-        if is_partial {
-            self.fetch(from).await;
+        if is_partial && !self.is_fetching.replace(true) {
+            // Questions of others are answered meanwhile.
+            tokio::task::spawn_local(self.clone().fetch(from));
         }
     }
 
-    /// Fetches topics whole, and applies them.
-    async fn fetch(&self, from: SocketAddr) {
+    /// Fetches what datagrams are too small for, and applies it.
+    async fn fetch(self: Rc<Self>, from: SocketAddr) {
         let fetch = self.control.borrow().fetch();
         let fetched = ask::<Fetch, Vec<Update>>(&self.seal, from, fetch, FETCH_TIMEOUT).await;
+        self.is_fetching.set(false);
         match fetched {
             Ok(updates) => {
-                self.control.borrow_mut().take_updates(&updates);
+                log::info!("event=fetched peer={from} topics={}", updates.len());
+                let news = self.control.borrow_mut().take_updates(&updates);
+                self.pass_on(news).await;
             }
             Err(e) => log::warn!("event=fetch_failed error={:?}", e.to_string()),
         }
@@ -338,23 +356,33 @@
     }
 }
 
-/// A message that is too large for a datagram, without what can be fetched.
-fn without_updates(message: Message) -> Option<Message> {
+/// A message that is too large for a datagram, without its longest part; the
+/// receiver fetches that, or learns of it by asking. `Err` where no part can be
+/// left out.
+fn smaller(message: Message, seal: &Seal) -> Result<Message, Message> {
     match message {
-        Message::Tell(tell) => Some(Message::Tell(Tell {
-            updates: Vec::new(),
+        Message::Tell(tell) if !tell.updates.is_empty() => Ok(Message::Tell(Tell {
+            updates: without_longest(tell.updates, seal),
             is_partial: true,
             ..tell
         })),
-        Message::Running(Running { own, sends, .. }) => Some(Message::Running(Running {
-            own,
-            sends,
+        Message::Push(updates) if !updates.is_empty() => {
+            Ok(Message::Push(without_longest(updates, seal)))
+        }
+        Message::Running(running) if running.far.is_some() => Ok(Message::Running(Running {
             far: None,
+            ..running
         })),
-        Message::Ask(_) => Some(message),
-        // Followers learn by asking.
-        Message::Push(_) => None,
+        _ => Err(message),
+    }
+}
+
+fn without_longest(mut updates: Vec<Update>, seal: &Seal) -> Vec<Update> {
+    let lengths = updates.iter().map(|u| seal.seal(u).len());
+    if let Some((longest, _)) = lengths.enumerate().max_by_key(|(_, len)| *len) {
+        updates.remove(longest);
     }
+    updates
 }
 
 /// The peer address of an instance, given any of its addresses.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -31,6 +31,9 @@
 /// Silence after which a reader is replaced: two questions and a round trip
 /// between regions.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// How long a daemon waits for answers of a better reader that is heard but has
+/// not answered: several questions. A path may be open one way only.
+const UNANSWERED_FOR: Duration = Duration::from_millis(1_500);
 /// How long changes are passed on to a daemon that was last heard.
 const FOLLOWS_FOR: Duration = Duration::from_secs(2);
 /// Age of a proof up to which its bearer is relied on: two waits of a watch
@@ -224,6 +227,18 @@
         self.better().into_iter().find(|name| self.tells(name, now))
     }
 
+    /// Whether a better reader of the own zone is heard and is likely to answer
+    /// soon. When a reader falls silent, the next best takes over, and the rest
+    /// of the zone neither calls the store nor asks other zones.
+    fn has_successor(&self, now: BootTime) -> bool {
+        let better = self.better();
+        let heard = better.iter().filter_map(|name| self.heard.get(*name));
+        let last_told = heard.clone().filter_map(|h| h.told_at).max();
+        let unanswered = now.saturating_sub(last_told.unwrap_or(self.started));
+        let mut lately = heard.map(|h| now.saturating_sub(h.last_at));
+        unanswered < UNANSWERED_FOR && lately.any(|ago| ago < SILENT_AFTER)
+    }
+
     /// Whether a daemon of a zone that ranks higher than the own one supplies
     /// young proofs. Ranks keep two zones from relying on each other.
     fn has_far_source(&self, now: BootTime) -> bool {
@@ -241,7 +256,7 @@
     /// that does has had no young proof for long.
     #[must_use]
     pub fn is_reader(&self, proof_age: Option<Duration>, now: BootTime) -> bool {
-        if self.reader(now).is_none() {
+        if self.is_first(now) {
             return !self.has_far_source(now);
         }
         let age = proof_age.unwrap_or_else(|| now.saturating_sub(self.started));
@@ -251,7 +266,7 @@
     /// Whether this daemon reads or asks other zones for its own.
     #[must_use]
     pub fn is_first(&self, now: BootTime) -> bool {
-        self.reader(now).is_none()
+        self.reader(now).is_none() && !self.has_successor(now)
     }
 
     /// Whom to ask now in the own zone: the reader, or all that could be.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -70,6 +70,9 @@
                 self.proof_at.insert(i, now);
             }
         }
+        for teller in 0..self.peers.len() {
+            self.tell_zone(teller, now);
+        }
         for asker in 0..self.peers.len() {
             if self.silent.contains(&asker) {
                 continue;
@@ -84,6 +87,19 @@
         }
     }
 
+    /// Word of what a daemon has running, to those of its zone that it heard.
+    fn tell_zone(&mut self, teller: usize, now: Duration) {
+        if self.silent.contains(&teller) {
+            return;
+        }
+        let (name, peers) = &self.peers[teller];
+        let (name, of_teller) = (name.clone(), listed(teller, &self.zones[teller]));
+        for address in peers.mates(now) {
+            let to = usize::from(address.port()) - 1_000;
+            self.peers[to].1.hear(&name, of_teller.clone(), 1, now);
+        }
+    }
+
     fn answer(&mut self, asker: usize, reader: usize, now: Duration) {
         if self.silent.contains(&reader) {
             return;
@@ -132,6 +148,35 @@
     }
 }
 
+#[test]
+fn when_a_reader_falls_silent_its_zone_does_not_call_the_store_at_once() {
+    let mut fleet = Fleet::of(&["x"], 14);
+    fleet.run(0..3_000);
+    let reader = fleet.readers(at(3_000))[0];
+    fleet.silent.push(reader);
+    let mut readers = vec![];
+    for now in (3_000..6_000).step_by(200) {
+        // Each decides before the answers to its next questions are there.
+        readers.push(fleet.readers(at(now)).len());
+        fleet.step(at(now));
+    }
+    assert!(readers.iter().all(|n| *n <= 1), "{readers:?}");
+    assert_eq!(readers.last(), Some(&1));
+}
+
+#[test]
+fn a_daemon_that_hears_a_better_reader_without_answers_reads_itself() {
+    let mut fleet = Fleet::of(&["x"], 2);
+    fleet.run(0..3_000);
+    let better = fleet.readers(at(3_000))[0];
+    let (name, of_better) = (fleet.peers[better].0.clone(), listed(better, "x"));
+    let other = &mut fleet.peers[1 - better].1;
+    for now in (3_000..4_800).step_by(200) {
+        other.hear(&name, of_better.clone(), 1, at(now));
+    }
+    assert!(other.is_reader(Some(at(1_800)), at(4_800)));
+}
+
 #[test]
 fn a_reader_that_is_cut_from_the_store_is_replaced() {
     let mut fleet = Fleet::of(&["x", "y", "z"], 3);
