Each placement is logged with what was known of the target

Cause: why a first event came late could not be told from the logs: they named the target, not what the daemon knew when it chose it.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -156,13 +156,25 @@
             };
             // Daemons that know the same do not all choose the same target.
             let cost = cost + TIE_SPREAD * rand::random::<f64>();
-            (cost, target, work.unread)
+            (cost, target, candidate)
         });
-        let (_, target, ahead) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        let (cost, target, chosen) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        log::info!(
+            "event=placed request={} target={} distance={} cost={cost:.2} requests={} tokens={} \
+             unread={} failures={:.1} cold={}",
+            job.stated.request_id,
+            target.id,
+            chosen.distance,
+            chosen.work.requests,
+            chosen.work.tokens,
+            chosen.work.unread,
+            chosen.failures,
+            chosen.is_cold
+        );
         self.note_placed(fleet, target, now);
         Some(Choice {
             target: target.clone(),
-            ahead,
+            ahead: chosen.work.unread,
             service,
         })
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -43,7 +43,8 @@
 const OTHER_ZONE_COST: f64 = 0.01;
 
 /// How far a target is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Distance {
     /// The same availability zone.
     Zone,
