A stream whose task ends early does not look complete

Cause, found by reading: the body of a live answer ended when the channel of its task closed, also where that task had panicked; the caller would have got a proper end after some of the events. Tasks of the gateway were not supervised: after a panic in one that follows the store, the process went on with what it knew.

Change: a body ends only at an explicit end; a channel that closes without one is a broken stream. Tasks of the control thread and the loops of the three ports run under the supervisor, whose loop now serves tasks that stay on their thread as well.

Ruled out: that a panic ends the process (profiles unwind).

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -20,8 +20,18 @@
     pub reason: Box<str>,
 }
 
+/// A part of a live answer.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes to pass on.
+    Data(Bytes),
+    /// The answer is whole. A channel that closes without it is a broken stream:
+    /// the task that filled it may have panicked.
+    End,
+}
+
 /// Pieces of an answer on their way to the caller.
-pub type Pieces = mpsc::Receiver<Result<Bytes, BrokenStream>>;
+pub type Pieces = mpsc::Receiver<Result<Piece, BrokenStream>>;
 
 /// Body of an answer.
 #[derive(Debug)]
@@ -77,7 +87,14 @@
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Content::Live(pieces) => {
                 let piece = std::task::ready!(pieces.poll_recv(cx));
-                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+                Poll::Ready(match piece {
+                    Some(Ok(Piece::Data(bytes))) => Some(Ok(Frame::data(bytes))),
+                    Some(Ok(Piece::End)) => None,
+                    Some(Err(e)) => Some(Err(e)),
+                    None => Some(Err(BrokenStream {
+                        reason: "its task ended".into(),
+                    })),
+                })
             }
         }
     }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -26,7 +26,7 @@
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Accepts callers' connections for good.
-pub(crate) async fn accept(listener: TcpListener, gateway: Arc<Gateway>) {
+pub(crate) async fn accept(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
     loop {
         match listener.accept().await {
             Ok((tcp, peer)) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,16 +53,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use self::{
-    body::AnswerBody,
-    control::Control,
-    job::Job,
-    peer_port::{Identity, PeerPort, peer_address},
-    refusal::Refusal,
-    stop::{IDLE_CLOSE_PART, STOP_PART},
-    usage::Usage,
-};
 pub use self::{
+    body::{AnswerBody, BrokenStream, Piece},
     change_log::ChangeLog,
     cold::{ColdSends, cold_share},
     config_patch::{ConfigPatch, with_patches},
@@ -88,7 +80,18 @@
     standing::{Others, Standing},
     stop::{ends_in_time, expected_time},
 };
-use crate::clock;
+use self::{
+    control::Control,
+    job::Job,
+    peer_port::{Identity, PeerPort, peer_address},
+    refusal::Refusal,
+    stop::{IDLE_CLOSE_PART, STOP_PART},
+    usage::Usage,
+};
+use crate::{
+    clock,
+    supervisor::{supervise, supervise_local},
+};
 
 /// Longest wait for a caller that names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -156,9 +159,8 @@
             running: Usage::default(),
             stopped_at: Mutex::default(),
         });
-        tokio::spawn(listener::accept(callers, gateway.clone()));
-        tokio::spawn(readiness::serve(readiness, gateway.clone()));
-        tokio::spawn(readiness::serve_metrics(metrics, gateway.clone()));
+        let ports = [Arc::new(callers), Arc::new(readiness), Arc::new(metrics)];
+        serve_ports(ports, &gateway);
         Ok(Self { gateway, control })
     }
 
@@ -196,6 +198,24 @@
     }
 }
 
+/// Serves callers, questions for readiness and for metrics until the process
+/// ends; a loop that panics is started again on the same port.
+fn serve_ports([callers, readiness, metrics]: [Arc<TcpListener>; 3], gateway: &Arc<Gateway>) {
+    let never = CancellationToken::new();
+    let of = gateway.clone();
+    supervise("callers", never.clone(), move || {
+        listener::accept(callers.clone(), of.clone())
+    });
+    let of = gateway.clone();
+    supervise("readiness", never.clone(), move || {
+        readiness::serve(readiness.clone(), of.clone())
+    });
+    let of = gateway.clone();
+    supervise("metrics", never, move || {
+        readiness::serve_metrics(metrics.clone(), of.clone())
+    });
+}
+
 /// Starts the control thread; returns once its port is bound.
 async fn spawn_control(
     store: Store,
@@ -233,13 +253,21 @@
 
 fn start_control(port: Rc<PeerPort>, store: &Store, control: &Rc<RefCell<Control>>) {
     let (news, passed_on) = mpsc::unbounded_channel();
+    let passed_on = Rc::new(tokio::sync::Mutex::new(passed_on));
     for topic in Topic::iter() {
-        let following = feed::follow(topic, store.clone(), control.clone(), news.clone());
-        tokio::task::spawn_local(following);
+        let (store, control, news) = (store.clone(), control.clone(), news.clone());
+        supervise_local("feed", move || {
+            feed::follow(topic, store.clone(), control.clone(), news.clone())
+        });
     }
-    tokio::task::spawn_local(port.clone().run(passed_on));
-    tokio::task::spawn_local(port.clone().serve_fetches());
-    tokio::task::spawn_local(port.keep_listed(store.clone()));
+    let of_run = port.clone();
+    supervise_local("peers", move || of_run.clone().run(passed_on.clone()));
+    let of_fetches = port.clone();
+    supervise_local("fetches", move || of_fetches.clone().serve_fetches());
+    let store = store.clone();
+    supervise_local("daemon_list", move || {
+        port.clone().keep_listed(store.clone())
+    });
 }
 
 fn identity(settings: &GatewaySettings) -> io::Result<Identity> {
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -11,7 +11,7 @@
 
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::mpsc,
+    sync::{Mutex, mpsc},
     time::MissedTickBehavior,
 };
 
@@ -94,7 +94,8 @@
     }
 
     /// Asks and passes on, for good.
-    pub async fn run(self: Rc<Self>, mut news: mpsc::UnboundedReceiver<Update>) {
+    pub async fn run(self: Rc<Self>, news: Rc<Mutex<mpsc::UnboundedReceiver<Update>>>) {
+        let mut news = news.lock().await;
         let mut near = tokio::time::interval(ASK_PERIOD);
         let mut far = tokio::time::interval(FAR_ASK_PERIOD);
         let mut running = tokio::time::interval(RUNNING_PERIOD);
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -7,14 +7,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{
     Gateway,
-    body::BrokenStream,
+    body::{BrokenStream, Piece},
     engines::MoveRun,
     events::{EventId, EventSplitter},
     exchange::connect,
@@ -86,7 +85,7 @@
         self: Arc<Self>,
         job: Job,
         mut run: Run,
-        tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+        tx: mpsc::Sender<Result<Piece, BrokenStream>>,
     ) {
         let mut delivered = Delivered::default();
         loop {
@@ -97,7 +96,12 @@
             let ended = ended.unwrap_or(Ended::Broken("deadline".into()));
             self.note_end(&job, &run, &delivered, &ended);
             let copy = match ended {
-                Ended::Whole | Ended::CallerLeft => return,
+                Ended::Whole => {
+                    // The receiver is gone if the caller left meanwhile.
+                    let _ = tx.send(Ok(Piece::End)).await;
+                    return;
+                }
+                Ended::CallerLeft => return,
                 Ended::Broken(_) => copy.or_else(|| self.backup_of(&job, &run)),
             };
             // The connection to the old engine closes before the new one starts.
@@ -162,7 +166,7 @@
         job: &Job,
         run: &mut Run,
         delivered: &mut Delivered,
-        tx: &mpsc::Sender<Result<Bytes, BrokenStream>>,
+        tx: &mpsc::Sender<Result<Piece, BrokenStream>>,
         ready: &mut Option<Copy>,
     ) -> Ended {
         let mut splitter = EventSplitter::default();
@@ -239,7 +243,7 @@
         run: &mut Run,
         splitter: &mut EventSplitter,
         delivered: &mut Delivered,
-        tx: &mpsc::Sender<Result<Bytes, BrokenStream>>,
+        tx: &mpsc::Sender<Result<Piece, BrokenStream>>,
     ) -> Result<(), ()> {
         while let Some(event) = splitter.split() {
             if event.id.is_some() && event.id <= delivered.last {
@@ -254,7 +258,7 @@
                     .record(waited.as_secs_f64());
             }
             delivered.note(event.id, now);
-            tx.send(Ok(event.raw)).await.map_err(|_| ())?;
+            tx.send(Ok(Piece::Data(event.raw))).await.map_err(|_| ())?;
         }
         Ok(())
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -30,7 +30,7 @@
 }
 
 /// Answers whether this daemon takes callers, on any path, for good.
-pub(crate) async fn serve(listener: TcpListener, gateway: Arc<Gateway>) {
+pub(crate) async fn serve(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
     serve_text(listener, move || {
         if gateway.is_ready() {
             (StatusCode::OK, "ready\n".to_owned())
@@ -42,7 +42,7 @@
 }
 
 /// Answers all metrics as text, on any path, for good.
-pub(crate) async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
+pub(crate) async fn serve_metrics(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
     serve_text(listener, move || {
         let age = gateway.standing.config_age(clock::now());
         metrics::gauge!("bluebell_gateway_config_age_seconds")
@@ -52,7 +52,7 @@
     .await;
 }
 
-async fn serve_text<F>(listener: TcpListener, text: F)
+async fn serve_text<F>(listener: Arc<TcpListener>, text: F)
 where
     F: Fn() -> (StatusCode, String) + Clone + Send + 'static,
 {
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -23,35 +23,51 @@
     F: FnMut() -> Fut + Send + 'static,
     Fut: Future<Output = ()> + Send + 'static,
 {
-    tokio::spawn(async move {
-        let mut pause = BACKOFF.0;
-        loop {
-            let began = clock::now();
-            let mut task = tokio::spawn(start());
-            let ended = tokio::select! {
-                ended = &mut task => ended,
-                () = stop.cancelled() => {
-                    task.abort();
-                    return;
-                }
-            };
-            if clock::now().saturating_sub(began) > HEALTHY_AFTER {
-                pause = BACKOFF.0;
-            }
-            let reason = match ended {
-                Ok(()) => "ended".to_owned(),
-                Err(e) => e.to_string(),
-            };
-            metrics::counter!("bluebell_task_restarts", "task" => name).increment(1);
-            log::debug!(
-                "event=task_restart task={name} reason={reason:?} pause_ms={}",
-                pause.as_millis()
-            );
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                () = stop.cancelled() => return,
+    tokio::spawn(keep_running(name, stop, move || tokio::spawn(start())))
+}
+
+/// The same for a task that stays on its thread, until that ends.
+pub(crate) fn supervise_local<F, Fut>(name: &'static str, mut start: F) -> JoinHandle<()>
+where
+    F: FnMut() -> Fut + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    let stop = CancellationToken::new();
+    spawn_local(keep_running(name, stop, move || spawn_local(start())))
+}
+
+async fn keep_running(
+    name: &'static str,
+    stop: CancellationToken,
+    mut spawn: impl FnMut() -> JoinHandle<()>,
+) {
+    let mut pause = BACKOFF.0;
+    loop {
+        let began = clock::now();
+        let mut task = spawn();
+        let ended = tokio::select! {
+            ended = &mut task => ended,
+            () = stop.cancelled() => {
+                task.abort();
+                return;
             }
-            pause = (pause * 2).min(BACKOFF.1);
+        };
+        if clock::now().saturating_sub(began) > HEALTHY_AFTER {
+            pause = BACKOFF.0;
+        }
+        let reason = match ended {
+            Ok(()) => "ended".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        metrics::counter!("bluebell_task_restarts", "task" => name).increment(1);
+        log::debug!(
+            "event=task_restart task={name} reason={reason:?} pause_ms={}",
+            pause.as_millis()
+        );
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = stop.cancelled() => return,
         }
-    })
+        pause = (pause * 2).min(BACKOFF.1);
+    }
 }
