A reader that the store refuses learns from those that ask it

The store refused the first daemon of each zone for nine seconds and served the others. Their stand-ins read, every 3.4 s, and passed four patches on in one message of 1,455 bytes, which no datagram holds; the message was dropped, and the first went on answering its zone with what it had: nobody but the stand-ins had a version written at 2.6 s before 11.6 s.

Change: a daemon that reads in vain fetches from one that asks it with newer revisions, and passes that on; daemons whose reader says that its calls fail read themselves once their proof is 2 s old, in time for three seconds.

Ruled out, by a trial with a log line for each push: that pushes went to nobody, or that receivers refused them (they were never sent).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -274,6 +274,18 @@
         self.share_others(now);
     }
 
+    /// Whether this daemon reads in vain while one that asks it has read more:
+    /// the store may refuse some daemons and serve others.
+    pub fn lacks_any(&self, have: &[(Topic, Revision)]) -> bool {
+        let is_newer = |(topic, have): &(Topic, Revision)| *have > self.at(*topic);
+        *self.reads.borrow() && self.is_away() && have.iter().any(is_newer)
+    }
+
+    fn is_away(&self) -> bool {
+        let feed = self.feeds.get(&Topic::Config);
+        feed.is_some_and(|f| f.away_since.is_some())
+    }
+
     /// Answers a question, but for updates that are too large.
     pub fn tell(&mut self, from: &str, ask: Ask) -> Tell {
         let now = clock::now();
@@ -297,10 +309,7 @@
                 .config_proof
                 .map(|at| clock::millis(now.saturating_sub(at)) + 1),
             config_at: self.at(Topic::Config),
-            is_away: self
-                .feeds
-                .get(&Topic::Config)
-                .is_some_and(|f| f.away_since.is_some()),
+            is_away: self.is_away(),
             updates,
             is_partial,
             store_back_ms: back.map(clock::millis),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -261,7 +261,10 @@
         }
     }
 
-    async fn answer(&self, name: &str, ask: Ask, to: SocketAddr) {
+    async fn answer(self: &Rc<Self>, name: &str, ask: Ask, to: SocketAddr) {
+        if self.control.borrow().lacks_any(&ask.have) {
+            self.start_fetch(to);
+        }
         let tell = self.control.borrow_mut().tell(name, ask);
         self.send(to, Message::Tell(tell)).await;
     }
@@ -274,8 +277,14 @@
         let is_partial = tell.is_partial;
         let news = self.control.borrow_mut().take_tell(name, &tell, asked);
         self.pass_on(news).await;
-        if is_partial && !self.is_fetching.replace(true) {
-            // Questions of others are answered meanwhile.
+        if is_partial {
+            self.start_fetch(from);
+        }
+    }
+
+    /// Fetches beside all else, so that questions are answered meanwhile.
+    fn start_fetch(self: &Rc<Self>, from: SocketAddr) {
+        if !self.is_fetching.replace(true) {
             tokio::task::spawn_local(self.clone().fetch(from));
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -42,6 +42,10 @@
 /// Age of the own proof from which on a few daemons read beside the one that
 /// reads for them; keys are trusted a little longer.
 const STALE_PROOF_AGE: Duration = Duration::from_millis(3_400);
+/// The same where the one that reads for them says that its calls fail: the
+/// store may refuse it alone, and a new configuration has to be in force after
+/// three seconds.
+const STALE_IF_AWAY: Duration = Duration::from_secs(2);
 /// Daemons of a zone that do so.
 const STAND_INS: usize = 2;
 /// How long the work of a silent daemon counts.
@@ -71,6 +75,8 @@
     told_at: Option<BootTime>,
     /// When it last answered with a proof that is young enough to rely on.
     proved_at: Option<BootTime>,
+    /// Its last answer came without a proof: its calls to the store fail.
+    is_away: bool,
     /// Its own work.
     works: Works,
     /// Its own sends.
@@ -158,6 +164,7 @@
             last_at: now,
             told_at: None,
             proved_at: None,
+            is_away: false,
             works: Works::new(),
             sends: Sends::new(),
             zone: None,
@@ -181,6 +188,7 @@
     pub fn note_tell(&mut self, name: &str, proof_age: Option<Duration>, now: BootTime) {
         if let Some(heard) = self.heard.get_mut(name) {
             heard.told_at = Some(now);
+            heard.is_away = proof_age.is_none();
             if proof_age.is_some_and(|age| age < RELIABLE_PROOF_AGE) {
                 heard.proved_at = Some(now);
             }
@@ -260,7 +268,12 @@
             return !self.has_far_source(now);
         }
         let age = proof_age.unwrap_or_else(|| now.saturating_sub(self.started));
-        age > STALE_PROOF_AGE && self.better().len() < STAND_INS
+        let reader = self.reader(now).and_then(|name| self.heard.get(name));
+        let longest = match reader {
+            Some(heard) if heard.is_away => STALE_IF_AWAY,
+            _ => STALE_PROOF_AGE,
+        };
+        age > longest && self.better().len() < STAND_INS
     }
 
     /// Whether this daemon reads or asks other zones for its own.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -177,6 +177,20 @@
     assert!(other.is_reader(Some(at(1_800)), at(4_800)));
 }
 
+#[test]
+fn a_daemon_whose_reader_is_refused_by_the_store_reads_before_three_seconds() {
+    let mut fleet = Fleet::of(&["x"], 2);
+    fleet.run(0..3_000);
+    let reader = fleet.readers(at(3_000))[0];
+    let (name, of_reader) = (fleet.peers[reader].0.clone(), listed(reader, "x"));
+    let other = &mut fleet.peers[1 - reader].1;
+    other.hear(&name, of_reader, 1, at(5_100));
+    other.note_tell(&name, None, at(5_100));
+    assert!(!other.is_reader(Some(at(1_500)), at(5_200)));
+    // Its read, and the way to the others, take some hundred milliseconds.
+    assert!(other.is_reader(Some(at(2_100)), at(5_200)));
+}
+
 #[test]
 fn a_reader_that_is_cut_from_the_store_is_replaced() {
     let mut fleet = Fleet::of(&["x", "y", "z"], 3);
