A daemon that has read no configuration is not ready

Change: readiness and admission ask for the configuration in force at one place.

No bound or check was changed.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -211,6 +211,12 @@
         self.targets.len() != before
     }
 
+    /// The configuration to serve by; `None` before all topics have been read.
+    #[must_use]
+    pub fn config_in_force(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref().filter(|_| self.is_complete)
+    }
+
     /// Targets of a service that may be sent new work.
     pub fn open_targets(&self, service: &str) -> impl Iterator<Item = &Known> {
         self.targets.values().filter(move |k| {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -98,8 +98,7 @@
         key: Option<&str>,
         now: BootTime,
     ) -> Result<Admitted, Refusal> {
-        let config = fleet.config.as_ref().filter(|_| fleet.is_complete);
-        let config = config.ok_or(Refusal::NoConfig)?;
+        let config = fleet.config_in_force().ok_or(Refusal::NoConfig)?;
         let route = config.route(host, path);
         let route = route.ok_or(Refusal::Denied(Denied::NoRoute))?;
         let customer = config.customer(route, key).map_err(Refusal::Denied)?;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -25,7 +25,8 @@
     fn is_ready(&self) -> bool {
         let age = self.standing.config_age(clock::now());
         let is_fresh = age.is_some_and(|age| age <= self.settings().key_proof_age());
-        is_fresh && self.standing.fleet().is_complete && !self.standing.is_stopping()
+        let has_config = self.standing.fleet().config_in_force().is_some();
+        is_fresh && has_config && !self.standing.is_stopping()
     }
 }
 
