--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -13,8 +13,9 @@
     job::{Admitted, Choice, Extras, Job},
     load::{Place, Work},
     model::{Target, Tokens},
-    plain::{MAX_ANSWER_BYTES, Sent, passed_on},
+    plain::{MAX_ANSWER_BYTES, passed_on},
     refusal::Refusal,
+    sent::Sent,
 };
 use crate::clock::{self, BootTime};
 
@@ -89,37 +90,20 @@
                 .send_stream(job, &admitted, &choice, backup.clone())
                 .await;
             let (id, target) = (&job.stated.request_id, &choice.target.id);
-            let took = clock::now().saturating_sub(now).as_millis();
-            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent))
-                .increment(1);
+            let took = clock::now().saturating_sub(now);
+            self.note_sent(job, target, &sent, took);
             was_sent |= !matches!(sent, Sent::Unsent(_));
             match sent {
-                Sent::Unsent(reason) => {
-                    log::info!(
-                        "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_down(target, clock::now());
-                    outcome = Refusal::Declined;
-                }
+                Sent::Unsent(_) | Sent::NotRun(_) => outcome = Refusal::Declined,
                 Sent::Answered(run) => {
                     let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
-                        "event=stream request={id} target={target} backup={backup} took_ms={took}"
+                        "event=stream request={id} target={target} backup={backup} took_ms={}",
+                        took.as_millis()
                     );
                     return Ok(run);
                 }
-                Sent::NotRun(reason) => {
-                    log::info!(
-                        "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_failure(target, clock::now());
-                    outcome = Refusal::Declined;
-                }
-                Sent::Unknown(reason) => {
-                    log::warn!(
-                        "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_failure(target, clock::now());
+                Sent::Unknown(_) => {
                     let backup = backup.ok_or(Refusal::Lost)?;
                     return self.resume_unanswered(job, backup).await.map_err(|reason| {
                         log::warn!("event=stream_given_up request={id} events=0 reason={reason:?}");
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -305,13 +305,21 @@
         let others = self.standing.others();
         let sent = others.sends.get(&target_key(&job.service)).copied();
         let budget = self.settings().send_budget();
-        self.sends.with(&job.service, |sends| {
+        let may_send = self.sends.with(&job.service, |sends| {
             if is_repeat {
                 return sends.try_repeat(now, &budget, daemons, sent.unwrap_or_default());
             }
             sends.note_first(now);
             true
-        })
+        });
+        if !may_send {
+            log::info!(
+                "event=budget_empty request={} service={}",
+                job.stated.request_id,
+                job.service
+            );
+        }
+        may_send
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod readiness;
 mod refusal;
 mod routing;
+mod sent;
 mod settings;
 mod standing;
 mod stop;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -12,26 +12,13 @@
     load::Work,
     model::{Repeat, Target},
     refusal::Refusal,
+    sent::Sent,
 };
 use crate::clock;
 
 /// Largest plain answer taken.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// How one send ended.
-#[derive(Debug, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum Sent<A> {
-    /// The target answered, and the answer is its own and whole.
-    Answered(A),
-    /// Nothing was sent: no connection came about.
-    Unsent(Box<str>),
-    /// The target certainly did not run it.
-    NotRun(Box<str>),
-    /// It may have run; there is no answer to pass on.
-    Unknown(Box<str>),
-}
-
 impl Gateway {
     /// Serves a plain request within its deadline.
     pub(crate) async fn serve_plain(
@@ -77,31 +64,19 @@
                 break;
             };
             if !self.may_send(job, progress.was_sent, now) {
-                log::info!(
-                    "event=budget_empty request={} service={}",
-                    job.stated.request_id,
-                    job.service
-                );
                 break;
             }
             tried.push(choice.target.id.clone());
             // The deadline may end the send at any point from here on.
             let was_sent = std::mem::replace(&mut progress.was_sent, true);
             let sent = self.send_plain(job, &admitted, &choice.target).await;
-            let id = &job.stated.request_id;
-            let target = &choice.target.id;
+            let (id, target) = (&job.stated.request_id, &choice.target.id);
             let took = clock::now().saturating_sub(now);
             metrics::histogram!("bluebell_gateway_send_seconds").record(took.as_secs_f64());
-            let took = took.as_millis();
-            metrics::counter!("bluebell_gateway_sends", "outcome" => <&str>::from(&sent))
-                .increment(1);
+            self.note_sent(job, target, &sent, took);
             progress.was_sent = was_sent || !matches!(sent, Sent::Unsent(_));
             match sent {
-                Sent::Unsent(reason) => {
-                    log::info!(
-                        "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_down(target, clock::now());
+                Sent::Unsent(_) | Sent::NotRun(_) => {
                     if runs == 0 {
                         outcome = Refusal::Declined;
                     }
@@ -109,32 +84,18 @@
                 }
                 Sent::Answered(res) => {
                     log::info!(
-                        "event=answer request={id} target={target} status={} took_ms={took}",
-                        res.status().as_u16()
+                        "event=answer request={id} target={target} status={} took_ms={}",
+                        res.status().as_u16(),
+                        took.as_millis()
                     );
                     runs += 1;
-                    let is_failure = res.status().is_server_error();
-                    if !is_failure {
+                    if !res.status().is_server_error() {
                         return Ok(passed_on(res));
                     }
                     self.loads.note_failure(target, clock::now());
                     fallback = Some(res);
                 }
-                Sent::NotRun(reason) => {
-                    log::info!(
-                        "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_failure(target, clock::now());
-                    if runs == 0 {
-                        outcome = Refusal::Declined;
-                    }
-                    continue;
-                }
-                Sent::Unknown(reason) => {
-                    log::warn!(
-                        "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
-                    );
-                    self.loads.note_failure(target, clock::now());
+                Sent::Unknown(_) => {
                     runs += 1;
                     outcome = Refusal::Lost;
                 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -21,7 +21,7 @@
     job::{Admitted, Extras, Job},
     load::{Place, Work},
     model::{Fleet, Target},
-    plain::Sent,
+    sent::Sent,
 };
 use crate::clock::{self, BootTime};
 
