A run learns of its engine's leaving also between looking and waiting

Cause, found by reading: a run looked at the fleet and then waited for its next change, but the wait began only when it was first polled. A change that the control thread published in between was missed, and no copy was made until the next one.

Change: the wait counts from the call.

--- a/src/gateway/standing.rs
+++ b/src/gateway/standing.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, futures::Notified};
 
 use super::{
     extra_sends::SendCounts, load::Work, model::Fleet, peer_wire::TargetKey, peers::DaemonName,
@@ -58,9 +58,10 @@
         self.changed.notify_waiters();
     }
 
-    /// Completes when the fleet next changes.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Completes when the fleet changes after this call, also if that is before
+    /// it is first polled.
+    pub fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
     }
 
     /// Notes that no change of the configuration before `sent` is missing.
