Daemons hear each other also with work at hundreds of targets

Cause, found by reading: what a zone has running grows with the targets that are busy. Such a message is sent whole, but only 4 KB of it were received, so that above about 400 busy targets the first daemons of two zones did not understand each other. The size to design for is 600.

Change: room for the largest datagram. The test has 600 targets and 1,000 generations at two daemons in two zones; it failed first (requests were refused, since one zone had no word of the configuration).

--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -29,8 +29,9 @@
 
 /// Largest datagram, so that none is split on its way.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
-/// Room for what arrives.
-const RECEIVE_BYTES: usize = 4 * 1_024;
+/// Room for what arrives: the largest datagram that there is, since work at many
+/// targets is sent in pieces.
+const RECEIVE_BYTES: usize = 64 * 1_024;
 /// Longest wait for whole topics: a large configuration over a slow link.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an unanswered question is remembered.
