A haven is chosen without being logged as a placement

Read as a newcomer: looking for an engine to copy a run to logged `placed` for each candidate and counted it as sent to a cold target, though nothing was sent there. Choosing and placing are two functions now. Constants that said what they are, but not where the figure comes from, say so; a clock before 1970 is logged instead of becoming zero in silence. No figure was changed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,8 @@
 /// Silence after which the system probes a connection, so that a target that
 /// vanished is found within three of these.
 const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Longest time that sent bytes may stay unacknowledged.
+/// Longest time that sent bytes may stay unacknowledged: several retransmissions
+/// between regions.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A request that did not get a head of an answer.
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -19,7 +19,8 @@
 };
 use crate::clock::{self, BootTime};
 
-/// Pieces on their way to a caller that reads slowly.
+/// Pieces on their way to a caller that reads slowly: some seconds of a long
+/// answer at the pace of an engine under load.
 const PIECES_WAITING: usize = 64;
 
 /// A run at a target.
@@ -131,7 +132,7 @@
             unread: job.stated.prompt,
         };
         let place = self.loads.take(&choice.target.id, work);
-        let awaits = (choice.ahead + job.stated.prompt, clock::now());
+        let awaits = (choice.work.unread + job.stated.prompt, clock::now());
         let sent = self.open_run(job, admitted, &choice.target, &extras, place, None);
         match sent.await {
             Sent::Answered(run) => Sent::Answered(Run {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -10,6 +10,7 @@
     Gateway,
     cold::cold_share,
     headers::Stated,
+    load::Work,
     model::{Customer, Fleet, Known, Repeat, Route, Service, Target, Tokens},
     peer_wire::target_key,
     placement::{
@@ -20,7 +21,7 @@
 };
 use crate::clock::{self, BootTime};
 
-/// Tokens of a generation that names no sizes.
+/// Tokens of a generation that names no sizes: a short prompt and answer.
 const DEFAULT_TOKENS: Tokens = 1_000;
 
 /// What the configuration says of a request, as of one version.
@@ -53,8 +54,10 @@
 pub(crate) struct Choice {
     pub target: Arc<Target>,
     pub service: Arc<Service>,
-    /// Prompt tokens that the target is still to read before.
-    pub ahead: Tokens,
+    /// Work of all daemons there, as far as known.
+    pub work: Work,
+    /// What decided; see `placement`.
+    pub cost: f64,
 }
 
 /// Headers of one send.
@@ -113,13 +116,38 @@
         })
     }
 
-    /// Chooses a target for a job, other than those it has tried.
+    /// Chooses a target that a job is sent to, other than those it has tried.
     pub(crate) fn place(
         &self,
         fleet: &Fleet,
         job: &Job,
         admitted: &Admitted,
         tried: &[Box<str>],
+    ) -> Option<Choice> {
+        let choice = self.choose(fleet, job, admitted, tried)?;
+        let work = &choice.work;
+        log::info!(
+            "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
+             unread={}",
+            job.stated.request_id,
+            choice.target.id,
+            self.distance(&choice.target.zone),
+            choice.cost,
+            work.requests,
+            work.tokens,
+            work.unread
+        );
+        self.note_placed(fleet, &choice.target, clock::now());
+        Some(choice)
+    }
+
+    /// Chooses a target for a job, other than those it has tried.
+    pub(crate) fn choose(
+        &self,
+        fleet: &Fleet,
+        job: &Job,
+        admitted: &Admitted,
+        tried: &[Box<str>],
     ) -> Option<Choice> {
         let service = fleet.config.as_ref()?.services.get(&job.service)?.clone();
         let now = clock::now();
@@ -155,26 +183,14 @@
             };
             // Daemons that know the same do not all choose the same target.
             let cost = cost + TIE_SPREAD * rand::random::<f64>();
-            (cost, target, candidate)
+            (cost, target, work)
         });
-        let (cost, target, chosen) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
-        log::info!(
-            "event=placed request={} target={} distance={} cost={cost:.2} requests={} tokens={} \
-             unread={} failures={:.1} cold={}",
-            job.stated.request_id,
-            target.id,
-            chosen.distance,
-            chosen.work.requests,
-            chosen.work.tokens,
-            chosen.work.unread,
-            chosen.failures,
-            chosen.is_cold
-        );
-        self.note_placed(fleet, target, now);
+        let (cost, target, work) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
         Some(Choice {
             target: target.clone(),
-            ahead: chosen.work.unread,
             service,
+            work,
+            cost,
         })
     }
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -22,7 +22,8 @@
 /// Pause after an accept error, so that exhausted descriptors do not make the
 /// loop spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Period at which a connection's idle time is looked at.
+/// Period at which a connection's idle time is looked at; short against the limit
+/// on it.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Accepts callers' connections for good.
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -53,7 +53,8 @@
 /// Failures that an address without an answer counts as: enough to pass it over
 /// until its entry is removed, which takes up to three heartbeats.
 const DOWN_FAILURES: f64 = 8.0;
-/// Time in which the memory of failures halves.
+/// Time in which the memory of failures halves, so that a target that failed once
+/// is tried again within some seconds.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
 impl Entry {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -94,9 +94,11 @@
     supervisor::{supervise, supervise_local},
 };
 
-/// Longest wait for a caller that names no deadline.
+/// Longest wait for a caller that names no deadline; the route's timeout bounds it
+/// as well, and is shorter as a rule.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-/// Period at which a process that stops looks for work left.
+/// Period at which a process that stops looks for work left; short against any
+/// time that it is given.
 const STOP_PERIOD: Duration = Duration::from_millis(50);
 
 /// What the traffic thread works with.
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -34,9 +34,10 @@
 const RECEIVE_BYTES: usize = 64 * 1_024;
 /// Longest wait for whole topics: a large configuration over a slow link.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long an unanswered question is remembered.
+/// How long an unanswered question is remembered; later, its reader counts as
+/// silent anyway.
 const ASKED_KEPT: Duration = Duration::from_secs(1);
-/// Longest wait for the list of daemons.
+/// Longest wait for the list of daemons, as for other calls to the store.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// When to read the list of daemons after the start; the store may answer with
 /// one that is seconds old.
@@ -48,7 +49,8 @@
 ];
 /// Period of reading it later on, for daemons that nobody told of.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
-/// Pause after a failed entry into the list.
+/// Pause after a failed entry into the list: time for a few tries before the list
+/// is first needed by others.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
 /// Keys the check sum of messages; there is no secret among instances.
 const SEAL: &str = "bluebelldrift gateway peers";
@@ -81,9 +83,8 @@
     pub async fn bind(identity: Identity, control: Rc<RefCell<Control>>) -> io::Result<Self> {
         let udp = UdpSocket::bind(identity.address).await?;
         let tcp = TcpListener::bind(identity.address).await?;
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         Ok(Self {
-            incarnation: clock::millis(since_epoch.unwrap_or_default()),
+            incarnation: incarnation(),
             identity,
             udp,
             tcp,
@@ -367,6 +368,16 @@
     }
 }
 
+/// Tells this run from earlier ones by the time of its start.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    clock::millis(since_epoch.unwrap_or_else(|e| {
+        // Others take a run that seems older once the one before is silent.
+        log::warn!("event=clock_before_1970 error={:?}", e.to_string());
+        Duration::ZERO
+    }))
+}
+
 /// A message that is too large for a datagram, without its longest part; the
 /// receiver fetches that, or learns of it by asking. `Err` where no part can be
 /// left out.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -34,7 +34,8 @@
 /// How long a daemon waits for answers of a better reader that is heard but has
 /// not answered: several questions. A path may be open one way only.
 const UNANSWERED_FOR: Duration = Duration::from_millis(1_500);
-/// How long changes are passed on to a daemon that was last heard.
+/// How long changes are passed on to a daemon that falls silent: five words of
+/// what it has running may be lost.
 const FOLLOWS_FOR: Duration = Duration::from_secs(2);
 /// Age of a proof up to which its bearer is relied on: two waits of a watch
 /// and the ways from zone to zone.
@@ -46,9 +47,9 @@
 /// store may refuse it alone, and a new configuration has to be in force after
 /// three seconds.
 const STALE_IF_AWAY: Duration = Duration::from_secs(2);
-/// Daemons of a zone that do so.
+/// Daemons of a zone that do so; one of them may be cut from the store as well.
 const STAND_INS: usize = 2;
-/// How long the work of a silent daemon counts.
+/// How long the work of a silent daemon counts: three words of it may be lost.
 const WORK_KEPT: Duration = Duration::from_millis(1_500);
 /// How long a silent daemon counts as one that shares budgets: a pause does
 /// not end what it may send when it wakes.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -25,11 +25,11 @@
 /// Share of an engine's memory that backups may fill it up to: beyond half, the
 /// next generations at the peak of a day would wait for what the backups take.
 const BACKUP_PART: f64 = 0.5;
-/// Cost of all slots being taken.
+/// Cost of all slots being taken; the unit of the other costs of plain calls.
 const SLOT_WEIGHT: f64 = 1.0;
-/// Cost of one recent failure.
+/// Cost of one recent failure: as much as half of the slots taken.
 const FAILURE_COST: f64 = 0.5;
-/// Cost of a target that is still cold.
+/// Cost of a target that is still cold: as much as all slots taken.
 const COLD_COST: f64 = 1.0;
 /// Cost of another region for a generation: a run that goes on elsewhere
 /// pauses for two round trips more, and bytes between regions are paid.
@@ -40,7 +40,7 @@
 /// Targets of other zones that are looked at: the better of two chosen at
 /// random is nearly as good as the best, and seldom everybody's.
 const FAR_SAMPLE: usize = 2;
-/// Cost of another zone of the same region.
+/// Cost of another zone of the same region: decides only between equals.
 const OTHER_ZONE_COST: f64 = 0.01;
 
 /// How far a target is.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -16,7 +16,7 @@
 };
 use crate::clock;
 
-/// Largest plain answer taken.
+/// Largest plain answer taken, in bytes: as much as callers may send by default.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 impl Gateway {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -25,7 +25,8 @@
 };
 use crate::clock::{self, BootTime};
 
-/// Longest wait for a copy once its source is gone.
+/// Longest wait for a copy once its source is gone: twice what a long run takes on
+/// a link of some Gbit/s.
 const LAST_COPY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Engines that are asked in turn to take a copy; the time until a reclaimed
 /// engine is gone suffices for about as many.
@@ -299,6 +300,7 @@
                         return Ok(Copy {
                             name: (calls.copy_name)(source.address, &handle),
                             target: haven,
+                            // Without it, one is opened when it is needed.
                             tcp: tcp.ok(),
                             place: places.pop(),
                         });
@@ -325,7 +327,7 @@
                 &tried,
                 &job.need(admitted.route.objective),
             );
-            let any = || self.place(fleet, job, &admitted, &tried).map(|c| c.target);
+            let any = || self.choose(fleet, job, &admitted, &tried).map(|c| c.target);
             let Some(haven) = near.or_else(any) else {
                 break;
             };
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -14,7 +14,8 @@
 use super::Gateway;
 use crate::clock;
 
-/// Longest wait for a question on an open connection.
+/// Longest wait for a question on an open connection; balancers ask every second or
+/// so.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after an accept error.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -11,7 +11,8 @@
 /// Part of the time between SIGTERM and SIGKILL after which connections that
 /// are idle are closed; before it, callers learn from answers that they end.
 pub const IDLE_CLOSE_PART: f64 = 0.4;
-/// Part of that time after which the process ends in any case.
+/// Part of that time after which the process ends in any case; the rest is for its
+/// last lines of log.
 pub const STOP_PART: f64 = 0.95;
 /// Time for one token of a generation on an engine under load.
 const TOKEN_TIME: Duration = Duration::from_millis(15);
