Credits name the start of the engine that they were granted for

A daemon that had not heard of the restart, because its request was held up or the process was slow beside builds, sent it with a credit of the earlier start, and the new one admitted it without a lease.

Change: a credit keeps the boot id of the grant, the request carries it, and an engine of another start declines (409, not run).

--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -290,6 +290,7 @@
 ) -> Result<Duration, Error> {
     let generation = GenerationRequest {
         generation_id: format!("{:024x}", rand::random::<u128>() >> 32).into(),
+        boot_id: None,
         prompt: format!("[n={tokens}]").into(),
         max_tokens: None,
         priority: 0,
--- a/src/credits.rs
+++ b/src/credits.rs
@@ -13,9 +13,13 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use tokio::sync::Notify;
 
-use crate::clock::{self, BootTime, millis};
+use crate::{
+    clock::{self, BootTime, millis},
+    wire::BootId,
+};
 
 /// Shortest time between two urgent requests for the credits of one target whose
 /// owner granted less than was wanted.
@@ -31,6 +35,8 @@
     granted: AtomicU32,
     expires_at_ms: AtomicU64,
     in_flight: AtomicU32,
+    /// Start of the target that the grant is for; `None` if it is not known.
+    boot_id: ArcSwapOption<BootId>,
     /// Whether a request found no free credit since the last credit request to
     /// the owner.
     has_shortage: AtomicBool,
@@ -116,6 +122,17 @@
         }
     }
 
+    /// Records the start of the target that the next grant is for. If it is another
+    /// start than before, drops the current grant, so that no credit of one start is
+    /// used at another.
+    pub fn set_boot_id(&self, boot_id: &str) {
+        let is_same = |known: &BootId| **known == *boot_id;
+        if !self.boot_id.load().as_deref().is_some_and(is_same) {
+            self.grant(0, BootTime::ZERO);
+            self.boot_id.store(Some(Arc::new(boot_id.into())));
+        }
+    }
+
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -141,6 +158,9 @@
     /// Acquires one credit, or reports a shortage if none is free.
     #[must_use]
     pub fn try_acquire(self: &Arc<Self>, now: BootTime) -> Option<Permit> {
+        // The boot id is read before the grant: a grant that follows a change of the
+        // boot id is then at worst used with the older one, which the target declines.
+        let boot_id = self.boot_id.load_full();
         let held = self.held(now);
         let acquired =
             self.in_flight
@@ -150,7 +170,7 @@
         if acquired.is_err() {
             self.report_shortage(now);
         }
-        acquired.ok().map(|_| self.permit(now))
+        acquired.ok().map(|_| self.permit(now, boot_id))
     }
 
     /// Records that a request found no credit and wakes the control thread to
@@ -166,10 +186,11 @@
         }
     }
 
-    fn permit(self: &Arc<Self>, acquired_at: BootTime) -> Permit {
+    fn permit(self: &Arc<Self>, acquired_at: BootTime, boot_id: Option<Arc<BootId>>) -> Permit {
         Permit {
             credit: Arc::clone(self),
             acquired_at,
+            boot_id,
         }
     }
 
@@ -178,7 +199,7 @@
     #[must_use]
     pub fn acquire_for_resumed(self: &Arc<Self>) -> Permit {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
-        self.permit(clock::now())
+        self.permit(clock::now(), None)
     }
 }
 
@@ -187,6 +208,8 @@
 pub struct Permit {
     credit: Arc<Credit>,
     acquired_at: BootTime,
+    /// Start of the target that the credit was granted for; `None` if it is not known.
+    boot_id: Option<Arc<BootId>>,
 }
 
 impl Permit {
@@ -198,6 +221,13 @@
         self.credit.held(now) >= 1
     }
 
+    /// Returns the start of the target that the credit was granted for, if it is
+    /// known.
+    #[must_use]
+    pub fn boot_id(&self) -> Option<&BootId> {
+        self.boot_id.as_deref()
+    }
+
     /// Records that the run failed or could not start. Drops all credits of the
     /// target until its owner has probed it for a restart.
     pub fn record_failure(&self) {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -30,6 +30,10 @@
     /// Id of the generation. If the engine already runs a generation with this
     /// id, the request attaches to it.
     pub generation_id: GenerationId,
+    /// Start of the engine that the credit was granted for. An engine of another
+    /// start declines the request; `None` lets any start run it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub boot_id: Option<BootId>,
     /// Text of the prompt.
     pub prompt: Box<str>,
     /// Maximum number of tokens to generate, if the caller set one.
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -97,6 +97,7 @@
         service: completion.model,
         generation: GenerationRequest {
             generation_id: new_id(),
+            boot_id: None,
             prompt: completion.prompt,
             max_tokens: completion.max_tokens,
             priority: i32::from(estimate.is_short && !is_baseline_policy),
@@ -153,6 +154,7 @@
         service: Box::default(),
         generation: GenerationRequest {
             generation_id: generation.clone(),
+            boot_id: None,
             prompt: Box::default(),
             max_tokens: None,
             priority: 0,
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -166,6 +166,9 @@
             return false;
         }
         held_target.is_answered = true;
+        if let Some(ramp) = &grant.ramp {
+            held_target.credit.set_boot_id(&ramp.boot_id);
+        }
         held_target
             .credit
             .grant(grant.credits, last_request.at + life);
--- a/src/run.rs
+++ b/src/run.rs
@@ -82,7 +82,8 @@
 
 impl Run {
     /// Creates a run that no engine has yet.
-    pub fn new(target: Arc<Target>, permit: Permit, generation: GenerationRequest) -> Self {
+    pub fn new(target: Arc<Target>, permit: Permit, mut generation: GenerationRequest) -> Self {
+        generation.boot_id = permit.boot_id().cloned();
         Self {
             in_flight: None,
             reservation: None,
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -228,6 +228,10 @@
     let Some(request): Option<GenerationRequest> = parsed else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
+    let is_other_start = |expected: &str| *expected != *shared.boot_id;
+    if request.boot_id.as_deref().is_some_and(is_other_start) {
+        return empty_response(StatusCode::CONFLICT);
+    }
     let id = request.generation_id.clone();
     // Lookup and admission share one lock, because two starts with the same id
     // may arrive at the same time.
--- a/tests/cold_target.rs
+++ b/tests/cold_target.rs
@@ -274,6 +274,39 @@
     assert_eq!(admitted_while_down, 0, "work admitted without a lease");
 }
 
+/// An engine restarts while requests to it are held up on the way, and the platform
+/// is down. Their daemons find the connections broken before they know of the restart,
+/// and start the same requests again with credits of the earlier start.
+#[test]
+fn a_credit_of_an_earlier_start_is_not_used_at_a_restarted_engine() {
+    let mut fleet = fleet();
+    start_engine(&mut fleet);
+    let link = LinkProxy::start(&fleet.targets[0].address);
+    let target = &fleet.targets[0];
+    fleet.set_instance(
+        &json!({"name": target.name, "zone": target.zone, "state": "live",
+                               "address": link.address.to_string(), "role": "target",
+                               "service": target.service}),
+    );
+    let load = Load::start(&fleet);
+    wait_for("the engine has at least 20 requests in flight", || {
+        (peak_in_flight(&fleet) >= 20).then_some(())
+    });
+    fleet.set_faults(&json!({"is_down": true}));
+    link.set_stalled(true);
+    // Requests that are sent now wait on the link for an answer.
+    std::thread::sleep(Duration::from_millis(100));
+    restart_engine(&mut fleet);
+    link.set_stalled(false);
+    std::thread::sleep(Duration::from_secs(3));
+    let admitted_while_down = count_events(&fleet, "admitted");
+    assert_eq!(admitted_while_down, 0, "work admitted without a lease");
+    fleet.set_faults(&json!({}));
+    wait_admitted(&fleet, 20);
+    drop(load);
+    assert_eq!(count_events(&fleet, "fell_over"), 0);
+}
+
 /// Kills the engine and starts a new, cold one at the same address, with an empty
 /// history.
 fn restart_engine(fleet: &mut Fleet) {
