Gateway: a daemon that starts gets what it needs from those that have it

An entry that is still in the list is not written again. Daemons of a zone report to those that the list names although they were never heard. Eight fetches are answered at a time. A confirmation that came before the configuration counts once it is there.

Cold targets: only daemons of the target's own zone send to it, and none before it has read the list: hundreds of hashes for each request became one look-up, and a list that grows with the fleet no longer shrinks each share.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -43,6 +43,11 @@
     /// Send time of the newest read that confirmed the configuration; `None` before
     /// the first such read.
     config_confirmed_at: Option<BootTime>,
+    /// Revision and time of a confirmation by another daemon whose configuration this
+    /// one has yet to fetch.
+    awaited_confirmation: Option<(Revision, BootTime)>,
+    /// Notified when this daemon gains its first confirmed configuration.
+    config_gained: Arc<Notify>,
     pub peers: Peers,
     loads: LoadTracker,
     sends: SendTracker,
@@ -51,6 +56,8 @@
     shared: Arc<SharedState>,
     /// Whether this daemon has to read the store.
     is_reader: watch::Sender<bool>,
+    /// Whether that was decided at least once.
+    is_reader_decided: bool,
     /// Whether the last read of the configuration succeeded.
     is_store_up: watch::Sender<bool>,
 }
@@ -63,7 +70,7 @@
 }
 
 impl Control {
-    /// Creates the state of a daemon that knows no topic yet and reads the store.
+    /// Creates the state of a daemon that knows no topic yet.
     pub fn new(
         peers: Peers,
         loads: LoadTracker,
@@ -71,7 +78,6 @@
         send_window: Duration,
         shared: Arc<SharedState>,
     ) -> Self {
-        let (is_reader, _) = watch::channel(true);
         Self {
             fleet: Fleet::default(),
             feeds: HashMap::new(),
@@ -79,12 +85,16 @@
             topics_read: HashSet::new(),
             needs_full_config: false,
             config_confirmed_at: None,
+            awaited_confirmation: None,
+            config_gained: Arc::default(),
             peers,
             loads,
             sends,
             send_window,
             shared,
-            is_reader,
+            // The first tick decides.
+            is_reader: watch::channel(false).0,
+            is_reader_decided: false,
             is_store_up: watch::channel(true).0,
         }
     }
@@ -208,6 +218,9 @@
 
     /// Records that the configuration includes every change made before `sent`.
     fn confirm_config(&mut self, sent: BootTime) {
+        if self.config_confirmed_at.is_none() {
+            self.config_gained.notify_one();
+        }
         self.config_confirmed_at = self.config_confirmed_at.max(Some(sent));
         self.shared.confirm_config(sent);
     }
@@ -228,9 +241,19 @@
                 });
             }
         }
+        self.confirm_awaited();
         to_forward
     }
 
+    /// Applies the awaited confirmation if this daemon now has the configuration that
+    /// it is about.
+    fn confirm_awaited(&mut self) {
+        let revision = self.revision(Topic::Config);
+        if let Some((_, sent)) = self.awaited_confirmation.take_if(|(at, _)| *at <= revision) {
+            self.confirm_config(sent);
+        }
+    }
+
     /// Applies another daemon's answer to a query sent at `queried_at`. Returns the updates to
     /// forward to other daemons.
     pub fn apply_answer(
@@ -246,11 +269,9 @@
         }
         let to_forward = self.apply_updates(&answer.updates);
         let config_age = answer.config_age_ms.map(Duration::from_millis);
-        if let Some(age) = config_age
-            && self.revision(Topic::Config) >= answer.config_revision
-            && let Some(sent) = queried_at.checked_sub(age)
-        {
-            self.confirm_config(sent);
+        if let Some(sent) = config_age.and_then(|age| queried_at.checked_sub(age)) {
+            self.awaited_confirmation = Some((answer.config_revision, sent));
+            self.confirm_awaited();
         }
         self.peers
             .record_answer(from, config_age.filter(|_| !answer.is_store_down), now);
@@ -383,6 +404,18 @@
         updates.collect()
     }
 
+    /// Returns the handle that is notified when this daemon gains its first confirmed
+    /// configuration.
+    pub fn config_gained(&self) -> Arc<Notify> {
+        self.config_gained.clone()
+    }
+
+    /// Returns whether this daemon has a confirmed configuration, so that it can answer
+    /// queries.
+    pub fn has_config(&self) -> bool {
+        self.config_confirmed_at.is_some()
+    }
+
     /// Builds a fetch of everything that this daemon lacks.
     pub fn build_fetch(&self) -> Fetch {
         Fetch {
@@ -412,9 +445,10 @@
         }
         let config_age = self.config_confirmed_at.map(|at| now.saturating_sub(at));
         let is_reader = self.peers.is_reader(config_age, now);
+        let is_first_decision = !std::mem::replace(&mut self.is_reader_decided, true);
         self.is_reader.send_if_modified(|current| {
             let is_changed = *current != is_reader;
-            if is_changed {
+            if is_changed || is_first_decision {
                 log::info!(
                     "event=reader is_reader={is_reader} reads_for_us={:?}",
                     self.peers.zone_reader(now)
@@ -426,9 +460,9 @@
         self.shared
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
-        let names = self.peers.daemon_names();
-        if names.len() != self.shared.daemon_names().len() {
-            self.shared.set_daemon_names(names);
+        let names = self.peers.zone_daemon_names();
+        if names != *self.shared.zone_daemon_names() {
+            self.shared.set_zone_daemon_names(names);
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,7 +9,6 @@
 
 use super::{
     Gateway,
-    cold_limit::cold_request_quota,
     headers::RequestInfo,
     load::Work,
     model::{Customer, Fleet, KnownTarget, RepeatPolicy, Route, Service, Target, Tokens},
@@ -265,16 +264,22 @@
 
     /// Returns whether a target may be sent one more request: always if it is
     /// warm or its service has no cold limit, else within this daemon's share of
-    /// that limit.
+    /// that limit, which only daemons of the target's zone have.
     fn is_within_cold_limit(&self, entry: &KnownTarget, service: &Service, now: BootTime) -> bool {
         if entry.cold_until <= now || service.cold_per_second <= 0.0 {
             return true;
         }
         let settings = self.settings();
+        if entry.target.zone != settings.zone {
+            return false;
+        }
         let bounds = &settings.bounds;
         let limit = service.cold_per_second * bounds.cold_factor + bounds.cold_extra;
         let target = &entry.target.id;
-        let quota = cold_request_quota(target, &settings.name, limit, &self.shared.daemon_names());
+        let daemons = self.shared.zone_daemon_names();
+        let quota = self
+            .cold_quotas
+            .get(target, &settings.name, limit, &daemons);
         self.cold_sends.has_room(target, quota, now)
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod sent;
 mod settings;
 mod shared_state;
+mod start;
 mod stop;
 
 use std::{
@@ -59,7 +60,7 @@
 pub use self::{
     body::{Chunk, ResponseBody, StreamError},
     change_log::ChangeLog,
-    cold_limit::{ColdSends, cold_request_quota},
+    cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls},
     events::{Event, EventId, EventSplitter},
@@ -83,6 +84,7 @@
     send_budget::{SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
+    start::Start,
     stop::{expected_duration, finishes_before_exit},
 };
 use self::{
@@ -114,6 +116,7 @@
     loads: LoadTracker,
     prefill_rate: PrefillRate,
     sends: SendTracker,
+    cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightCounter,
     /// Time at which shutdown was requested; `None` before that.
@@ -164,6 +167,7 @@
             loads,
             prefill_rate: PrefillRate::default(),
             sends,
+            cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightCounter::default(),
             stop_requested_at: Mutex::default(),
@@ -247,7 +251,10 @@
     let (started_tx, started_rx) = oneshot::channel();
     let run_control = move || {
         let tasks = tokio::task::LocalSet::new();
-        let peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now());
+        let mut peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now());
+        if identity.has_seeds() {
+            peers = peers.with_seeds();
+        }
         let control = Rc::new(RefCell::new(Control::new(
             peers, loads, sends, window, shared,
         )));
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -12,7 +12,7 @@
 
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::{Mutex, mpsc},
+    sync::{Mutex, Notify, Semaphore, mpsc},
     time::MissedTickBehavior,
 };
 
@@ -39,12 +39,14 @@
 /// How long an unanswered query is remembered; after that time the queried
 /// daemon counts as silent anyway.
 const PENDING_QUERY_EXPIRY: Duration = Duration::from_secs(1);
+/// Longest time that a query waits for this daemon's first configuration. Its sender
+/// needs an answer in any case, to know that this daemon is there.
+const MAX_ANSWER_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the list of daemons; the same as for other calls to the store.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Times after the start at which the list of daemons is read. There are several,
 /// since the store may answer with a list that is seconds old.
-const LIST_DELAYS: [Duration; 4] = [
-    Duration::from_millis(300),
+const LIST_DELAYS: [Duration; 3] = [
     Duration::from_millis(1_500),
     Duration::from_secs(4),
     Duration::from_secs(8),
@@ -55,6 +57,9 @@
 /// Pause after a failed registration in the list: allows a few attempts before other
 /// daemons first need the list.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+/// Maximum number of fetches that are answered at the same time. Others wait, so that
+/// over a slow link some are complete in time.
+const MAX_CONCURRENT_FETCHES: usize = 8;
 /// Key of the checksum of messages. It is public, because instances share no
 /// secret.
 const CHECKSUM_KEY: &str = "bluebelldrift gateway peers";
@@ -68,6 +73,13 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+impl Identity {
+    /// Returns whether the settings name other instances to ask, and not this one.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty() && !self.seeds.contains(&self.address)
+    }
+}
+
 /// The port on which this daemon exchanges messages with other daemons, over UDP
 /// and TCP.
 pub(crate) struct PeerPort {
@@ -79,9 +91,26 @@
     control: Rc<RefCell<Control>>,
     /// Time of each unanswered query, by nonce.
     pending_queries: RefCell<HashMap<u64, BootTime>>,
+    /// Queries that arrived before this daemon had a configuration. They are answered
+    /// once it has one.
+    unanswered_queries: RefCell<Vec<UnansweredQuery>>,
+    /// Notified once the list of daemons names others, so that they are queried at once.
+    list_gained: Notify,
+    /// Position of the seed that is queried next.
+    next_seed: Cell<usize>,
     /// Whether a fetch is in progress. One at a time suffices, since a fetch returns
     /// everything that is missing.
     is_fetching: Cell<bool>,
+    /// Permits for fetches that this daemon answers.
+    fetch_permits: Semaphore,
+}
+
+/// A query that cannot be answered yet.
+struct UnansweredQuery {
+    name: DaemonName,
+    query: Query,
+    from: SocketAddr,
+    received_at: BootTime,
 }
 
 impl PeerPort {
@@ -97,7 +126,11 @@
             message_key: MessageKey::new(CHECKSUM_KEY),
             control,
             pending_queries: RefCell::default(),
+            unanswered_queries: RefCell::default(),
+            list_gained: Notify::new(),
+            next_seed: Cell::new(rand::random_range(0..usize::from(u16::MAX))),
             is_fetching: Cell::new(false),
+            fetch_permits: Semaphore::new(MAX_CONCURRENT_FETCHES),
         })
     }
 
@@ -109,6 +142,7 @@
         let mut reports = tokio::time::interval(REPORT_PERIOD);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let changed = self.control.borrow().prefill_changes();
+        let config_gained = self.control.borrow().config_gained();
         let mut buf = vec![0; RECEIVE_BYTES];
         loop {
             tokio::select! {
@@ -118,6 +152,11 @@
                     self.report_work().await;
                     reports.reset();
                 }
+                () = self.list_gained.notified() => {
+                    self.tick().await;
+                    self.query_remote().await;
+                }
+                () = config_gained.notified() => self.answer_waiting().await,
                 _ = remote_queries.tick() => self.query_remote().await,
                 Some(update) = to_forward.recv() => self.forward_read(update).await,
                 received = self.udp.recv_from(&mut buf) => match received {
@@ -129,7 +168,7 @@
     }
 
     /// Updates the state that depends on time and queries higher-ranked daemons of this
-    /// daemon's zone, and the seeds as long as no other daemon is known.
+    /// daemon's zone, and one of the seeds as long as the list of daemons is not known.
     async fn tick(&self) {
         let now = clock::now();
         self.pending_queries
@@ -137,15 +176,21 @@
             .retain(|_, at| now.saturating_sub(*at) < PENDING_QUERY_EXPIRY);
         self.control.borrow_mut().tick();
         let mut to = self.control.borrow().peers.zone_peers_to_query(now);
-        if !self.control.borrow().peers.has_any() {
-            to.extend(
-                self.identity
-                    .seeds
-                    .iter()
-                    .filter(|s| **s != self.identity.address),
-            );
+        if !self.control.borrow().peers.has_list() {
+            to.extend(self.next_seed());
         }
         self.query_all(&to, false).await;
+        self.answer_waiting().await;
+    }
+
+    /// Returns the seed to query next. They take turns, since each of them is queried by
+    /// all daemons that start.
+    fn next_seed(&self) -> Option<SocketAddr> {
+        let own = self.identity.address;
+        let others: Vec<_> = self.identity.seeds.iter().filter(|s| **s != own).collect();
+        let at = self.next_seed.get().checked_rem(others.len())?;
+        self.next_seed.set(at + 1);
+        Some(*others[at])
     }
 
     /// Reports this daemon's running work to its zone.
@@ -288,10 +333,40 @@
         {
             self.start_fetch(to);
         }
+        if !self.control.borrow().has_config() {
+            self.unanswered_queries.borrow_mut().push(UnansweredQuery {
+                name: name.into(),
+                query,
+                from: to,
+                received_at: clock::now(),
+            });
+            return;
+        }
         let answer = self.control.borrow_mut().build_answer(name, query);
         self.send(to, Message::Answer(answer)).await;
     }
 
+    /// Answers the queries that had to wait: all of them once this daemon has a
+    /// configuration, else those that have waited for too long.
+    async fn answer_waiting(&self) {
+        let now = clock::now();
+        let has_config = self.control.borrow().has_config();
+        let is_due = |q: &mut UnansweredQuery| {
+            has_config || now.saturating_sub(q.received_at) > MAX_ANSWER_DELAY
+        };
+        let due: Vec<_> = {
+            let mut waiting = self.unanswered_queries.borrow_mut();
+            waiting.extract_if(.., is_due).collect()
+        };
+        for UnansweredQuery {
+            name, query, from, ..
+        } in due
+        {
+            let answer = self.control.borrow_mut().build_answer(&name, query);
+            self.send(from, Message::Answer(answer)).await;
+        }
+    }
+
     /// Applies an answer and forwards its updates; ignores an answer that belongs to
     /// no pending query.
     async fn handle_answer(self: &Rc<Self>, name: &str, answer: Answer, from: SocketAddr) {
@@ -351,6 +426,9 @@
     }
 
     async fn serve_fetch(self: Rc<Self>, tcp: TcpStream, peer: SocketAddr) {
+        let Ok(_permit) = self.fetch_permits.acquire().await else {
+            return;
+        };
         let control = self.control.clone();
         let answer = move |fetch: Fetch| std::future::ready(control.borrow().answer_fetch(&fetch));
         let served = serve_frames(tcp, self.message_key.clone(), peer, FETCH_TIMEOUT, answer).await;
@@ -359,10 +437,12 @@
         }
     }
 
-    /// Registers this daemon in the list of daemons, then reads the list repeatedly;
-    /// never returns.
+    /// Reads the list of daemons, registers this daemon unless its entry is there from
+    /// an earlier run, then reads the list repeatedly; never returns.
     pub async fn maintain_listing(self: Rc<Self>, store: Store) {
-        self.register(&store).await;
+        if !self.refresh_list(&store).await {
+            self.register(&store).await;
+        }
         let mut waited = Duration::ZERO;
         for at in LIST_DELAYS {
             tokio::time::sleep(at.saturating_sub(waited)).await;
@@ -390,10 +470,28 @@
         }
     }
 
-    async fn refresh_list(&self, store: &Store) {
+    /// Reads the list of daemons. Returns whether it holds this daemon's current entry.
+    async fn refresh_list(&self, store: &Store) -> bool {
         match with_timeout((store.list_daemons)(), LIST_TIMEOUT).await {
-            Ok(daemons) => self.control.borrow_mut().peers.add_listed(daemons),
-            Err(e) => log::warn!("event=list_daemons_failed error={:?}", e.to_string()),
+            Ok(daemons) => {
+                let own = &self.identity;
+                let is_listed = daemons.iter().any(|(name, info)| {
+                    *name == own.name && info.address == own.address && info.zone == own.zone
+                });
+                let had_list = self.control.borrow().peers.has_list();
+                self.control
+                    .borrow_mut()
+                    .peers
+                    .add_listed(daemons, clock::now());
+                if !had_list {
+                    self.list_gained.notify_one();
+                }
+                is_listed
+            }
+            Err(e) => {
+                log::warn!("event=list_daemons_failed error={:?}", e.to_string());
+                false
+            }
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,6 +25,7 @@
     model::ZoneName,
     peer_wire::{Incarnation, ServiceSendCounts, TargetKey, TargetWork, WorkReport, ZoneLoad},
     send_budget::SendCounts,
+    start::Start,
 };
 use crate::{cell, clock::BootTime};
 
@@ -112,8 +113,10 @@
     zone: ZoneName,
     listed: BTreeMap<DaemonName, DaemonInfo>,
     states: HashMap<DaemonName, PeerState>,
-    /// Time at which this daemon began to look for a zone reader.
-    started: BootTime,
+    /// Start of this daemon, at which it began to look for a zone reader.
+    start: Start,
+    /// Time of the newest read of the store's list; `None` before the first one.
+    list_read_at: Option<BootTime>,
 }
 
 impl Peers {
@@ -125,29 +128,53 @@
             zone: zone.into(),
             listed: BTreeMap::new(),
             states: HashMap::new(),
-            started: now,
+            start: Start {
+                began: now,
+                has_seeds: false,
+                list_known_at: None,
+            },
+            list_read_at: None,
         }
     }
 
+    /// Records that the settings name other daemons to ask at the start.
+    #[must_use]
+    pub fn with_seeds(mut self) -> Self {
+        self.start.has_seeds = true;
+        self
+    }
+
     /// Adds the daemons that the store lists.
-    pub fn add_listed(&mut self, daemons: impl IntoIterator<Item = (DaemonName, DaemonInfo)>) {
+    pub fn add_listed(
+        &mut self,
+        daemons: impl IntoIterator<Item = (DaemonName, DaemonInfo)>,
+        now: BootTime,
+    ) {
+        self.list_read_at = Some(now);
         for (name, info) in daemons {
             if name != self.name {
+                self.start.list_known_at.get_or_insert(now);
                 self.listed.insert(name, info);
             }
         }
     }
 
-    /// Returns the names of all listed daemons, this one included.
+    /// Returns the names of the listed daemons of this daemon's zone, this one included;
+    /// none before the store's list has been read.
     #[must_use]
-    pub fn daemon_names(&self) -> Vec<DaemonName> {
-        self.listed.keys().chain([&self.name]).cloned().collect()
+    pub fn zone_daemon_names(&self) -> Vec<DaemonName> {
+        if self.list_read_at.is_none() {
+            return Vec::new();
+        }
+        let in_zone = self.listed.iter().filter(|(_, l)| l.zone == self.zone);
+        let names = in_zone.map(|(name, _)| name);
+        names.chain([&self.name]).cloned().collect()
     }
 
-    /// Returns whether any other daemon is known.
+    /// Returns whether the store's list has named other daemons.
     #[must_use]
-    pub fn has_any(&self) -> bool {
-        !self.listed.is_empty()
+    pub fn has_list(&self) -> bool {
+        self.start.list_known_at.is_some()
     }
 
     /// Records a datagram of another daemon. Returns `false` if the datagram is to be
@@ -274,7 +301,7 @@
             .iter()
             .filter_map(|name| self.states.get(*name));
         let last_answer = states.clone().filter_map(|state| state.answered_at).max();
-        let unanswered = now.saturating_sub(last_answer.unwrap_or(self.started));
+        let unanswered = now.saturating_sub(last_answer.unwrap_or(self.start.began));
         let mut silences = states.map(|state| now.saturating_sub(state.last_datagram_at));
         unanswered < ANSWER_WAIT && silences.any(|silence| silence < SILENT_AFTER)
     }
@@ -302,10 +329,13 @@
     /// configuration has not been confirmed for a while.
     #[must_use]
     pub fn is_reader(&self, config_age: Option<Duration>, now: BootTime) -> bool {
+        if self.start.waits(config_age.is_some(), self.is_first(), now) {
+            return false;
+        }
         if self.is_zone_leader(now) {
             return !self.has_remote_source(now);
         }
-        let age = config_age.unwrap_or_else(|| now.saturating_sub(self.started));
+        let age = config_age.unwrap_or_else(|| now.saturating_sub(self.start.began));
         let reader = self.zone_reader(now).and_then(|name| self.states.get(name));
         let max_age = match reader {
             Some(state) if state.is_store_down => STALE_CONFIG_AGE_STORE_DOWN,
@@ -314,6 +344,13 @@
         age > max_age && self.higher_ranked().len() < MAX_STORE_READERS_PER_ZONE
     }
 
+    /// Returns whether no known daemon ranks above this one, in its zone or in a
+    /// higher-ranked one.
+    fn is_first(&self) -> bool {
+        let own = zone_rank(&self.zone);
+        self.higher_ranked().is_empty() && self.listed.values().all(|l| zone_rank(&l.zone) <= own)
+    }
+
     /// Returns whether this daemon obtains the changes for its zone, from the store or
     /// from daemons of other zones.
     #[must_use]
@@ -360,18 +397,18 @@
     }
 
     /// Returns the addresses of the daemons of this daemon's zone that sent a datagram
-    /// recently.
+    /// recently, and, shortly after the list was read, of those never heard from: two
+    /// daemons that query a third one would otherwise not learn of each other.
     #[must_use]
     pub fn zone_peers(&self, now: BootTime) -> Vec<SocketAddr> {
-        let recent = self
-            .states
-            .iter()
-            .filter(|(_, state)| now.saturating_sub(state.last_datagram_at) < FOLLOWER_EXPIRY);
-        let listed = recent.filter_map(|(name, _)| self.listed.get(name));
-        listed
-            .filter(|l| l.zone == self.zone)
-            .map(|l| l.address)
-            .collect()
+        let is_recent = |at: BootTime| now.saturating_sub(at) < FOLLOWER_EXPIRY;
+        let is_list_new = self.list_read_at.is_some_and(is_recent);
+        let in_zone = self.listed.iter().filter(|(_, l)| l.zone == self.zone);
+        let reachable = in_zone.filter(|(name, _)| {
+            let state = self.states.get(*name);
+            state.map_or(is_list_new, |state| is_recent(state.last_datagram_at))
+        });
+        reachable.map(|(_, l)| l.address).collect()
     }
 
     /// Returns the addresses to which changes are forwarded: daemons of this daemon's
@@ -485,7 +522,7 @@
     fn count_listed(&self, now: BootTime, is_in: impl Fn(&DaemonInfo) -> bool) -> u16 {
         // A listed daemon that has sent nothing may still be starting if this daemon
         // started only recently.
-        let is_recently_started = now.saturating_sub(self.started) < MEMBER_EXPIRY;
+        let is_recently_started = now.saturating_sub(self.start.began) < MEMBER_EXPIRY;
         let members = self.listed.iter().filter(|(name, info)| {
             let state = self.states.get(*name);
             let is_alive = state.map_or(is_recently_started, |state| {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -42,6 +42,7 @@
             let all = names.iter().zip(&zones).enumerate();
             peers.add_listed(
                 all.map(|(i, (name, zone))| (name.as_str().into(), daemon_info(i, zone))),
+                at(0),
             );
             peers
         };
