Gateway: a list that has settled, and the load of other zones whole

Only readers say that the store is down now. - With 134 targets the report of other zones' load did not fit beside a leader's own work and was always left out. It is a message of its own. - Cold targets are fed by daemons of all zones again (the share by zone did not show a gain).

--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -1,12 +1,11 @@
 //! Limits the rate of requests that this daemon sends to cold targets.
 //!
 //! Load pattern: the targets of a zone that returns to service are cold and empty,
-//! so that every daemon would choose them at once. Only daemons of a target's own zone
-//! send it requests while it is cold, since they have the requests that it serves best.
-//! Each of them keeps to its share of the rate that a cold target can take. If the
-//! share is less than one request per second, rendezvous hashing selects a few daemons,
-//! which send one request per second each. Each daemon computes this selection from its
-//! list of daemons, so no messages are exchanged for it.
+//! so that every daemon would choose them at once. Each daemon keeps to its share of
+//! the rate that a cold target can take. If the share is less than one request per
+//! second, rendezvous hashing selects a few daemons, which send one request per
+//! second each. Each daemon computes this selection from its list of daemons, so no
+//! messages are exchanged for it.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -25,9 +24,9 @@
 /// that fire late.
 const WINDOW: Duration = Duration::from_millis(1_200);
 
-/// Returns how many requests per second this daemon may send to a cold target of its
-/// zone, where `limit` is the rate allowed for all `daemons` of the zone together, this
-/// one included. Returns 0 as long as no daemon is known.
+/// Returns how many requests per second this daemon may send to a cold target, where
+/// `limit` is the rate allowed for all `daemons` together, this one included. Returns 0
+/// as long as no daemon is known.
 #[must_use]
 pub fn cold_request_quota(target: &str, daemon: &str, limit: f64, daemons: &[DaemonName]) -> u32 {
     if daemons.is_empty() {
@@ -51,7 +50,7 @@
 }
 
 /// Quotas of this daemon by cold target, kept until the list of daemons changes: to
-/// compute one takes a hash for each daemon of the zone.
+/// compute one takes a hash for each daemon.
 #[derive(Debug, Default)]
 pub struct ColdQuotas(Mutex<KnownQuotas>);
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -17,7 +17,7 @@
     fleet::FeedState,
     load::LoadTracker,
     model::{Change, Fleet, Topic},
-    peer_wire::{Answer, Fetch, Query, TargetWork, Update, WorkReport, target_key},
+    peer_wire::{Answer, Fetch, Query, TargetWork, Update, WorkReport, ZoneLoad, target_key},
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
@@ -295,21 +295,31 @@
 
     /// Builds the report of this daemon's running work for its zone.
     pub fn build_work_report(&self) -> WorkReport {
-        let now = clock::now();
         WorkReport {
             sender_work: self.own_work(),
-            sends: self.sends.counts(now, self.send_window),
-            other_zones: self
-                .peers
-                .is_zone_leader(now)
-                .then(|| self.peers.reported_remote_load(now)),
+            sends: self.sends.counts(clock::now(), self.send_window),
         }
     }
 
+    /// Returns the load of all other zones, for the daemons of this one; `None` if this
+    /// daemon does not lead its zone.
+    pub fn other_zones(&self) -> Option<ZoneLoad> {
+        let now = clock::now();
+        let is_leader = self.peers.is_zone_leader(now);
+        is_leader.then(|| self.peers.reported_remote_load(now))
+    }
+
     /// Records the running work that another daemon reports.
     pub fn record_work_report(&mut self, from: &str, report: WorkReport) {
+        self.peers.record_work_report(from, report);
+        self.publish_peer_load(clock::now());
+    }
+
+    /// Records the load of all other zones as the leader of this daemon's zone reports
+    /// it.
+    pub fn record_other_zones(&mut self, from: &str, load: ZoneLoad) {
         let now = clock::now();
-        self.peers.record_work_report(from, report, now);
+        self.peers.record_other_zones(from, load, now);
         self.publish_peer_load(now);
     }
 
@@ -319,13 +329,14 @@
     pub fn is_behind_sender(&self, known_revisions: &[(Topic, Revision)]) -> bool {
         let is_newer =
             |(topic, known_revision): &(Topic, Revision)| *known_revision > self.revision(*topic);
-        *self.is_reader.borrow() && self.is_store_down() && known_revisions.iter().any(is_newer)
+        self.is_store_down() && known_revisions.iter().any(is_newer)
     }
 
-    /// Returns whether the last read of the configuration from the store failed.
+    /// Returns whether this daemon reads the store, and its last read of the
+    /// configuration failed.
     fn is_store_down(&self) -> bool {
         let feed = self.feeds.get(&Topic::Config);
-        feed.is_some_and(|f| f.outage_since.is_some())
+        *self.is_reader.borrow() && feed.is_some_and(|f| f.outage_since.is_some())
     }
 
     /// Records the load that a query reports and builds the answer, without complete
@@ -460,9 +471,9 @@
         self.shared
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
-        let names = self.peers.zone_daemon_names();
-        if names != *self.shared.zone_daemon_names() {
-            self.shared.set_zone_daemon_names(names);
+        let names = self.peers.daemon_names();
+        if names.len() != self.shared.daemon_names().len() {
+            self.shared.set_daemon_names(names);
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -264,19 +264,16 @@
 
     /// Returns whether a target may be sent one more request: always if it is
     /// warm or its service has no cold limit, else within this daemon's share of
-    /// that limit, which only daemons of the target's zone have.
+    /// that limit.
     fn is_within_cold_limit(&self, entry: &KnownTarget, service: &Service, now: BootTime) -> bool {
         if entry.cold_until <= now || service.cold_per_second <= 0.0 {
             return true;
         }
         let settings = self.settings();
-        if entry.target.zone != settings.zone {
-            return false;
-        }
         let bounds = &settings.bounds;
         let limit = service.cold_per_second * bounds.cold_factor + bounds.cold_extra;
         let target = &entry.target.id;
-        let daemons = self.shared.zone_daemon_names();
+        let daemons = self.shared.daemon_names();
         let quota = self
             .cold_quotas
             .get(target, &settings.name, limit, &daemons);
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -20,7 +20,7 @@
     control::Control,
     feed::{Store, with_timeout},
     model::ZoneName,
-    peer_wire::{Answer, Fetch, Incarnation, Message, Packet, Query, Update, WorkReport},
+    peer_wire::{Answer, Fetch, Incarnation, Message, Packet, Query, Update},
     peers::{DaemonInfo, DaemonName, QUERY_INTERVAL, REMOTE_QUERY_INTERVAL, REPORT_PERIOD},
 };
 use crate::{
@@ -44,8 +44,8 @@
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the list of daemons; the same as for other calls to the store.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Times after the start at which the list of daemons is read. There are several,
-/// since the store may answer with a list that is seconds old.
+/// Times after the start, on average, at which the list of daemons is read again. There
+/// are several, since the store may answer with a list that is seconds old.
 const LIST_DELAYS: [Duration; 3] = [
     Duration::from_millis(1_500),
     Duration::from_secs(4),
@@ -54,9 +54,14 @@
 /// Interval between later reads of the list, to find daemons that have sent no
 /// datagrams to this one.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
+/// Smallest and largest factor of the times at which the list is read.
+const LIST_JITTER: (f64, f64) = (0.7, 1.3);
 /// Pause after a failed registration in the list: allows a few attempts before other
 /// daemons first need the list.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+/// Number of ticks from one report of the other zones' load to the next: as often as
+/// the leaders of zones exchange it.
+const OTHER_ZONES_REPORT_TICKS: u32 = 2;
 /// Maximum number of fetches that are answered at the same time. Others wait, so that
 /// over a slow link some are complete in time.
 const MAX_CONCURRENT_FETCHES: usize = 8;
@@ -96,11 +101,15 @@
     unanswered_queries: RefCell<Vec<UnansweredQuery>>,
     /// Notified once the list of daemons names others, so that they are queried at once.
     list_gained: Notify,
+    /// Number of ticks so far.
+    ticks: Cell<u32>,
     /// Position of the seed that is queried next.
     next_seed: Cell<usize>,
     /// Whether a fetch is in progress. One at a time suffices, since a fetch returns
     /// everything that is missing.
     is_fetching: Cell<bool>,
+    /// Time of the last complete fetch; zero before the first one.
+    fetched_at: Cell<BootTime>,
     /// Permits for fetches that this daemon answers.
     fetch_permits: Semaphore,
 }
@@ -128,8 +137,10 @@
             pending_queries: RefCell::default(),
             unanswered_queries: RefCell::default(),
             list_gained: Notify::new(),
+            ticks: Cell::default(),
             next_seed: Cell::new(rand::random_range(0..usize::from(u16::MAX))),
             is_fetching: Cell::new(false),
+            fetched_at: Cell::new(BootTime::ZERO),
             fetch_permits: Semaphore::new(MAX_CONCURRENT_FETCHES),
         })
     }
@@ -181,6 +192,10 @@
         }
         self.query_all(&to, false).await;
         self.answer_waiting().await;
+        let ticks = self.ticks.replace(self.ticks.get().wrapping_add(1));
+        if ticks.is_multiple_of(OTHER_ZONES_REPORT_TICKS) {
+            self.report_other_zones().await;
+        }
     }
 
     /// Returns the seed to query next. They take turns, since each of them is queried by
@@ -207,6 +222,22 @@
         }
     }
 
+    /// Sends the load of all other zones to this daemon's zone, if it leads the zone.
+    async fn report_other_zones(&self) {
+        let (load, to) = {
+            let control = self.control.borrow();
+            (
+                control.other_zones(),
+                control.peers.zone_peers(clock::now()),
+            )
+        };
+        if let Some(load) = load {
+            for peer in to {
+                self.send(peer, Message::OtherZones(load.clone())).await;
+            }
+        }
+    }
+
     /// Queries the best-ranked daemons of other zones, if this daemon leads its zone.
     async fn query_remote(&self) {
         let now = clock::now();
@@ -282,11 +313,17 @@
             if datagram.len() <= MAX_DATAGRAM_BYTES {
                 return Some(datagram);
             }
-            match shorten(packet.message, &self.message_key) {
-                Ok(Message::Updates(updates)) if updates.is_empty() => return None,
-                Ok(message) => packet = Packet { message, ..packet },
+            match &mut packet.message {
+                Message::Answer(answer) if !answer.updates.is_empty() => {
+                    remove_longest(&mut answer.updates, &self.message_key);
+                    answer.is_partial = true;
+                }
+                Message::Updates(updates) if updates.len() > 1 => {
+                    remove_longest(updates, &self.message_key);
+                }
+                Message::Updates(_) => return None,
                 // Sent in IP fragments; if one is lost, the known load is less accurate.
-                Err(_) => return Some(datagram),
+                _ => return Some(datagram),
             }
         }
     }
@@ -315,6 +352,11 @@
                     .borrow_mut()
                     .record_work_report(&packet.from, report);
             }
+            Message::OtherZones(load) => {
+                self.control
+                    .borrow_mut()
+                    .record_other_zones(&packet.from, load);
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
@@ -380,7 +422,8 @@
             .borrow_mut()
             .apply_answer(name, &answer, queried_at);
         self.forward_received(to_forward).await;
-        if is_partial {
+        // What the answer to an older query lacked may have been fetched since.
+        if is_partial && queried_at > self.fetched_at.get() {
             self.start_fetch(from);
         }
     }
@@ -403,6 +446,7 @@
         match fetched {
             Ok(updates) => {
                 log::info!("event=fetched peer={from} topics={}", updates.len());
+                self.fetched_at.set(clock::now());
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
                 self.forward_received(to_forward).await;
             }
@@ -443,14 +487,18 @@
         if !self.refresh_list(&store).await {
             self.register(&store).await;
         }
+        // Daemons that start together would otherwise call the store at the same moment,
+        // and it drops connections beyond those that it can accept at once.
+        let jitter = rand::random_range(LIST_JITTER.0..LIST_JITTER.1);
         let mut waited = Duration::ZERO;
         for at in LIST_DELAYS {
+            let at = at.mul_f64(jitter);
             tokio::time::sleep(at.saturating_sub(waited)).await;
             waited = at;
             self.refresh_list(&store).await;
         }
         loop {
-            tokio::time::sleep(LIST_PERIOD).await;
+            tokio::time::sleep(LIST_PERIOD.mul_f64(jitter)).await;
             self.refresh_list(&store).await;
         }
     }
@@ -508,35 +556,13 @@
     }))
 }
 
-/// Removes the longest part of a message that is too large for a datagram; the
-/// receiver fetches that part, or gets it by a query. Returns `Err` with the message
-/// if no part can be left out.
-fn shorten(message: Message, message_key: &MessageKey) -> Result<Message, Message> {
-    match message {
-        Message::Answer(answer) if !answer.updates.is_empty() => Ok(Message::Answer(Answer {
-            updates: without_longest(answer.updates, message_key),
-            is_partial: true,
-            ..answer
-        })),
-        Message::Updates(updates) if !updates.is_empty() => {
-            Ok(Message::Updates(without_longest(updates, message_key)))
-        }
-        Message::WorkReport(report) if report.other_zones.is_some() => {
-            Ok(Message::WorkReport(WorkReport {
-                other_zones: None,
-                ..report
-            }))
-        }
-        _ => Err(message),
-    }
-}
-
-fn without_longest(mut updates: Vec<Update>, message_key: &MessageKey) -> Vec<Update> {
+/// Removes the longest update of a message that is too large for a datagram. The
+/// receiver fetches it, or gets it by a query.
+fn remove_longest(updates: &mut Vec<Update>, message_key: &MessageKey) {
     let lengths = updates.iter().map(|u| message_key.encode(u).len());
     if let Some((longest, _)) = lengths.enumerate().max_by_key(|(_, len)| *len) {
         updates.remove(longest);
     }
-    updates
 }
 
 /// Returns the peer address of an instance, given any of its addresses.
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -43,8 +43,10 @@
     Answer(Answer),
     /// Changes that a daemon forwards without being asked.
     Updates(Vec<Update>),
-    /// A report of a daemon's running work, sent to all daemons of its zone.
+    /// A report of a daemon's running work, sent within its zone.
     WorkReport(WorkReport),
+    /// Load of all other zones, sent by the leader of a zone to the daemons of the zone.
+    OtherZones(ZoneLoad),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -71,16 +73,13 @@
     pub daemons: u16,
 }
 
-/// A report of a daemon's running work and recent sends. The leader of a zone, which
-/// obtains the changes for the whole zone, adds the load of the other zones.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// A report of a daemon's running work and recent sends.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct WorkReport {
     /// Work of the sender, by target.
     pub sender_work: TargetWork,
     /// Sends of the sender, by service.
     pub sends: ServiceSendCounts,
-    /// Load of all other zones; `None` unless the sender leads its zone.
-    pub other_zones: Option<ZoneLoad>,
 }
 
 /// The answer to a [`Query`].
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -128,11 +128,7 @@
             zone: zone.into(),
             listed: BTreeMap::new(),
             states: HashMap::new(),
-            start: Start {
-                began: now,
-                has_seeds: false,
-                list_known_at: None,
-            },
+            start: Start::new(now, false),
             list_read_at: None,
         }
     }
@@ -151,30 +147,32 @@
         now: BootTime,
     ) {
         self.list_read_at = Some(now);
+        let (mut names_this, mut names_others) = (false, false);
         for (name, info) in daemons {
-            if name != self.name {
-                self.start.list_known_at.get_or_insert(now);
+            if name == self.name {
+                names_this = true;
+            } else {
+                names_others = true;
                 self.listed.insert(name, info);
             }
         }
+        self.start.record_list(names_this, names_others, now);
     }
 
-    /// Returns the names of the listed daemons of this daemon's zone, this one included;
-    /// none before the store's list has been read.
+    /// Returns the names of all listed daemons, this one included; none before the
+    /// store's list has been read.
     #[must_use]
-    pub fn zone_daemon_names(&self) -> Vec<DaemonName> {
+    pub fn daemon_names(&self) -> Vec<DaemonName> {
         if self.list_read_at.is_none() {
             return Vec::new();
         }
-        let in_zone = self.listed.iter().filter(|(_, l)| l.zone == self.zone);
-        let names = in_zone.map(|(name, _)| name);
-        names.chain([&self.name]).cloned().collect()
+        self.listed.keys().chain([&self.name]).cloned().collect()
     }
 
-    /// Returns whether the store's list has named other daemons.
+    /// Returns whether the store's list is known and relied on.
     #[must_use]
     pub fn has_list(&self) -> bool {
-        self.start.list_known_at.is_some()
+        self.start.has_list()
     }
 
     /// Records a datagram of another daemon. Returns `false` if the datagram is to be
@@ -247,13 +245,17 @@
     }
 
     /// Records the running work that another daemon of this daemon's zone reports.
-    pub fn record_work_report(&mut self, name: &str, report: WorkReport, now: BootTime) {
+    pub fn record_work_report(&mut self, name: &str, report: WorkReport) {
         if let Some(state) = self.states.get_mut(name) {
             state.work = report.sender_work;
             state.sends = report.sends;
-            if let Some(remote) = report.other_zones {
-                state.remote_report = Some((now, remote));
-            }
+        }
+    }
+
+    /// Records the load of all other zones as the leader of this daemon's zone reports it.
+    pub fn record_other_zones(&mut self, name: &str, load: ZoneLoad, now: BootTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.remote_report = Some((now, load));
         }
     }
 
@@ -329,7 +331,7 @@
     /// configuration has not been confirmed for a while.
     #[must_use]
     pub fn is_reader(&self, config_age: Option<Duration>, now: BootTime) -> bool {
-        if self.start.waits(config_age.is_some(), self.is_first(), now) {
+        if self.start.waits(self.is_first(), now) {
             return false;
         }
         if self.is_zone_leader(now) {
--- a/src/gateway/shared_state.rs
+++ b/src/gateway/shared_state.rs
@@ -38,9 +38,9 @@
     daemon_count: AtomicU64,
     /// Load and sends of all other daemons.
     peer_load: ArcSwap<PeerLoad>,
-    /// Names of the listed daemons of this daemon's zone, this one included; empty
-    /// before the list has been read.
-    zone_daemon_names: ArcSwap<Vec<DaemonName>>,
+    /// Names of all listed daemons, this one included; empty before the list has been
+    /// read.
+    daemon_names: ArcSwap<Vec<DaemonName>>,
     is_stopping: AtomicBool,
     /// Notified when the fleet changes.
     changed: Notify,
@@ -92,16 +92,16 @@
         self.daemon_count.store(count as u64, Ordering::Relaxed);
     }
 
-    /// Returns the names of the listed daemons of this daemon's zone, this one
-    /// included; none before the list has been read.
+    /// Returns the names of all listed daemons, this one included; none before the list
+    /// has been read.
     #[must_use]
-    pub fn zone_daemon_names(&self) -> Arc<Vec<DaemonName>> {
-        self.zone_daemon_names.load_full()
+    pub fn daemon_names(&self) -> Arc<Vec<DaemonName>> {
+        self.daemon_names.load_full()
     }
 
-    /// Records the names of the listed daemons of this daemon's zone.
-    pub fn set_zone_daemon_names(&self, names: Vec<DaemonName>) {
-        self.zone_daemon_names.store(Arc::new(names));
+    /// Records the names of the listed daemons.
+    pub fn set_daemon_names(&self, names: Vec<DaemonName>) {
+        self.daemon_names.store(Arc::new(names));
     }
 
     /// Returns the load and sends of all other daemons, as last reported.
