Stopping daemons count on the longest answer, not on the caller's estimate

Change: the decision uses the maximum number of output tokens, which is a bound. The request is refused at once, not run, and another daemon takes it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -361,7 +361,9 @@
         };
         let expected = match route.repeat_policy {
             RepeatPolicy::Stream => {
-                expected_duration(route.objective, info.expected_output_tokens())
+                // The caller's estimate is often too low, and a run that is accepted must
+                // not be broken off.
+                expected_duration(route.objective, info.max_output_tokens)
             }
             RepeatPolicy::Idempotent | RepeatPolicy::AtMostOnce => route.objective,
         };
