--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -399,8 +399,8 @@
     }
 
     /// Returns the addresses of the daemons of this daemon's zone that sent a datagram
-    /// recently, and, shortly after the list was read, of those never heard from: two
-    /// daemons that query a third one would otherwise not learn of each other.
+    /// recently. Shortly after the list was read, daemons that never sent one are included:
+    /// two daemons that query only a third one would otherwise exchange no reports.
     #[must_use]
     pub fn zone_peers(&self, now: BootTime) -> Vec<SocketAddr> {
         let is_recent = |at: BootTime| now.saturating_sub(at) < FOLLOWER_EXPIRY;
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -3,9 +3,9 @@
 //!
 //! Load pattern: a fleet of hundreds of daemons starts at once, or returns at once after
 //! a loss of power. If each of them read every topic, a start would cost more calls than
-//! the rest of the day. A daemon therefore first learns which other daemons exist, from
-//! the store's list or from the seeds in its settings, and gives those that rank above it
-//! time to answer.
+//! the rest of the day. A daemon therefore first obtains the list of daemons from the
+//! store, or queries the seeds in its settings, and then waits for answers of those that
+//! rank above it.
 
 use std::time::Duration;
 
--- a/tests/gateway_start.rs
+++ b/tests/gateway_start.rs
@@ -108,8 +108,8 @@
     );
 }
 
-/// Two daemons that only query a third one must learn of each other, or neither counts
-/// the work of the other.
+/// Two daemons that query only a third one exchange no datagrams at first. Without
+/// reports, neither would count the work of the other.
 #[test]
 fn daemons_that_were_never_heard_get_reports_after_the_list_was_read() {
     let mut peers = Peers::new("entry-0", "zone-0", at(0));
