Gateway: a log line for each request that ends with the process

Cause: the logs could not tell why a request was cut at a stop.

Change: requests in progress are kept with their id and stage (not run, sent, responding). At exit each one left is logged as cut_at_exit; a caller that leaves earlier is logged with the stage. The programs wait up to 100 ms for the log before they exit. The stage replaces the flag that told 503 from 504 when a plain call's deadline passed.

--- a/src/bin/bluebelldrift.rs
+++ b/src/bin/bluebelldrift.rs
@@ -3,9 +3,9 @@
 use std::{fs, io, process::ExitCode};
 
 use bluebelldrift::{
-    Daemon, Settings, SettingsError,
+    Daemon, LOG_FLUSH_TIMEOUT, Settings, SettingsError,
     cli::{DaemonCli, DaemonCommand, EXIT_BAD_INPUT, EXIT_FAILED, SettingsPrint},
-    install_log, settings_schemas,
+    flush_log, install_log, settings_schemas,
 };
 use clap::Parser;
 use tokio::signal::unix::{SignalKind, signal};
@@ -57,6 +57,7 @@
         .enable_all()
         .build();
     let result = runtime.and_then(|runtime| runtime.block_on(serve(settings)));
+    flush_log(LOG_FLUSH_TIMEOUT);
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(EXIT_FAILED, &e.to_string()),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -11,6 +11,7 @@
     body::ResponseBody,
     exchange::{Exchange, ExchangeError},
     headers::end_to_end,
+    in_flight::Stage,
     job::{Admitted, Job, Placement, SendHeaders},
     load::{Reservation, Work},
     model::{Target, Tokens},
@@ -96,6 +97,8 @@
                 return Err(last_refusal);
             }
             tried.push(placement.target.id.clone());
+            // From here on the deadline may interrupt the send at any point.
+            job.progress.set(Stage::Sent);
             let backup =
                 self.choose_backup(&fleet, &placement, &job.demand(admitted.route.objective));
             let outcome = self
@@ -106,7 +109,10 @@
             self.record_outcome(job, target, &outcome, took);
             was_sent |= !matches!(outcome, SendOutcome::Unsent(_));
             match outcome {
-                SendOutcome::Unsent(_) | SendOutcome::NotRun(_) => last_refusal = Refusal::Declined,
+                SendOutcome::Unsent(_) | SendOutcome::NotRun(_) => {
+                    job.progress.set(Stage::NotRun);
+                    last_refusal = Refusal::Declined;
+                }
                 SendOutcome::Answered(run) => {
                     let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -80,6 +80,13 @@
 }
 
 impl HeaderNames {
+    /// Returns the request id; `None` if it is missing, empty or not ASCII text.
+    #[must_use]
+    pub fn request_id_of<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        let id = headers.get(&self.request_id)?.to_str().ok()?;
+        (!id.is_empty()).then_some(id)
+    }
+
     /// Parses the headers of a request; `None` if the request id is missing,
     /// empty or not ASCII text.
     #[must_use]
@@ -89,7 +96,7 @@
                 .get(name)
                 .and_then(|v: &HeaderValue| v.to_str().ok())
         };
-        let request_id = text(&self.request_id).filter(|id| !id.is_empty())?;
+        let request_id = self.request_id_of(headers)?;
         let token_counts = text(&self.token_count).and_then(|t| t.split_once(','));
         let number = |t: &str| t.trim().parse().ok();
         let prompt = token_counts.and_then(|(prompt, _)| number(prompt));
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -1,42 +1,136 @@
-//! Counts requests in progress, per connection and in total.
+//! Keeps account of the requests in progress, per connection and in total.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
-/// Counter of requests in progress. Clones share their count.
+use crate::clock::{self, BootTime};
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::FromRepr)]
+#[strum(serialize_all = "snake_case")]
+#[repr(u8)]
+pub(crate) enum Stage {
+    /// It has certainly not run.
+    NotRun,
+    /// It was sent to a target and may have run; no response has begun.
+    Sent,
+    /// The response has been handed to the caller's connection.
+    Responding,
+}
+
+/// Stage of one request. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress(Arc<AtomicU8>);
+
+impl Progress {
+    pub fn stage(&self) -> Stage {
+        Stage::from_repr(self.0.load(Ordering::Relaxed)).unwrap_or(Stage::Sent)
+    }
+
+    pub fn set(&self, stage: Stage) {
+        self.0.store(stage as u8, Ordering::Relaxed);
+    }
+}
+
+/// Counter of requests in progress on one connection. Clones share their count.
 #[derive(Clone, Debug, Default)]
-pub struct InFlightCounter(Arc<AtomicUsize>);
+pub(crate) struct InFlightCounter(Arc<AtomicUsize>);
 
 impl InFlightCounter {
-    /// Returns the number of requests in progress.
-    #[must_use]
     pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
 }
 
-/// Guard that counts a request, for its connection and in total, until it is
-/// dropped.
+/// A request in progress.
 #[derive(Debug)]
-pub struct InFlightGuard([InFlightCounter; 2]);
+pub(crate) struct InFlight {
+    /// Id that the caller gave the request; `-` if it gave none.
+    pub id: Box<str>,
+    pub progress: Progress,
+    pub began: BootTime,
+}
 
-impl InFlightGuard {
-    /// Counts a request in both counters.
-    #[must_use]
-    pub fn start(counters: [&InFlightCounter; 2]) -> Self {
-        for counter in counters {
-            counter.0.fetch_add(1, Ordering::Relaxed);
+/// All requests in progress. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InFlightRequests {
+    requests: Arc<Mutex<BTreeMap<u64, InFlight>>>,
+    started: Arc<AtomicU64>,
+}
+
+impl InFlightRequests {
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Removes and returns all requests, oldest first.
+    pub fn take(&self) -> Vec<InFlight> {
+        std::mem::take(&mut *self.lock()).into_values().collect()
+    }
+
+    /// Counts a request, here and on its connection, until the guard is dropped.
+    pub fn start(&self, id: Box<str>, on_connection: &InFlightCounter) -> InFlightGuard {
+        on_connection.0.fetch_add(1, Ordering::Relaxed);
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let progress = Progress::default();
+        let request = InFlight {
+            id,
+            progress: progress.clone(),
+            began: clock::now(),
+        };
+        self.lock().insert(number, request);
+        InFlightGuard {
+            requests: self.clone(),
+            number,
+            progress,
+            on_connection: on_connection.clone(),
         }
-        Self(counters.map(InFlightCounter::clone))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, InFlight>> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Guard that counts a request until it is dropped. Logs that the caller has left if
+/// no response has begun by then.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    requests: InFlightRequests,
+    number: u64,
+    progress: Progress,
+    on_connection: InFlightCounter,
+}
+
+impl InFlightGuard {
+    pub(crate) fn progress(&self) -> &Progress {
+        &self.progress
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        for counter in &self.0 {
-            counter.0.fetch_sub(1, Ordering::Relaxed);
+        self.on_connection.0.fetch_sub(1, Ordering::Relaxed);
+        let removed = self.requests.lock().remove(&self.number);
+        let unanswered = removed.filter(|r| r.progress.stage() != Stage::Responding);
+        if let Some(request) = unanswered {
+            log::info!("event=caller_left {}", describe(&request));
         }
     }
 }
+
+/// Returns the log fields of a request.
+pub(crate) fn describe(request: &InFlight) -> String {
+    let age = clock::now().saturating_sub(request.began);
+    format!(
+        "request={} stage={} age_ms={}",
+        request.id,
+        request.progress.stage(),
+        clock::millis(age)
+    )
+}
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -10,6 +10,7 @@
 use super::{
     Gateway,
     headers::RequestInfo,
+    in_flight::Progress,
     load::Work,
     model::{Customer, Fleet, KnownTarget, RepeatPolicy, Route, Service, Target, Tokens},
     peer_wire::target_key,
@@ -51,6 +52,7 @@
     pub deadline: BootTime,
     /// Service chosen at random by the route's weights.
     pub service: Box<str>,
+    pub progress: Progress,
 }
 
 /// The target chosen for a request, with the inputs of the placement.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -16,7 +16,7 @@
     Gateway,
     body::ResponseBody,
     exchange::enable_dead_peer_detection,
-    in_flight::{InFlightCounter, InFlightGuard},
+    in_flight::{InFlightCounter, Stage},
 };
 
 /// Delay after a failed accept, so that the loop does not spin while the process
@@ -87,8 +87,10 @@
     in_flight: InFlightCounter,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let running = InFlightGuard::start([&in_flight, &gateway.in_progress]);
-    let mut res = gateway.handle_request(req).await;
+    let id = gateway.names.request_id_of(req.headers()).unwrap_or("-");
+    let running = gateway.in_progress.start(id.into(), &in_flight);
+    let mut res = gateway.handle_request(req, running.progress()).await;
+    running.progress().set(Stage::Responding);
     if gateway.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -89,7 +89,7 @@
 };
 use self::{
     control::Control,
-    in_flight::InFlightCounter,
+    in_flight::{InFlightRequests, Progress, describe},
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
@@ -107,6 +107,10 @@
 /// compared with any configured grace period.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum number of requests that are logged when the process exits before their
+/// end.
+const MAX_UNFINISHED_LOGGED: usize = 256;
+
 /// State that the tasks of the traffic thread share.
 pub struct Gateway {
     settings: ArcSwap<GatewaySettings>,
@@ -118,7 +122,7 @@
     sends: SendTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
-    in_progress: InFlightCounter,
+    in_progress: InFlightRequests,
     /// Time at which shutdown was requested; `None` before that.
     stop_requested_at: Mutex<Option<clock::BootTime>>,
 }
@@ -169,7 +173,7 @@
             sends,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
-            in_progress: InFlightCounter::default(),
+            in_progress: InFlightRequests::default(),
             stop_requested_at: Mutex::default(),
         });
         let ports = [Arc::new(callers), Arc::new(readiness), Arc::new(metrics)];
@@ -211,7 +215,11 @@
                 break;
             }
         }
-        log::info!("event=stopped running={}", gateway.in_progress.count());
+        let unfinished = gateway.in_progress.take();
+        for request in unfinished.iter().take(MAX_UNFINISHED_LOGGED) {
+            log::warn!("event=cut_at_exit {}", describe(request));
+        }
+        log::info!("event=stopped running={}", unfinished.len());
         self.control.cancel();
     }
 }
@@ -373,10 +381,14 @@
 
     /// Handles a caller's request. A refusal is logged, counted and turned into
     /// a response.
-    async fn handle_request(self: &Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
-        let id = req.headers().get(&self.names.request_id);
-        let id: Box<str> = id.and_then(|id| id.to_str().ok()).unwrap_or("-").into();
-        match self.serve(req).await {
+    async fn handle_request(
+        self: &Arc<Self>,
+        req: Request<Incoming>,
+        progress: &Progress,
+    ) -> Response<ResponseBody> {
+        let id = self.names.request_id_of(req.headers()).unwrap_or("-");
+        let id: Box<str> = id.into();
+        match self.serve(req, progress).await {
             Ok(res) => res,
             Err(refusal) => {
                 // `None` until a configuration has been confirmed; logged as -1.
@@ -397,6 +409,7 @@
     async fn serve(
         self: &Arc<Self>,
         req: Request<Incoming>,
+        progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
         let (head, body) = req.into_parts();
@@ -440,6 +453,7 @@
             body: body.to_bytes(),
             arrived,
             info,
+            progress: progress.clone(),
         };
         if admitted.route.repeat_policy == RepeatPolicy::Stream {
             self.serve_stream(job, admitted).await
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,6 +10,7 @@
     body::ResponseBody,
     exchange::{Exchange, ExchangeError},
     headers::end_to_end,
+    in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
     load::Work,
     model::{RepeatPolicy, Target},
@@ -29,14 +30,12 @@
         job: &Job,
         admitted: Admitted,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let mut progress = Progress::default();
         let time_left = job.time_left(clock::now());
-        let served = self.try_targets(job, admitted, &mut progress);
+        let served = self.try_targets(job, admitted);
         let served = tokio::time::timeout(time_left, served).await;
-        served.unwrap_or(Err(if progress.was_sent {
-            Refusal::TimedOut
-        } else {
-            Refusal::Expired
+        served.unwrap_or(Err(match job.progress.stage() {
+            Stage::NotRun => Refusal::Expired,
+            Stage::Sent | Stage::Responding => Refusal::TimedOut,
         }))
     }
 
@@ -46,9 +45,9 @@
         &self,
         job: &Job,
         mut admitted: Admitted,
-        progress: &mut Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let mut tried = Vec::new();
+        let mut was_sent = false;
         // Sends after which the request has run or may have run.
         let mut possible_runs = 0;
         let mut error_response = None;
@@ -70,21 +69,22 @@
             let Some(placement) = self.place(&fleet, job, &admitted, &tried) else {
                 break;
             };
-            if !self.try_record_send(job, progress.was_sent, now) {
+            if !self.try_record_send(job, was_sent, now) {
                 break;
             }
             tried.push(placement.target.id.clone());
             // From here on the deadline may interrupt the send at any point.
-            let was_sent = std::mem::replace(&mut progress.was_sent, true);
+            job.progress.set(Stage::Sent);
             let outcome = self.send_plain(job, &admitted, &placement.target).await;
             let (id, target) = (&job.info.request_id, &placement.target.id);
             let took = clock::now().saturating_sub(now);
             metrics::histogram!("bluebell_gateway_send_seconds").record(took.as_secs_f64());
             self.record_outcome(job, target, &outcome, took);
-            progress.was_sent = was_sent || !matches!(outcome, SendOutcome::Unsent(_));
+            was_sent |= !matches!(outcome, SendOutcome::Unsent(_));
             match outcome {
                 SendOutcome::Unsent(_) | SendOutcome::NotRun(_) => {
                     if possible_runs == 0 {
+                        job.progress.set(Stage::NotRun);
                         last_refusal = Refusal::Declined;
                     }
                     continue;
@@ -179,13 +179,6 @@
     }
 }
 
-/// Progress of a request, read when its deadline passes.
-#[derive(Debug, Default)]
-struct Progress {
-    /// Whether a target may have received the request.
-    was_sent: bool,
-}
-
 /// Builds the response to the caller from a target's response.
 pub(crate) fn caller_response(res: Response<Bytes>) -> Response<ResponseBody> {
     let (mut head, body) = res.into_parts();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,7 +83,9 @@
     engine::{EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest, LoadReport},
     http::{CallError, HttpClient, PortLimits, json_request, new_client, send_request},
     lease::{LeaseCall, LeaseRecord},
-    log::{LogError, install as install_log},
+    log::{
+        FLUSH_TIMEOUT as LOG_FLUSH_TIMEOUT, LogError, flush as flush_log, install as install_log,
+    },
     membership::{Health, Member, Membership},
     peer::{MessageKey, PeerError, call_peer},
     platform::{
--- a/src/log.rs
+++ b/src/log.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicU64, Ordering},
         mpsc::{self, SyncSender},
     },
-    time::SystemTime,
+    time::{Duration, Instant, SystemTime},
 };
 
 use log::LevelFilter;
@@ -23,6 +23,24 @@
 /// never wait for standard output.
 const MAX_QUEUED_LINES: usize = 2_048;
 
+/// How long a process that exits waits for its last lines to be written: short compared
+/// with the time that platforms grant for a stop.
+pub const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval between checks whether all lines have been written.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Number of lines in the queue or being written.
+static LINES_TO_WRITE: AtomicU64 = AtomicU64::new(0);
+
+/// Waits until all lines logged so far have been written, for at most `timeout`. To be
+/// called before the process exits, which ends the writer thread.
+pub fn flush(timeout: Duration) {
+    let deadline = Instant::now() + timeout;
+    while LINES_TO_WRITE.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+        std::thread::sleep(FLUSH_POLL_INTERVAL);
+    }
+}
+
 /// Error of setting up logging.
 #[derive(Debug, Snafu)]
 pub enum LogError {
@@ -96,7 +114,9 @@
 impl LineQueue {
     /// Adds a line to the queue, or counts it as dropped if the queue is full.
     fn push_or_drop(&self, record: &log::Record<'_>) {
+        LINES_TO_WRITE.fetch_add(1, Ordering::Relaxed);
         if self.tx.try_send(record.args().to_string()).is_err() {
+            LINES_TO_WRITE.fetch_sub(1, Ordering::Relaxed);
             self.dropped.fetch_add(1, Ordering::Relaxed);
             metrics::counter!("bluebell_log_lines_dropped").increment(1);
         }
@@ -113,9 +133,11 @@
         for first in &rx {
             let mut text = first;
             text.push('\n');
+            let mut lines = 1;
             for line in rx.try_iter().take(MAX_QUEUED_LINES) {
                 text.push_str(&line);
                 text.push('\n');
+                lines += 1;
             }
             let dropped = writer_dropped.swap(0, Ordering::Relaxed);
             if dropped > 0 {
@@ -125,6 +147,7 @@
             }
             // If standard output fails, there is no other place to report it.
             let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+            LINES_TO_WRITE.fetch_sub(lines, Ordering::Relaxed);
         }
     };
     std::thread::Builder::new()
