A stopping daemon accepts only what ends before it exits, and answers the rest

Cause: acceptance on an estimate. A request was accepted if its objective and 15 ms a token fitted into the grace period, but nothing bounds the wait at an engine; and nothing answered what still waited at the exit. The same holds for a body that is read after SIGTERM (checked before only), for repeats of plain calls, and for requests accepted before SIGTERM.

Change: while stopping, a request is accepted only if its deadline ends before 0.92 of the grace period, checked before and again after its body is read. At that point all requests without a response are answered: 503 if they have certainly not run, 504 otherwise; the rest of the time is for writing these answers. The process exits once callers' connections have ended, rather than once the last body was handed to a connection.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -37,7 +37,7 @@
     }
 }
 
-/// Counter of requests in progress on one connection. Clones share their count.
+/// Counter of connections, or of the requests on one. Clones share their count.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlightCounter(Arc<AtomicUsize>);
 
@@ -45,6 +45,22 @@
     pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
+
+    /// Adds one until the guard is dropped.
+    pub fn start(&self) -> CountGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        CountGuard(self.clone())
+    }
+}
+
+/// Guard that counts one connection or request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct CountGuard(InFlightCounter);
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A request in progress.
@@ -75,7 +91,6 @@
 
     /// Counts a request, here and on its connection, until the guard is dropped.
     pub fn start(&self, id: Box<str>, on_connection: &InFlightCounter) -> InFlightGuard {
-        on_connection.0.fetch_add(1, Ordering::Relaxed);
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let progress = Progress::default();
         let request = InFlight {
@@ -88,7 +103,7 @@
             requests: self.clone(),
             number,
             progress,
-            on_connection: on_connection.clone(),
+            _on_connection: on_connection.start(),
         }
     }
 
@@ -104,7 +119,7 @@
     requests: InFlightRequests,
     number: u64,
     progress: Progress,
-    on_connection: InFlightCounter,
+    _on_connection: CountGuard,
 }
 
 impl InFlightGuard {
@@ -115,7 +130,6 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.on_connection.0.fetch_sub(1, Ordering::Relaxed);
         let removed = self.requests.lock().remove(&self.number);
         let unanswered = removed.filter(|r| r.progress.stage() != Stage::Responding);
         if let Some(request) = unanswered {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -47,6 +47,7 @@
     if let Err(e) = enable_dead_peer_detection(&tcp) {
         log::debug!("event=socket_option_failed peer={peer} error={e:?}");
     }
+    let _open = gateway.connections.start();
     let in_flight = InFlightCounter::default();
     let limits = gateway.limits();
     let (service_gateway, service_in_flight) = (gateway.clone(), in_flight.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -85,15 +85,15 @@
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
-    stop::{expected_duration, finishes_before_exit},
+    stop::ends_before_exit,
 };
 use self::{
     control::Control,
-    in_flight::{InFlightRequests, Progress, describe},
+    in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
-    stop::{EXIT_FRACTION, IDLE_CLOSE_FRACTION},
+    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION},
 };
 use crate::{
     clock,
@@ -123,6 +123,11 @@
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
+    /// Open connections of callers.
+    connections: InFlightCounter,
+    /// Cancelled when requests that have no response yet are to be answered, because
+    /// the process is about to exit.
+    final_answers: CancellationToken,
     /// Time at which shutdown was requested; `None` before that.
     stop_requested_at: Mutex<Option<clock::BootTime>>,
 }
@@ -174,6 +179,8 @@
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
+            connections: InFlightCounter::default(),
+            final_answers: CancellationToken::new(),
             stop_requested_at: Mutex::default(),
         });
         let ports = [Arc::new(callers), Arc::new(readiness), Arc::new(metrics)];
@@ -191,11 +198,13 @@
         self.gateway.settings.store(Arc::new(settings));
     }
 
-    /// Waits for requests in progress to finish, then stops the control thread.
+    /// Waits until callers' connections have ended, then stops the control thread. A
+    /// connection ends once its last response has been written.
     ///
     /// Even if none are left, it waits for twice the time after which idle
-    /// connections start to be closed. Returns within `stop_grace_s` of the
-    /// settings, even if requests are still in progress.
+    /// connections start to be closed. Shortly before the end of `stop_grace_s` of the
+    /// settings, requests that have no response yet are answered, and the method returns
+    /// even if responses are still being written.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         let began = clock::now();
@@ -209,7 +218,10 @@
         loop {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
             let waited = clock::now().saturating_sub(began);
-            let is_idle = gateway.in_progress.count() == 0
+            if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+                gateway.final_answers.cancel();
+            }
+            let is_idle = gateway.connections.count() == 0
                 && waited > grace.mul_f64(2.0 * IDLE_CLOSE_FRACTION);
             if is_idle || waited > grace.mul_f64(EXIT_FRACTION) {
                 break;
@@ -361,22 +373,14 @@
         elapsed.is_some_and(|elapsed| elapsed > self.stop_grace().mul_f64(IDLE_CLOSE_FRACTION))
     }
 
-    /// Refuses a request that is expected to be still in progress when the
-    /// process ends.
-    fn check_ends_before_stop(&self, route: &Route, info: &RequestInfo) -> Result<(), Refusal> {
+    /// Refuses a request if the process may exit before the request's deadline.
+    fn check_ends_before_exit(&self, deadline: clock::BootTime) -> Result<(), Refusal> {
         let Some(elapsed) = self.elapsed_since_stop() else {
             return Ok(());
         };
-        let expected = match route.repeat_policy {
-            RepeatPolicy::Stream => {
-                // The caller's estimate is often too low, and a run that is accepted must
-                // not be broken off.
-                expected_duration(route.objective, info.max_output_tokens)
-            }
-            RepeatPolicy::Idempotent | RepeatPolicy::AtMostOnce => route.objective,
-        };
-        let can_finish = finishes_before_exit(expected, elapsed, self.stop_grace());
-        can_finish.then_some(()).ok_or(Refusal::Stopping)
+        let time_left = deadline.saturating_sub(clock::now());
+        let is_certain = ends_before_exit(time_left, elapsed, self.stop_grace());
+        is_certain.then_some(()).ok_or(Refusal::Stopping)
     }
 
     /// Handles a caller's request. A refusal is logged, counted and turned into
@@ -388,7 +392,14 @@
     ) -> Response<ResponseBody> {
         let id = self.names.request_id_of(req.headers()).unwrap_or("-");
         let id: Box<str> = id.into();
-        match self.serve(req, progress).await {
+        let served = tokio::select! {
+            served = self.serve(req, progress) => served,
+            () = self.final_answers.cancelled() => Err(match progress.stage() {
+                Stage::NotRun => Refusal::Stopping,
+                Stage::Sent | Stage::Responding => Refusal::Exiting,
+            }),
+        };
+        match served {
             Ok(res) => res,
             Err(refusal) => {
                 // `None` until a configuration has been confirmed; logged as -1.
@@ -426,7 +437,11 @@
             .names
             .request_info(&head.headers)
             .ok_or(Refusal::NoId)?;
-        self.check_ends_before_stop(&admitted.route, &info)?;
+        let caller_timeout = info
+            .deadline_ms
+            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let deadline = arrived + caller_timeout.min(admitted.route.timeout);
+        self.check_ends_before_exit(deadline)?;
         let limits = self.limits();
         let body = Limited::new(body, limits.max_body_bytes);
         let body = body.collect().await.map_err(|e| {
@@ -438,12 +453,12 @@
         })?;
         let fleet = self.shared.fleet();
         let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
-        let caller_timeout = info
-            .deadline_ms
-            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let deadline = arrived + caller_timeout.min(admitted.route.timeout);
+        // The process may have been asked to stop while the body was read.
+        self.check_ends_before_exit(deadline)?;
         let service = admitted.route.pick_service(rand::random());
         let job = Job {
-            deadline: arrived + caller_timeout.min(admitted.route.timeout),
+            deadline,
             service: service.unwrap_or_default().into(),
             key: key.map(Into::into),
             headers: self.names.for_target(&head.headers),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,8 +26,11 @@
     TooLarge,
     /// The body could not be read to its end.
     BodyCut,
-    /// The process is stopping, and is expected to exit before the request finishes.
+    /// The process is stopping and may exit before the request's deadline; the request
+    /// has not run.
     Stopping,
+    /// The process is about to exit; the request may have run.
+    Exiting,
     /// No target may receive the request now; it has not run.
     NoTarget,
     /// Every target that was tried was unreachable or declined; the request has not
@@ -61,7 +64,7 @@
             Self::Denied(Denied::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Lost => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Exiting => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -4,8 +4,8 @@
 
 use bluebelldrift::gateway::{
     Candidate, Distance, EngineLimits, EventSplitter, GenerationDemand, SendBudget, SendCounts,
-    SendHistory, Work, engine_cost, expected_duration, finishes_before_exit, has_room_for_backup,
-    plain_cost, sample_other_zones,
+    SendHistory, Work, ends_before_exit, engine_cost, has_room_for_backup, plain_cost,
+    sample_other_zones,
 };
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -320,22 +320,14 @@
 }
 
 #[test]
-fn a_stopping_daemon_accepts_requests_that_end_within_the_grace_period() {
+fn a_stopping_daemon_accepts_requests_whose_time_limit_ends_within_the_grace_period() {
     let grace = at(8_000);
-    let objective = at(1_500);
-    assert!(finishes_before_exit(
-        expected_duration(objective, 20),
-        at(3_000),
-        grace
-    ));
-    assert!(!finishes_before_exit(
-        expected_duration(objective, 900),
-        Duration::ZERO,
-        grace
-    ));
-    assert!(!finishes_before_exit(
-        expected_duration(objective, 20),
-        at(6_500),
-        grace
-    ));
+    assert!(ends_before_exit(at(6_000), at(1_000), grace));
+    assert!(ends_before_exit(at(1_200), at(6_000), grace));
+    assert!(!ends_before_exit(at(6_000), at(2_000), grace));
+    assert!(!ends_before_exit(at(1_200), at(6_500), grace));
+    assert!(!ends_before_exit(at(39_000), Duration::ZERO, grace));
+    // What ends just as the process exits would have no time to be answered.
+    assert!(!ends_before_exit(at(7_600), Duration::ZERO, grace));
+    assert!(!ends_before_exit(Duration::MAX, Duration::ZERO, grace));
 }
