A stream without a length that ends before its first event is broken

An engine may answer with neither a length nor chunks. If it crashed after the head and closed the connection, the caller got a complete 200 without any event.

Cause: the end of the connection is the end of such a body, and only a partial event marked it as broken. Change: without any event, it is broken as well, and is resumed from a backup where there is one.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{Request, Response, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -108,6 +108,14 @@
         })
     }
 
+    /// Returns whether the response states where its body ends, by a length or by chunks.
+    /// Without, the end of the connection ends the body, also if the target failed.
+    pub(crate) fn has_framed_body(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Reads the whole body, up to `max_bytes`.
     ///
     /// # Errors
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -212,6 +212,9 @@
             };
             let break_reason: Box<str> = match frame {
                 None if splitter.has_incomplete_event() => "stream ended within an event".into(),
+                None if delivered.events == 0 && !run.exchange.has_framed_body() => {
+                    "stream ended before its first event".into()
+                }
                 None => return RunEnd::Whole,
                 Some(Err(e)) => e.to_string().into(),
                 Some(Ok(frame)) => {
