A stopping daemon's final answers come before its exit, whatever the time of its checks

Cause: one check of the loop that waits for the exit both cancelled the requests that still waited and ended the loop. With a check each 50 ms this happens if the grace period is under about 1.7 s, and with any grace period if the process is not scheduled for the time between the final answers and the exit (240 ms of 8 s). The requests then got no answer.

Change: the loop ends only at a check after the one that gave the final answers.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -218,14 +218,17 @@
         loop {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
             let waited = clock::now().saturating_sub(began);
-            if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
-                gateway.final_answers.cancel();
-            }
             let is_idle = gateway.connections.count() == 0
                 && waited > grace.mul_f64(2.0 * IDLE_CLOSE_FRACTION);
-            if is_idle || waited > grace.mul_f64(EXIT_FRACTION) {
+            // One check may come after both times, if the process was not scheduled or
+            // the grace period is short. The final answers are then written first.
+            let had_final_answers = gateway.final_answers.is_cancelled();
+            if is_idle || (had_final_answers && waited > grace.mul_f64(EXIT_FRACTION)) {
                 break;
             }
+            if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+                gateway.final_answers.cancel();
+            }
         }
         let unfinished = gateway.in_progress.take();
         for request in unfinished.iter().take(MAX_UNFINISHED_LOGGED) {
