--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -327,7 +327,8 @@
     assert!(!ends_before_exit(at(6_000), at(2_000), grace));
     assert!(!ends_before_exit(at(1_200), at(6_500), grace));
     assert!(!ends_before_exit(at(39_000), Duration::ZERO, grace));
-    // What ends just as the process exits would have no time to be answered.
+    // What ends just before the process exits would have no time to be answered.
+    assert!(!ends_before_exit(at(7_400), Duration::ZERO, grace));
     assert!(!ends_before_exit(at(7_600), Duration::ZERO, grace));
     assert!(!ends_before_exit(Duration::MAX, Duration::ZERO, grace));
 }
