A caller that pauses for 2 s keeps its connection

What callers saw: nothing reported; found while testing stops. A caller that read nothing for 2 s while its receive window was full had its connection reset and lost the rest of its answer.

Cause: callers' connections had the timeout for unacknowledged bytes that is meant for targets that vanish; the kernel counts a full window as well. Change: it is 30 s for callers, which bounds how long a run goes on for a caller that vanished without closing; keepalive still finds idle ones within 3 s.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -140,15 +140,19 @@
         Ok(connected) => connected.map_err(|e| connect_error(e.to_string()))?,
         Err(_) => return Err(connect_error("timeout".to_owned())),
     };
-    if let Err(e) = enable_dead_peer_detection(&tcp) {
+    if let Err(e) = enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=socket_option_failed peer={peer} error={e:?}");
     }
     Ok(tcp)
 }
 
 /// Sets the socket options by which the operating system detects a peer that has
-/// vanished, and disables Nagle's algorithm.
-pub(crate) fn enable_dead_peer_detection(tcp: &TcpStream) -> std::io::Result<()> {
+/// vanished, and disables Nagle's algorithm. Bytes that the peer has not acknowledged, or
+/// has no room for, for `unacknowledged_timeout` end the connection.
+pub(crate) fn enable_dead_peer_detection(
+    tcp: &TcpStream,
+    unacknowledged_timeout: Duration,
+) -> std::io::Result<()> {
     tcp.set_nodelay(true)?;
     let socket = SockRef::from(tcp);
     let keepalive = TcpKeepalive::new()
@@ -156,5 +160,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -25,6 +25,9 @@
 /// Interval at which each connection is checked, so that it is closed if it is
 /// idle while the process stops; short compared with `idle_timeout`.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time limit for the acknowledgement of bytes sent to a caller. It also ends the
+/// connection of a caller that reads nothing for so long, which may be a pause.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts callers' connections and serves each in a task; never returns.
 pub(crate) async fn accept(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
@@ -44,7 +47,7 @@
 /// Serves one connection until it ends. While the process stops, closes the
 /// connection once idle connections are to be closed and it is idle.
 async fn serve(tcp: TcpStream, peer: SocketAddr, gateway: Arc<Gateway>) {
-    if let Err(e) = enable_dead_peer_detection(&tcp) {
+    if let Err(e) = enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=socket_option_failed peer={peer} error={e:?}");
     }
     let _open = gateway.connections.start();
