gateway: hold requests with a part of a prompt that crashes engines

What callers saw: one part of a prompt crashed each engine that began to answer it, and all other runs of these engines broke. No two of these requests are alike, so they were sent on without end, and repeated from their backups.

Cause: the gateway keeps no account of crashes by part, and the crashes of one fleet are seen by different daemons.

Change: a crash before the first event counts against all parts of the run but the last, and an answer that reaches its second event clears its parts. Crashes count as separate ones only if an answer without the part has begun in between. After three of them, requests with the part are refused (503, suspect_part) except for rare trials, and after two a run that broke before its first event is not repeated. Daemons exchange the account within their zone and through the leaders of zones.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -21,6 +21,7 @@
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
+    suspects::SuspectTracker,
 };
 use crate::{
     clock::{self, BootTime},
@@ -51,6 +52,7 @@
     pub peers: Peers,
     loads: LoadTracker,
     sends: SendTracker,
+    pub suspects: SuspectTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -75,6 +77,7 @@
         peers: Peers,
         loads: LoadTracker,
         sends: SendTracker,
+        suspects: SuspectTracker,
         send_window: Duration,
         shared: Arc<SharedState>,
     ) -> Self {
@@ -90,6 +93,7 @@
             peers,
             loads,
             sends,
+            suspects,
             send_window,
             shared,
             // The first tick decides.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -48,6 +48,14 @@
     },
 }
 
+impl ExchangeError {
+    /// Returns whether an established connection failed, as opposed to a peer that sent
+    /// something other than a response.
+    pub(crate) fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Lost { source, .. } if !source.is_parse())
+    }
+}
+
 /// A response whose body has not been read yet. Dropping it closes the
 /// connection.
 #[derive(Debug)]
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -82,6 +82,7 @@
         let mut tried = Vec::new();
         let mut last_refusal = Refusal::NoTarget;
         let mut was_sent = false;
+        let mut is_trial = false;
         loop {
             let now = clock::now();
             let fleet = self.shared.fleet();
@@ -89,6 +90,7 @@
                 admitted =
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
+            is_trial = is_trial || self.check_parts(job)?;
             let placement = self
                 .place(&fleet, job, &admitted, &tried)
                 .ok_or(last_refusal)?;
@@ -115,7 +117,10 @@
                     );
                     return Ok(run);
                 }
-                SendOutcome::Unknown(_) => {
+                SendOutcome::Disconnected(_) | SendOutcome::Unknown(_) => {
+                    if matches!(outcome, SendOutcome::Disconnected(_)) {
+                        self.record_crash(job, &placement.target);
+                    }
                     let backup = backup.ok_or(Refusal::Lost)?;
                     return self.resume_unanswered(job, backup).await.map_err(|reason| {
                         log::warn!("event=stream_given_up request={id} events=0 reason={reason:?}");
@@ -200,6 +205,9 @@
             Err(e @ ExchangeError::Connect { .. }) => {
                 return SendOutcome::Unsent(e.to_string().into());
             }
+            Err(e) if e.is_disconnect() => {
+                return SendOutcome::Disconnected(e.to_string().into());
+            }
             Err(e) => return SendOutcome::Unknown(e.to_string().into()),
         };
         if let Some(outcome) = self.classify_head(&exchange.response, &job.info.request_id) {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -6,7 +6,13 @@
     header::{self, HeaderName, HeaderValue},
 };
 
-use super::model::Tokens;
+use super::{
+    model::Tokens,
+    peer_wire::{PartKey, target_key},
+};
+
+/// Maximum number of parts of a prompt that are read.
+const MAX_PARTS: usize = 64;
 
 /// Hop-by-hop headers, which are valid for one connection and not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -43,6 +49,8 @@
     pub token_count: HeaderName,
     /// Caller's estimate of the number of output tokens.
     pub length_hint: HeaderName,
+    /// Parts of the prompt in order, as `ID:TOKENS`, separated by commas.
+    pub prompt_parts: HeaderName,
     /// Address of the engine that keeps a copy of the run, updated as it grows.
     pub backup: HeaderName,
     /// Name of the copy from which a run is resumed.
@@ -66,6 +74,9 @@
     pub max_output_tokens: Tokens,
     /// Caller's estimate of the number of output tokens; `None` if not given.
     pub output_estimate: Option<Tokens>,
+    /// Parts of the prompt that other requests may share: all but the last one. None if
+    /// the header is missing or malformed.
+    pub parts: Box<[PartKey]>,
 }
 
 impl RequestInfo {
@@ -100,6 +111,9 @@
             prompt_tokens: prompt.unwrap_or(0),
             max_output_tokens: max_output.unwrap_or(0),
             output_estimate: text(&self.length_hint).and_then(number),
+            parts: text(&self.prompt_parts)
+                .and_then(shared_parts)
+                .unwrap_or_default(),
         })
     }
 
@@ -118,6 +132,20 @@
     }
 }
 
+/// Parses the parts of a prompt and returns the keys of all but the last one; `None` if
+/// the text is malformed.
+fn shared_parts(text: &str) -> Option<Box<[PartKey]>> {
+    let part = |entry: &str| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        tokens.parse::<Tokens>().ok()?;
+        (!id.is_empty()).then(|| target_key(id))
+    };
+    let (shared, last) = text.rsplit_once(',').unwrap_or(("", text));
+    part(last)?;
+    let shared = shared.split(',').filter(|_| !shared.is_empty());
+    shared.take(MAX_PARTS).map(part).collect()
+}
+
 /// Returns the headers without hop-by-hop ones, including those that the
 /// `connection` header names.
 #[must_use]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod cold_limit;
 mod config_patch;
 mod control;
+mod crashes;
 mod engines;
 mod events;
 mod exchange;
@@ -38,6 +39,7 @@
 mod shared_state;
 mod start;
 mod stop;
+mod suspects;
 
 use std::{
     cell::RefCell,
@@ -73,7 +75,8 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        ServiceSendCounts, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
+        PartKey, ServiceSendCounts, SuspectReport, TargetKey, TargetWork, Update, WorkReport,
+        ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -86,6 +89,7 @@
     shared_state::{PeerLoad, SharedState},
     start::Start,
     stop::{expected_duration, finishes_before_exit},
+    suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Verdict},
 };
 use self::{
     control::Control,
@@ -116,6 +120,7 @@
     loads: LoadTracker,
     prefill_rate: PrefillRate,
     sends: SendTracker,
+    suspects: SuspectTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightCounter,
@@ -150,11 +155,13 @@
         let control = CancellationToken::new();
         let loads = LoadTracker::default();
         let sends = SendTracker::default();
+        let suspects = SuspectTracker::default();
         let control_started = spawn_control(
             store,
             &settings,
             loads.clone(),
             sends.clone(),
+            suspects.clone(),
             shared.clone(),
             control.clone(),
         );
@@ -167,6 +174,7 @@
             loads,
             prefill_rate: PrefillRate::default(),
             sends,
+            suspects,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightCounter::default(),
@@ -240,6 +248,7 @@
     settings: &GatewaySettings,
     loads: LoadTracker,
     sends: SendTracker,
+    suspects: SuspectTracker,
     shared: Arc<SharedState>,
     stop: CancellationToken,
 ) -> io::Result<()> {
@@ -256,7 +265,7 @@
             peers = peers.with_seeds();
         }
         let control = Rc::new(RefCell::new(Control::new(
-            peers, loads, sends, window, shared,
+            peers, loads, sends, suspects, window, shared,
         )));
         tasks.block_on(&runtime, async move {
             let port = PeerPort::bind(identity, control.clone()).await;
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -196,6 +196,7 @@
         if ticks.is_multiple_of(OTHER_ZONES_REPORT_TICKS) {
             self.report_other_zones().await;
         }
+        self.report_suspects(now).await;
     }
 
     /// Returns the seed to query next. They take turns, since each of them is queried by
@@ -238,6 +239,26 @@
         }
     }
 
+    /// Reports the parts of prompts on which engines crashed to this daemon's zone, and to
+    /// other zones if this daemon leads its zone.
+    async fn report_suspects(&self, now: BootTime) {
+        let (report, to) = {
+            let control = self.control.borrow();
+            let report = control.suspects.with(now, |table| table.report(now));
+            if report.is_empty() {
+                return;
+            }
+            let mut to = control.peers.zone_peers(now);
+            if control.peers.is_zone_leader(now) {
+                to.extend(control.peers.remote_peers_to_query(now));
+            }
+            (report, to)
+        };
+        for peer in to {
+            self.send(peer, Message::Suspects(report.clone())).await;
+        }
+    }
+
     /// Queries the best-ranked daemons of other zones, if this daemon leads its zone.
     async fn query_remote(&self) {
         let now = clock::now();
@@ -357,6 +378,10 @@
                     .borrow_mut()
                     .record_other_zones(&packet.from, load);
             }
+            Message::Suspects(reports) => {
+                let suspects = &self.control.borrow().suspects;
+                suspects.with(now, |table| table.merge(&reports, now));
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -14,6 +14,8 @@
 pub type Incarnation = u64;
 /// Short hash of a target's id or of a service's name; see [`target_key`].
 pub type TargetKey = u32;
+/// Short hash of the id of a part of a prompt; see [`target_key`].
+pub type PartKey = u32;
 
 /// Work of one or more daemons, by target.
 pub type TargetWork = Vec<(TargetKey, Work)>;
@@ -47,6 +49,8 @@
     WorkReport(WorkReport),
     /// Load of all other zones, sent by the leader of a zone to the daemons of the zone.
     OtherZones(ZoneLoad),
+    /// Parts of prompts on which engines crashed.
+    Suspects(Vec<SuspectReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -82,6 +86,24 @@
     pub sends: ServiceSendCounts,
 }
 
+/// Crashes of engines on requests with one part of a prompt, and answers with it. Ages are
+/// in milliseconds at the time of the send.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// The part.
+    pub part: PartKey,
+    /// Ages of the crashes after the last answer with the part; none if it is cleared.
+    pub crash_ages_ms: Vec<u32>,
+    /// Ages of answers without the part that began between these crashes.
+    pub others_begun_ages_ms: Vec<u32>,
+    /// Age of the last answer with the part; `None` if there was none.
+    pub begun_age_ms: Option<u32>,
+    /// Age of the last trial; `None` if there was none.
+    pub tried_age_ms: Option<u32>,
+    /// Age of the last request with the part.
+    pub asked_age_ms: u32,
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
@@ -127,9 +149,9 @@
     pub known_revisions: Vec<(Topic, Revision)>,
 }
 
-/// Returns the short hash of a target's id or of a service's name. The work of two
-/// targets with the same key would be counted for both, which at worst leads to a
-/// poorer choice of target.
+/// Returns the short hash of a target's id, of a service's name or of the id of a part of a
+/// prompt. Work and crashes are counted for all that have the same key, which at worst
+/// leads to a poorer choice of target, or to the refusal of a sound request.
 #[must_use]
 pub fn target_key(id: &str) -> TargetKey {
     let hash = blake3::hash(id.as_bytes());
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -102,7 +102,7 @@
                     self.loads.record_failure(target, clock::now());
                     error_response = Some(res);
                 }
-                SendOutcome::Unknown(_) => {
+                SendOutcome::Disconnected(_) | SendOutcome::Unknown(_) => {
                     possible_runs += 1;
                     last_refusal = Refusal::Lost;
                 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -35,6 +35,11 @@
 /// Maximum number of times that a copy is prepared for one run on one engine.
 /// More than one, since the destination of a copy may be reclaimed as well.
 const MAX_COPY_ATTEMPTS: usize = 3;
+/// Event of a run from which its engine has answered the prompt: an engine may crash right
+/// after its first event.
+const EVENTS_BEGUN: u64 = 2;
+/// Reason for which a run that broke before its first event is not repeated.
+const SUSPECT_PART: &str = "suspect part";
 
 /// Events of a stream that were sent to the caller, and their timing.
 #[derive(Debug, Default)]
@@ -44,6 +49,8 @@
     first_at: Option<BootTime>,
     last_at: BootTime,
     longest_gap: Duration,
+    /// Events that the current run has sent, also those that the caller already had.
+    events_of_run: u64,
 }
 
 impl Delivered {
@@ -67,7 +74,9 @@
     Whole,
     /// The caller disconnected.
     CallerLeft,
-    /// The stream failed for the given reason and may be resumed.
+    /// The connection to the engine failed for the given reason; the run may be resumed.
+    Disconnected(Box<str>),
+    /// The stream failed for another reason and may be resumed.
     Broken(Box<str>),
 }
 
@@ -109,12 +118,15 @@
                     return;
                 }
                 RunEnd::CallerLeft => return,
-                RunEnd::Broken(_) => copy.or_else(|| self.backup_copy(&job, &run)),
+                RunEnd::Disconnected(_) | RunEnd::Broken(_) => {
+                    copy.or_else(|| self.backup_copy(&job, &run))
+                }
             };
             // Closes the connection to the old engine before the run is resumed
             // on the new one.
             drop(run);
             let resumed = match copy {
+                _ if delivered.events == 0 && !self.may_repeat(&job) => Err(SUSPECT_PART.into()),
                 Some(copy) => self.resume(&job, copy, delivered.last_id).await,
                 None => Err("no copy".into()),
             };
@@ -148,13 +160,21 @@
             RunEnd::CallerLeft => {
                 log::info!("event=caller_left request={id} target={target} events={events}");
             }
-            RunEnd::Broken(reason) => {
+            RunEnd::Disconnected(reason) | RunEnd::Broken(reason) => {
                 log::warn!(
                     "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
                 );
                 self.loads.record_failure(target, clock::now());
             }
         }
+        match run_end {
+            // The second event records all longer answers.
+            RunEnd::Whole if delivered.events_of_run == 1 => self.record_begun(job),
+            RunEnd::Disconnected(_) if delivered.events == 0 => {
+                self.record_crash(job, &run.target);
+            }
+            _ => {}
+        }
     }
 
     fn backup_copy(&self, job: &Job, run: &Run) -> Option<RunCopy> {
@@ -181,6 +201,7 @@
         let mut splitter = EventSplitter::default();
         let mut preparing: Option<CopyFuture> = None;
         let mut attempts = 0;
+        delivered.events_of_run = 0;
         loop {
             let changed = self.shared.changed();
             let fleet = self.shared.fleet();
@@ -219,7 +240,7 @@
                         splitter.push(&data);
                     }
                     if self
-                        .forward_events(run, &mut splitter, delivered, tx)
+                        .forward_events(job, run, &mut splitter, delivered, tx)
                         .await
                         .is_err()
                     {
@@ -230,18 +251,18 @@
             };
             // A copy in progress may still complete.
             let Some(preparing) = preparing else {
-                return RunEnd::Broken(break_reason);
+                return RunEnd::Disconnected(break_reason);
             };
             return match tokio::time::timeout(LAST_COPY_TIMEOUT, preparing).await {
                 Ok(Ok(copy)) => {
                     *ready = Some(copy);
-                    RunEnd::Broken(break_reason)
+                    RunEnd::Disconnected(break_reason)
                 }
                 Ok(Err(reason)) => {
                     log_copy_failure(job, run, &reason);
-                    RunEnd::Broken(break_reason)
+                    RunEnd::Disconnected(break_reason)
                 }
-                Err(_) => RunEnd::Broken("the copy was not complete in time".into()),
+                Err(_) => RunEnd::Disconnected("the copy was not complete in time".into()),
             };
         }
     }
@@ -250,12 +271,17 @@
     /// caller has disconnected.
     async fn forward_events(
         &self,
+        job: &Job,
         run: &mut Run,
         splitter: &mut EventSplitter,
         delivered: &mut Delivered,
         tx: &mpsc::Sender<Result<Chunk, StreamError>>,
     ) -> Result<(), ()> {
         while let Some(event) = splitter.next_event() {
+            delivered.events_of_run += 1;
+            if delivered.events_of_run == EVENTS_BEGUN {
+                self.record_begun(job);
+            }
             if event.id.is_some() && event.id <= delivered.last_id {
                 continue;
             }
@@ -411,6 +437,12 @@
                 | SendOutcome::NotRun(reason)
                 | SendOutcome::Unknown(reason),
             ) => Err(reason),
+            Ok(SendOutcome::Disconnected(reason)) => {
+                if last_id.is_none() {
+                    self.record_crash(job, &copy.target);
+                }
+                Err(reason)
+            }
             Err(_) => Err("deadline".into()),
         }
     }
@@ -421,6 +453,9 @@
         job: &Job,
         backup: Arc<Target>,
     ) -> Result<Run, Box<str>> {
+        if !self.may_repeat(job) {
+            return Err(SUSPECT_PART.into());
+        }
         let copy = RunCopy {
             name: (self.engines.copy_reference)(backup.address, &job.info.request_id),
             target: backup,
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -33,6 +33,8 @@
     /// Every target that was tried was unreachable or declined; the request has not
     /// run.
     Declined,
+    /// Engines crash on a part of the request's prompt; it has not run.
+    SuspectPart,
     /// The request may have run, and its answer was lost.
     Lost,
     /// The request may have run, and did not finish before its deadline.
@@ -46,6 +48,8 @@
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(250);
 /// Minimum `Retry-After` when this daemon cannot serve, but another one may.
 const RETRY_OTHER_DAEMON: Duration = Duration::from_millis(100);
+/// Minimum `Retry-After` when engines crash on a part of the prompt.
+const RETRY_SUSPECT_PART: Duration = Duration::from_secs(2);
 
 impl Refusal {
     fn status(self) -> StatusCode {
@@ -55,6 +59,7 @@
             | Self::Stopping
             | Self::NoTarget
             | Self::Declined
+            | Self::SuspectPart
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoId | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
@@ -73,6 +78,7 @@
             Self::NoConfig | Self::StaleKeys | Self::Stopping => {
                 Some(RETRY_OTHER_DAEMON.mul_f64(1.0 + jitter))
             }
+            Self::SuspectPart => Some(RETRY_SUSPECT_PART.mul_f64(1.0 + jitter)),
             _ => None,
         }
     }
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -17,7 +17,9 @@
     Unsent(Box<str>),
     /// The target certainly did not run the request.
     NotRun(Box<str>),
-    /// The request may have run, and there is no response to forward.
+    /// The connection failed before the response head arrived; the request may have run.
+    Disconnected(Box<str>),
+    /// The request may have run, and there is no response to forward for another reason.
     Unknown(Box<str>),
 }
 
@@ -48,7 +50,7 @@
                 );
                 self.loads.record_failure(target, clock::now());
             }
-            SendOutcome::Unknown(reason) => {
+            SendOutcome::Disconnected(reason) | SendOutcome::Unknown(reason) => {
                 log::warn!(
                     "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
                 );
