--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -10,7 +10,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -190,6 +190,14 @@
         }
     }
 
+    fn release_reason(&self) -> ReleaseReason {
+        if self.cleared_at.is_some() {
+            ReleaseReason::AnswerBegun
+        } else {
+            ReleaseReason::Forgotten
+        }
+    }
+
     fn is_expired(&self, now: BootTime) -> bool {
         let last = self.crashes.last().copied().unwrap_or_default();
         self.cleared_at
@@ -208,8 +216,8 @@
 /// Crashes and answers by part, as far as this daemon knows those of all daemons.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
-    /// At most [`MAX_ENTRIES`].
-    entries: HashMap<PartKey, Entry>,
+    /// At most [`MAX_ENTRIES`]; in order, so that the same input leads to the same reports.
+    entries: BTreeMap<PartKey, Entry>,
     /// Last time at which an answer with each part is known to have begun, for reports of
     /// crashes that arrive later; at most [`MAX_BEGUN`].
     begun: HashMap<PartKey, BootTime>,
@@ -382,10 +390,7 @@
             entry.was_held = held.is_some();
             changes.push(match held {
                 Some(crashes) => HeldChange::Held(*part, crashes),
-                None if entry.cleared_at.is_some() => {
-                    HeldChange::Released(*part, ReleaseReason::AnswerBegun)
-                }
-                None => HeldChange::Released(*part, ReleaseReason::Forgotten),
+                None => HeldChange::Released(*part, entry.release_reason()),
             });
         }
         changes
@@ -423,16 +428,14 @@
     }
 
     fn remove_where(&mut self, is_removed: impl Fn(&PartKey, &Entry) -> bool) {
-        for (part, entry) in self.entries.extract_if(|part, e| is_removed(part, e)) {
-            if entry.was_held {
-                let reason = if entry.cleared_at.is_some() {
-                    ReleaseReason::AnswerBegun
-                } else {
-                    ReleaseReason::Forgotten
-                };
-                self.released.push(HeldChange::Released(part, reason));
+        let released = &mut self.released;
+        self.entries.retain(|part, entry| {
+            let is_removed = is_removed(part, entry);
+            if is_removed && entry.was_held {
+                released.push(HeldChange::Released(*part, entry.release_reason()));
             }
-        }
+            !is_removed
+        });
     }
 }
 
