Repeats of declined sends stay within the budget when all engines restart at once

Cause: after all engines had crashed, they came back at the same addresses and answered 421 until the store showed their new runs. In half a second 59 daemons repeated 260 sends, each by the same reports, which showed none of the others'. The part of the budget that any daemon may use was meant for the runs of one engine, at a few daemons.

Change: a repeat of a declined send takes at most one from that part within the delay of the reports (800 ms); a broken run may take more, as before.

Test: daemons_repeat_declined_sends_beyond_the_budget_before_the_first_is_reported replays it: 446 of 273 before.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -17,6 +17,7 @@
     model::{Target, Tokens},
     plain::{MAX_RESPONSE_BYTES, caller_response},
     refusal::Refusal,
+    send_budget::RepeatReason,
     sent::SendOutcome,
 };
 use crate::clock::{self, BootTime};
@@ -95,7 +96,8 @@
             let placement = self
                 .place(&fleet, job, &admitted, &tried)
                 .ok_or(last_refusal)?;
-            if !self.try_record_send(job, was_sent, now) {
+            let repeat = was_sent.then_some(RepeatReason::OtherTarget);
+            if !self.try_record_send(job, repeat, now) {
                 return Err(last_refusal);
             }
             tried.push(placement.target.id.clone());
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -20,6 +20,7 @@
     },
     refusal::Refusal,
     routing::Denied,
+    send_budget::RepeatReason,
 };
 use crate::clock::{self, BootTime};
 
@@ -344,14 +345,20 @@
 
     /// Counts a send. First sends are always allowed; a repeated one is taken
     /// from the service's budget, and `false` is returned if none is left.
-    pub(crate) fn try_record_send(&self, job: &Job, is_repeat: bool, now: BootTime) -> bool {
+    pub(crate) fn try_record_send(
+        &self,
+        job: &Job,
+        repeat: Option<RepeatReason>,
+        now: BootTime,
+    ) -> bool {
         let daemons = self.shared.daemon_count();
         let peer_load = self.shared.peer_load();
         let peer_sends = peer_load.sends.get(&target_key(&job.service)).copied();
+        let peer_sends = peer_sends.unwrap_or_default();
         let budget = self.settings().send_budget();
         let is_allowed = self.sends.with(&job.service, |sends| {
-            if is_repeat {
-                return sends.try_repeat(now, &budget, daemons, peer_sends.unwrap_or_default());
+            if let Some(reason) = repeat {
+                return sends.try_repeat(reason, now, &budget, daemons, peer_sends);
             }
             sends.record_first(now);
             true
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -84,7 +84,7 @@
         plain_cost, sample_other_zones,
     },
     routing::Denied,
-    send_budget::{SendBudget, SendCounts, SendHistory, SendTracker},
+    send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -15,6 +15,7 @@
     load::Work,
     model::{RepeatPolicy, Target},
     refusal::Refusal,
+    send_budget::RepeatReason,
     sent::SendOutcome,
 };
 use crate::clock;
@@ -69,7 +70,8 @@
             let Some(placement) = self.place(&fleet, job, &admitted, &tried) else {
                 break;
             };
-            if !self.try_record_send(job, was_sent, now) {
+            let repeat = was_sent.then_some(RepeatReason::OtherTarget);
+            if !self.try_record_send(job, repeat, now) {
                 break;
             }
             tried.push(placement.target.id.clone());
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -22,6 +22,7 @@
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
     model::{Fleet, Target},
+    send_budget::RepeatReason,
     sent::SendOutcome,
 };
 use crate::clock::{self, BootTime};
@@ -403,7 +404,7 @@
         if !fleet.accepts_resumed_runs(target, drain_time, now) {
             return Err("the copy's target takes no work".into());
         }
-        if !self.try_record_send(job, true, now) {
+        if !self.try_record_send(job, Some(RepeatReason::BrokenRun), now) {
             return Err("budget".into());
         }
         let send_headers = SendHeaders {
--- a/src/gateway/send_budget.rs
+++ b/src/gateway/send_budget.rs
@@ -7,6 +7,13 @@
 //! daemon may always use its share of it, so that the total stays within the budget
 //! even while daemons receive no messages from each other. The rest is available to
 //! any daemon that needs it, based on the counts that all daemons have reported.
+//!
+//! Second load pattern: all engines of a service restart at once, and each declines the
+//! requests that are meant for its previous run. Every daemon then has sends to repeat
+//! at the same moment, more than the rest of the budget allows before the first of them
+//! is reported. A repeat of a send that a target declined, or that failed otherwise and
+//! costs the caller little, therefore takes at most one from the rest within the delay
+//! of the reports; a broken run may take more.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -25,6 +32,19 @@
 /// The rest covers sends that other daemons have not reported yet.
 const TOTAL_USE_LIMIT: f64 = 0.55;
 
+/// Time within which the reports of other daemons show a repeated send: the longest
+/// interval between two reports, and the delays between zones.
+const REPORT_DELAY: Duration = Duration::from_millis(800);
+
+/// Why a send is repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatReason {
+    /// A run broke, and is resumed.
+    BrokenRun,
+    /// A target declined the request, or its response cannot be used.
+    OtherTarget,
+}
+
 /// Numbers of sends within a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SendCounts {
@@ -73,6 +93,7 @@
     /// have sent.
     pub fn try_repeat(
         &mut self,
+        reason: RepeatReason,
         now: BootTime,
         budget: &SendBudget,
         daemons: usize,
@@ -84,8 +105,11 @@
         let mut total = own;
         total.add(others);
         let total_budget = f64::from(total.firsts) * budget.share + budget.extra;
+        let is_unreported = |at: &BootTime| now.saturating_sub(*at) < REPORT_DELAY;
+        let may_share =
+            reason == RepeatReason::BrokenRun || !self.repeats.back().is_some_and(is_unreported);
         let is_allowed = f64::from(own.repeats + 1) <= own_budget * RESERVED_FRACTION
-            || f64::from(total.repeats + 1) <= total_budget * TOTAL_USE_LIMIT;
+            || (may_share && f64::from(total.repeats + 1) <= total_budget * TOTAL_USE_LIMIT);
         if is_allowed {
             self.repeats.push_back(now);
         }
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bluebelldrift::gateway::{
-    Candidate, Distance, EngineLimits, EventSplitter, GenerationDemand, SendBudget, SendCounts,
-    SendHistory, Work, ends_before_exit, engine_cost, has_room_for_backup, plain_cost,
+    Candidate, Distance, EngineLimits, EventSplitter, GenerationDemand, RepeatReason, SendBudget,
+    SendCounts, SendHistory, Work, ends_before_exit, engine_cost, has_room_for_backup, plain_cost,
     sample_other_zones,
 };
 use proptest::prelude::*;
@@ -245,11 +245,47 @@
         repeats: 40,
     };
     let resumed = (0..20)
-        .filter(|_| sends.try_repeat(at(10_000), &budget, 82, others))
+        .filter(|_| sends.try_repeat(RepeatReason::BrokenRun, at(10_000), &budget, 82, others))
         .count();
     assert_eq!(resumed, 20);
 }
 
+// All engines restarted at once and declined; the daemons repeated twice the budget.
+#[test]
+fn daemons_repeat_declined_sends_beyond_the_budget_before_the_first_is_reported() {
+    let budget = SendBudget {
+        share: 0.2,
+        extra: 159.0,
+        window: at(10_000),
+    };
+    let daemons = 59;
+    let mut all: Vec<_> = (0..daemons).map(|_| SendHistory::default()).collect();
+    let mut repeats = Vec::new();
+    // 57 requests per second; from second 10 on, up to ten engines decline each.
+    for i in 0..570_u64 + 114 {
+        let now = at(i * 1_000 / 57);
+        let daemon = usize::try_from(i * 31 % 59).expect("a daemon");
+        all[daemon].record_first(now);
+        if i < 570 {
+            continue;
+        }
+        // Reports show what was sent up to half a second ago.
+        let reported = now.saturating_sub(at(500));
+        let shown = repeats.iter().filter(|sent| **sent < reported).count();
+        let others = SendCounts {
+            firsts: 560,
+            repeats: u32::try_from(shown).expect("a count"),
+        };
+        let reason = RepeatReason::OtherTarget;
+        let declined =
+            (0..10).take_while(|_| all[daemon].try_repeat(reason, now, &budget, daemons, others));
+        repeats.extend(declined.map(|_| now));
+    }
+    // 0.2 of the requests of a window, and the extra ones.
+    let allowed = 114 + 159;
+    assert!(repeats.len() <= allowed, "{} of {allowed}", repeats.len());
+}
+
 #[test]
 fn a_stale_report_of_an_empty_engine_does_not_attract_all_requests() {
     // Sixty engines in other zones, one of them new and empty. At eighty requests per
@@ -291,7 +327,8 @@
         // By the counts that each daemon received, the others have used up the budget.
         let others = SendCounts { firsts: 0, repeats: 58 };
         let allowed = attempts.iter().filter(|(daemon, ms)| {
-            all[daemon % daemons].try_repeat(at(*ms), &budget, daemons, others)
+            let reason = if *ms % 2 == 0 { RepeatReason::BrokenRun } else { RepeatReason::OtherTarget };
+            all[daemon % daemons].try_repeat(reason, at(*ms), &budget, daemons, others)
         });
         prop_assert!(allowed.count() <= 58);
     }
