gateway: ignore reports of crashes that waited while the daemon stood still

Reports give crashes as ages at the time of the send. A daemon that stood still reads all reports of that time at once, so that one crash came out as several, each after an answer of others. From three on the part was held, and the reports of that daemon made the rest of the fleet hold it too: sound requests were refused after one crash.

--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -65,6 +65,11 @@
 /// Maximum number of fetches that are answered at the same time. Others wait, so that
 /// over a slow link some are complete in time.
 const MAX_CONCURRENT_FETCHES: usize = 8;
+/// Pause of this process after which datagrams may have waited in the socket. Ages in
+/// them would be too short.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Time after such a pause for which reports of ages are ignored. They are repeated.
+const PAUSE_RECOVERY: Duration = Duration::from_millis(200);
 /// Key of the checksum of messages. It is public, because instances share no
 /// secret.
 const CHECKSUM_KEY: &str = "bluebelldrift gateway peers";
@@ -103,6 +108,9 @@
     list_gained: Notify,
     /// Number of ticks so far.
     ticks: Cell<u32>,
+    /// Time of the last tick or datagram, and end of the last pause without any.
+    active_at: Cell<BootTime>,
+    paused_until: Cell<Option<BootTime>>,
     /// Position of the seed that is queried next.
     next_seed: Cell<usize>,
     /// Whether a fetch is in progress. One at a time suffices, since a fetch returns
@@ -138,6 +146,8 @@
             unanswered_queries: RefCell::default(),
             list_gained: Notify::new(),
             ticks: Cell::default(),
+            active_at: Cell::new(clock::now()),
+            paused_until: Cell::default(),
             next_seed: Cell::new(rand::random_range(0..usize::from(u16::MAX))),
             is_fetching: Cell::new(false),
             fetched_at: Cell::new(BootTime::ZERO),
@@ -182,6 +192,7 @@
     /// daemon's zone, and one of the seeds as long as the list of daemons is not known.
     async fn tick(&self) {
         let now = clock::now();
+        self.record_activity(now);
         self.pending_queries
             .borrow_mut()
             .retain(|_, at| now.saturating_sub(*at) < PENDING_QUERY_EXPIRY);
@@ -199,6 +210,22 @@
         self.report_suspects(now).await;
     }
 
+    /// Detects that this process stood still.
+    fn record_activity(&self, now: BootTime) {
+        let pause = now.saturating_sub(self.active_at.replace(now));
+        if pause > MAX_PAUSE {
+            log::info!("event=paused ms={}", clock::millis(pause));
+            self.paused_until.set(Some(now));
+        }
+    }
+
+    /// Returns whether datagrams may have waited in the socket while this process stood
+    /// still.
+    fn is_after_pause(&self, now: BootTime) -> bool {
+        let until = self.paused_until.get();
+        until.is_some_and(|at| now.saturating_sub(at) < PAUSE_RECOVERY)
+    }
+
     /// Returns the seed to query next. They take turns, since each of them is queried by
     /// all daemons that start.
     fn next_seed(&self) -> Option<SocketAddr> {
@@ -355,6 +382,7 @@
             return;
         };
         let now = clock::now();
+        self.record_activity(now);
         let info = DaemonInfo {
             address: from,
             zone: packet.zone,
@@ -378,6 +406,9 @@
                     .borrow_mut()
                     .record_other_zones(&packet.from, load);
             }
+            Message::Suspects(_) if self.is_after_pause(now) => {
+                log::debug!("event=report_ignored peer={from}");
+            }
             Message::Suspects(reports) => {
                 let suspects = &self.control.borrow().suspects;
                 suspects.with(now, |table| table.merge(&reports, now));
