gateway: try requests with one held part before those with several

A sound part that shares all deadly requests becomes held with the deadly part. The trial went to whichever request came first, mostly one with both, whose crash counted against both and lengthened the interval for both. Requests with several held parts now wait one turn longer, so that a request with the sound part alone can clear it.

The test failed before (the sound part was still held) and passes now; a trial that crashes still costs one engine.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -271,20 +271,23 @@
         rank_of: impl Fn(PartKey) -> usize,
         now: BootTime,
     ) -> Verdict {
-        let mut to_try = None;
+        let mut held = Vec::new();
         for part in parts {
-            let Some(entry) = self.entries.get_mut(part) else {
-                continue;
-            };
-            entry.asked_at = now;
-            if let Some(crashes) = entry.held_crashes(now) {
-                if now < entry.next_trial(crashes, rank_of(*part)) {
-                    return Verdict::Hold(*part);
-                }
-                to_try = Some(*part);
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.asked_at = now;
+                held.extend(entry.held_crashes(now).map(|crashes| (*part, crashes)));
+            }
+        }
+        // A crash with several held parts tells nothing about each, so that requests with
+        // one of them go first.
+        let extra_turns = usize::from(held.len() > 1);
+        for (part, crashes) in &held {
+            let rank = rank_of(*part).saturating_add(extra_turns);
+            if now < self.entries[part].next_trial(*crashes, rank) {
+                return Verdict::Hold(*part);
             }
         }
-        let Some(part) = to_try else {
+        let Some((part, _)) = held.pop() else {
             return Verdict::Send;
         };
         for part in parts {
