The first trial of a held part comes 5 s after its last crash

Cause, found by review: the interval grew with each crash beyond the third, those before the hold among them. A sound part held beside the deadly one after six crashes would have waited ten minutes for its first trial.

Change: the interval grows with each trial, whose number is reported with its time. A daemon that does not know the list of daemons ranks last instead of first.

Test: a_wrong_suspicion_after_many_crashes_waits_for_its_first_trial failed before; at most three trials in ten minutes still holds.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -33,18 +33,22 @@
         }
     }
 
-    /// Returns the number of listed daemons that rank above this one for a part.
+    /// Returns the number of listed daemons that rank above this one for a part; a daemon
+    /// that does not know the list ranks last.
     fn rank_for(&self, part: PartKey) -> usize {
         let key = format!("{part:08x}");
         let own = cell::score(&key, &self.settings().name);
         let daemons = self.shared.daemon_names();
+        if daemons.is_empty() {
+            return usize::MAX;
+        }
         let higher = daemons
             .iter()
             .filter(|name| cell::score(&key, name.as_ref()) > own);
         higher.count()
     }
 
-    /// Records that the connection to a run's engine failed before the first event of the
+    /// Records that the connection to a run's engine failed before the second event of the
     /// run, unless the engine was known to be leaving.
     pub(super) fn record_crash(&self, job: &Job, target: &Target) {
         if self.shared.fleet().is_leaving(target) {
@@ -67,7 +71,7 @@
             .with(now, |table| table.record_begun(&job.info.parts, now));
     }
 
-    /// Returns whether a run that broke before its first event may be repeated.
+    /// Returns whether a run that broke before its second event may be repeated.
     pub(super) fn may_repeat(&self, job: &Job) -> bool {
         let parts = &job.info.parts;
         self.suspects
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -100,6 +100,8 @@
     pub begun_age_ms: Option<u32>,
     /// Age of the last trial; `None` if there was none.
     pub tried_age_ms: Option<u32>,
+    /// Number of trials since the first crash.
+    pub trials: u32,
     /// Age of the last request with the part.
     pub asked_age_ms: u32,
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -31,7 +31,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time from the last crash to the first trial of a held part.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
-/// Factor by which each further crash lengthens the interval between trials.
+/// Factor by which each trial lengthens the interval until the next one.
 const TRIAL_GROWTH: u32 = 6;
 /// Longest interval between trials.
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
@@ -96,8 +96,9 @@
     begun_at: Option<BootTime>,
     /// Time at which the last crash was cleared; set exactly while there are no crashes.
     cleared_at: Option<BootTime>,
-    /// Time of the last trial.
+    /// Time of the last trial, and number of trials since the first crash.
     tried_at: Option<BootTime>,
+    trials: u32,
     /// Time of the last request with this part.
     asked_at: BootTime,
     /// Time of the last report, and number of reports since the last change.
@@ -114,6 +115,7 @@
             begun_at,
             cleared_at: Some(now),
             tried_at: None,
+            trials: 0,
             asked_at: BootTime::ZERO,
             reported_at: BootTime::ZERO,
             reports: 0,
@@ -149,10 +151,9 @@
     }
 
     /// Returns the time from which a daemon of this rank may try the part.
-    fn next_trial(&self, crashes: usize, rank: usize) -> BootTime {
-        let further = u32::try_from(crashes - HOLD_CRASHES).unwrap_or(u32::MAX);
+    fn next_trial(&self, rank: usize) -> BootTime {
         let interval = TRIAL_INTERVAL
-            .saturating_mul(TRIAL_GROWTH.saturating_pow(further))
+            .saturating_mul(TRIAL_GROWTH.saturating_pow(self.trials))
             .min(MAX_TRIAL_INTERVAL);
         let turns = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
         let last = self.crashes.last().copied().max(self.tried_at);
@@ -182,6 +183,7 @@
         if self.crashes.is_empty() {
             self.cleared_at.get_or_insert(now);
             self.tried_at = None;
+            self.trials = 0;
         } else {
             self.cleared_at = None;
         }
@@ -275,24 +277,25 @@
         for part in parts {
             if let Some(entry) = self.entries.get_mut(part) {
                 entry.asked_at = now;
-                held.extend(entry.held_crashes(now).map(|crashes| (*part, crashes)));
+                held.extend(entry.is_held(now).then_some(*part));
             }
         }
         // Sound parts that share the deadly requests are held as well. Requests with fewer
         // held parts go first, since they lack the deadly one.
         let extra_turns = held.len().saturating_sub(1);
-        for (part, crashes) in &held {
+        for part in &held {
             let rank = rank_of(*part).saturating_add(extra_turns);
-            if now < self.entries[part].next_trial(*crashes, rank) {
+            if now < self.entries[part].next_trial(rank) {
                 return Verdict::Hold(*part);
             }
         }
-        let Some((part, _)) = held.pop() else {
+        let Some(part) = held.pop() else {
             return Verdict::Send;
         };
         for part in parts {
             if let Some(entry) = self.entries.get_mut(part).filter(|e| e.is_held(now)) {
                 entry.tried_at = Some(now);
+                entry.trials += 1;
                 entry.reports = 0;
             }
         }
@@ -339,6 +342,7 @@
                 others_begun_ages_ms: entry.others_begun.iter().copied().map(age).collect(),
                 begun_age_ms: entry.begun_at.map(age),
                 tried_age_ms: entry.tried_at.map(age),
+                trials: entry.trials,
                 asked_age_ms: age(entry.asked_at),
             }
         };
@@ -367,6 +371,7 @@
             let tried_at = later(entry.tried_at, report.tried_age_ms.map(time));
             if tried_at != entry.tried_at {
                 entry.tried_at = tried_at;
+                entry.trials = entry.trials.max(report.trials);
                 entry.reports = 0;
             }
             let others_begun = report.others_begun_ages_ms.iter().copied().map(time);
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -197,6 +197,16 @@
     }
 }
 
+/// Crashes before the hold put the first trial off by minutes.
+#[test]
+fn a_wrong_suspicion_after_many_crashes_waits_for_its_first_trial() {
+    let mut table = crashed(DEADLY, &[0, 1_000, 2_000, 3_000, 4_000, 5_000, 6_000]);
+    assert_eq!(check(&mut table, DEADLY, 10_900), Verdict::Hold(DEADLY));
+    assert_eq!(check(&mut table, DEADLY, 11_100), Verdict::Trial(DEADLY));
+    table.record_begun(&[DEADLY], at(11_500));
+    assert_eq!(check(&mut table, DEADLY, 11_600), Verdict::Send);
+}
+
 #[test]
 fn reports_and_tables_are_bounded() {
     let mut table = crashed(DEADLY, &[0, 1_000, 2_000]);
