A malformed part of a prompt hides no other part

Cause, found by review: one entry without an id or a size, or a comma at the end, emptied the list of a request's parts, and a deadly one among them reached engines without bound.

Test: a_malformed_part_hides_the_other_parts_of_a_prompt failed before.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -75,7 +75,7 @@
     /// Caller's estimate of the number of output tokens; `None` if not given.
     pub output_estimate: Option<Tokens>,
     /// Parts of the prompt that other requests may share: all but the last one. None if
-    /// the header is missing or malformed.
+    /// the header is missing.
     pub parts: Box<[PartKey]>,
 }
 
@@ -118,9 +118,7 @@
             prompt_tokens: prompt.unwrap_or(0),
             max_output_tokens: max_output.unwrap_or(0),
             output_estimate: text(&self.length_hint).and_then(number),
-            parts: text(&self.prompt_parts)
-                .and_then(shared_parts)
-                .unwrap_or_default(),
+            parts: text(&self.prompt_parts).map_or_else(Box::default, shared_parts),
         })
     }
 
@@ -139,18 +137,16 @@
     }
 }
 
-/// Parses the parts of a prompt and returns the keys of all but the last one; `None` if
-/// the text is malformed.
-fn shared_parts(text: &str) -> Option<Box<[PartKey]>> {
-    let part = |entry: &str| {
-        let (id, tokens) = entry.trim().split_once(':')?;
-        tokens.parse::<Tokens>().ok()?;
-        (!id.is_empty()).then(|| target_key(id))
-    };
-    let (shared, last) = text.rsplit_once(',').unwrap_or(("", text));
-    part(last)?;
-    let shared = shared.split(',').filter(|_| !shared.is_empty());
-    shared.take(MAX_PARTS).map(part).collect()
+/// Parses the parts of a prompt and returns the keys of all but the last one. Entries
+/// that lack an id are skipped, so that one malformed entry does not hide the others.
+fn shared_parts(text: &str) -> Box<[PartKey]> {
+    let ids = text
+        .split(',')
+        .filter_map(|entry| entry.trim().split(':').next());
+    let mut keys: Vec<PartKey> = ids.filter(|id| !id.is_empty()).map(target_key).collect();
+    keys.pop();
+    keys.truncate(MAX_PARTS);
+    keys.into()
 }
 
 /// Returns the headers without hop-by-hop ones, including those that the
