A crash right after the first event counts against the parts of the prompt

Cause, found by review: an answer clears its parts from its second event on, since an engine may crash right after the first, but only a run without any event counted as a crash. A run with one event was neither, and was resumed.

Change: crashes and repeats look at the same event.

Test: crashes_after_the_first_event_hold_no_part failed before (no part held after four crashes).

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -39,7 +39,7 @@
 /// Event of a run from which its engine has answered the prompt: an engine may crash right
 /// after its first event.
 const EVENTS_BEGUN: u64 = 2;
-/// Reason for which a run that broke before its first event is not repeated.
+/// Reason for which a run that broke before its second event is not repeated.
 const SUSPECT_PART: &str = "suspect part";
 
 /// Events of a stream that were sent to the caller, and their timing.
@@ -127,7 +127,9 @@
             // on the new one.
             drop(run);
             let resumed = match copy {
-                _ if delivered.events == 0 && !self.may_repeat(&job) => Err(SUSPECT_PART.into()),
+                _ if delivered.events < EVENTS_BEGUN && !self.may_repeat(&job) => {
+                    Err(SUSPECT_PART.into())
+                }
                 Some(copy) => self.resume(&job, copy, delivered.last_id).await,
                 None => Err("no copy".into()),
             };
@@ -171,7 +173,7 @@
         match run_end {
             // The second event records all longer answers.
             RunEnd::Whole if delivered.events_of_run == 1 => self.record_begun(job),
-            RunEnd::Disconnected(_) if delivered.events == 0 => {
+            RunEnd::Disconnected(_) if delivered.events < EVENTS_BEGUN => {
                 self.record_crash(job, &run.target);
             }
             _ => {}
