--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -4,8 +4,8 @@
 //! Load pattern: one part of a prompt crashes each engine that begins to answer it.
 //! Requests with that part reach all daemons, and each crash also breaks sound requests
 //! that wait at the same engine. A crash counts against all parts of the requests that it
-//! broke before their first event, and an answer that goes on past its first event clears
-//! its parts. Crashes count as separate ones only if an answer without the part has begun
+//! broke before they had gone on past their first event, and an answer that does go on
+//! clears its parts. Crashes count as separate ones only if an answer without the part has begun
 //! in between, so that a total outage puts no part under suspicion.
 
 use std::{
@@ -24,7 +24,7 @@
 const MERGE_WINDOW: Duration = Duration::from_millis(500);
 /// Number of crashes from which requests with a part are held.
 const HOLD_CRASHES: usize = 3;
-/// Number of crashes from which a run that broke before its first event is not repeated.
+/// Maximum number of crashes with which a run that one of them broke is still repeated.
 const MAX_CRASHES_TO_REPEAT: usize = 1;
 /// Time from the crash that completes [`HOLD_CRASHES`] to the hold: reports of answers
 /// that have begun with the part may be on their way.
@@ -45,8 +45,9 @@
 const MAX_ENTRIES: usize = 64;
 /// Maximum number of parts whose last answer is remembered.
 const MAX_BEGUN: usize = 4_096;
-/// Maximum number of parts in one report, and how many of these are held ones.
+/// Maximum number of parts in one report.
 const MAX_REPORTED: usize = 8;
+/// Maximum number of held parts in one report, so that others find room.
 const MAX_REPORTED_HELD: usize = 4;
 /// Number of reports that carry a change at once; datagrams may be lost.
 const CHANGE_REPORTS: u8 = 3;
@@ -96,14 +97,17 @@
     begun_at: Option<BootTime>,
     /// Time at which the last crash was cleared; set exactly while there are no crashes.
     cleared_at: Option<BootTime>,
-    /// Time of the last trial, and number of trials since the first crash.
+    /// Time of the last trial.
     tried_at: Option<BootTime>,
+    /// Number of trials since the first crash.
     trials: u32,
     /// Time of the last request with this part.
     asked_at: BootTime,
-    /// Time of the last report, and number of reports since the last change.
+    /// Time of the last report.
     reported_at: BootTime,
+    /// Number of reports since the last change, at most [`CHANGE_REPORTS`].
     reports: u8,
+    /// Whether the part was held when changes were last collected.
     was_held: bool,
 }
 
@@ -229,9 +233,9 @@
 }
 
 impl SuspectTable {
-    /// Records that a run with these parts broke before its first event because the
-    /// connection to its engine failed. If one of the parts is held already, that explains
-    /// the crash.
+    /// Records that a run with these parts broke before it had gone on past its first event
+    /// because the connection to its engine failed. If one of the parts is held already,
+    /// that explains the crash.
     pub fn record_crash(&mut self, parts: &[PartKey], now: BootTime) {
         let is_held = |part: &&PartKey| self.entries.get(part).is_some_and(|e| e.is_held(now));
         let held: Vec<PartKey> = parts.iter().filter(is_held).copied().collect();
@@ -302,8 +306,8 @@
         Verdict::Trial(part)
     }
 
-    /// Returns whether a run with these parts that broke before its first event may be
-    /// repeated. One crash may be a coincidence.
+    /// Returns whether a run with these parts that broke as [`Self::record_crash`] says may
+    /// be repeated. One crash may be a coincidence.
     #[must_use]
     pub fn may_repeat(&self, parts: &[PartKey]) -> bool {
         let mut entries = parts.iter().filter_map(|part| self.entries.get(part));
