Log a marked request that finds no credit

A marked request runs only at the targets whose trial daemon this daemon is. When none of them had a credit, the log held "no target has room" and nothing that told a full service from a daemon without a trial target.

The line event=trial_unplaced gives the number of trial targets and of all targets, once for each such refusal.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -215,7 +215,10 @@
             // for a credit.
             trial::check_not_quarantined(state, fingerprint)
                 .map_err(|refusal| self.with_earlier_runs(refusal))?;
-            let chosen = placed.map_err(|refusal| self.with_earlier_runs(refusal))?;
+            let chosen = placed.map_err(|refusal| {
+                trial::log_unplaced(state, &context.id, fingerprint, service);
+                self.with_earlier_runs(refusal)
+            })?;
             let target = chosen.target;
             match state.quarantine.begin(*fingerprint, &target.name) {
                 Ok(_) if trial::is_excluded(state, fingerprint, service, &target.name) => {}
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -119,6 +119,25 @@
     state.quarantine.lock().is_marked(fingerprint, clock::now())
 }
 
+/// Logs that a marked request found no credit, with the number of targets at which
+/// this daemon may run it.
+pub(crate) fn log_unplaced(
+    state: &ServerState,
+    request: &str,
+    fingerprint: &Fingerprint,
+    service: &str,
+) {
+    if !is_marked(state, fingerprint) {
+        return;
+    }
+    let excluded = quarantine::excluded_targets(state, fingerprint, service);
+    let targets = state.view.load().targets_of(service).len();
+    log::info!(
+        "event=trial_unplaced request={request} trial_targets={} targets={targets}",
+        targets.saturating_sub(excluded.len())
+    );
+}
+
 /// Ends a run that completed, which removes the mark of its request at all
 /// daemons.
 pub(crate) async fn on_complete(state: &ServerState, run: &mut Run) {
