Trace the harmless request that is refused after a crash

Callers saw: a harmless request whose stream broke at a crash got 429 and not-run from its daemon on all 19 further attempts, also after the crashed engines had been replaced.

Cause: each target has one trial daemon, chosen by rendezvous hashing for each target on its own, so a daemon may be the trial daemon of none. A marked request finds no target there until its mark lapses, after ten minutes. In the test, entry-0 has only engine-asahikawa-a. If the second crash is there, the three engines left are those of entry-2 (engine-hakodate-a, engine-new-2) and entry-1 (engine-new-1), and the marked requests of entry-0 have none.

Not fixed here. Giving each daemon a target would make the assignment of one target depend on the list of the others, which daemons see at different times right after a crash; two marked requests could then be on trial at one target and the harmless one be quarantined.

--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -22,6 +22,8 @@
 const WARM: [&str; 2] = ["--cold-ms", "0"];
 /// Number of attempts within which the crashing request must have run twice.
 const MAX_ATTEMPTS: usize = 40;
+/// Number of attempts within which a harmless request must be answered after a crash.
+const MAX_HARMLESS_ATTEMPTS: usize = 10;
 /// Time for which a daemon without room asks callers to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum time for which a request waits for room.
@@ -159,6 +161,52 @@
     assert!(other.is_whole, "{other:?}");
 }
 
+/// Guards against a harmless request that a crash marked and that a daemon refuses
+/// until the mark lapses, because it is the trial daemon of no target.
+#[test]
+fn a_harmless_request_is_answered_by_the_trial_daemon_of_no_target() {
+    const DAEMON: usize = 1;
+    let mut fleet = fleet();
+    let caller = fleet.caller(DAEMON);
+    let harmless = thread::spawn(move || {
+        let generated = (0..MAX_HARMLESS_ATTEMPTS).map(|attempt| {
+            thread::sleep(RETRY_AFTER * u32::from(attempt > 0));
+            caller.generate("[mark=harmless] [n=200] report", &json!({}), &[])
+        });
+        let mut failures = Vec::new();
+        for generated in generated {
+            if generated.is_whole {
+                return (failures, true);
+            }
+            failures.push((generated.status, generated.ran, generated.error));
+        }
+        (failures, false)
+    });
+    wait_for("the harmless request runs", || {
+        let histories = fleet.targets.iter().map(|t| &*t.history);
+        let mut admitted = histories.flat_map(|path| history::events_named(path, "admitted"));
+        admitted
+            .any(|found| found.detail["mark"] == json!("harmless"))
+            .then_some(())
+    });
+    send_crashing(&fleet, DAEMON);
+    // The next engine is named `engine-new-2`.
+    let mut crashed = 1;
+    wait_for("the crashed engine is replaced", || {
+        replace_crashed(&mut fleet, &mut crashed);
+        (crashed == 2).then_some(())
+    });
+    let listed = fleet.targets.iter().filter(|t| !t.name.is_empty());
+    let mut names = listed.map(|t| &*t.name);
+    assert!(
+        !names.any(|name| is_trial_target(name, DAEMONS[DAEMON], DAEMONS)),
+        "the daemon is the trial daemon of a target"
+    );
+    let (failures, is_answered) = harmless.join().expect("the thread ends");
+    assert!(!failures.is_empty(), "its first run did not break");
+    assert!(is_answered, "it was not answered: {failures:?}");
+}
+
 /// Request that crashes its target in the property test; the others are harmless.
 const CRASHING: u8 = 0;
 /// Daemons in the property test.
