A stopping process exits once each request has a response

What callers saw: no answer, the connection closes at the exit, although the process had begun to give its last answers.

Cause: the exit was due at 0.95 of the grace period, one check (50 ms) after the last answers had been requested at the earliest. Nothing says that they have been written by then: many waiting requests, a slow processor or a process that wakes late take longer.

Change: from 0.95 on the process exits when no request is without a response, at the end of the grace period at the latest, where it is killed anyway. Slow readers still end at 0.95.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -32,6 +32,10 @@
         Stage::from_repr(self.0.load(Ordering::Relaxed)).unwrap_or(Stage::Sent)
     }
 
+    pub fn is_responding(&self) -> bool {
+        self.stage() == Stage::Responding
+    }
+
     pub fn set(&self, stage: Stage) {
         self.0.store(stage as u8, Ordering::Relaxed);
     }
@@ -84,6 +88,13 @@
         self.lock().len()
     }
 
+    /// Returns the number of requests that have no response yet.
+    pub fn unanswered_count(&self) -> usize {
+        let requests = self.lock();
+        let unanswered = requests.values().filter(|r| !r.progress.is_responding());
+        unanswered.count()
+    }
+
     /// Removes and returns all requests, oldest first.
     pub fn take(&self) -> Vec<InFlight> {
         std::mem::take(&mut *self.lock()).into_values().collect()
@@ -131,7 +142,7 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let removed = self.requests.lock().remove(&self.number);
-        let unanswered = removed.filter(|r| r.progress.stage() != Stage::Responding);
+        let unanswered = removed.filter(|r| !r.progress.is_responding());
         if let Some(request) = unanswered {
             log::info!("event=caller_left {}", describe(&request));
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -211,8 +211,9 @@
     ///
     /// Even if none are left, it waits for twice the time after which idle
     /// connections start to be closed. Shortly before the end of `stop_grace_s` of the
-    /// settings, requests that have no response yet are answered, and the method returns
-    /// even if responses are still being written.
+    /// settings, requests that have no response yet are answered. Once each has one, or at
+    /// the end of the grace period, the method returns even if responses are still being
+    /// written.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         let began = clock::now();
@@ -231,7 +232,13 @@
             // One check may come after both times, if the process was not scheduled or
             // the grace period is short. The final answers are then written first.
             let had_final_answers = gateway.final_answers.is_cancelled();
-            if is_idle || (had_final_answers && waited > grace.mul_f64(EXIT_FRACTION)) {
+            // Nothing bounds the time that writing the answers takes, but the kill does.
+            let exits = || {
+                waited > grace
+                    || (waited > grace.mul_f64(EXIT_FRACTION)
+                        && gateway.in_progress.unanswered_count() == 0)
+            };
+            if is_idle || (had_final_answers && exits()) {
                 break;
             }
             if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -13,7 +13,7 @@
 /// not reuse the connections.
 pub const IDLE_CLOSE_FRACTION: f64 = 0.4;
 /// Fraction of the time between SIGTERM and SIGKILL after which the process exits
-/// even if responses are still being written; the rest is for its last log lines.
+/// even if responses are still being written, once each request has one.
 pub const EXIT_FRACTION: f64 = 0.95;
 /// Fraction of the time between SIGTERM and SIGKILL after which requests that have no
 /// response yet are answered; the rest until the exit is for writing these answers.
