Answers that are ready when a stopping process wakes are delivered

What callers saw: 504 for a request that its target had answered in time.

Cause: when the process was not scheduled across 0.92 of the grace period, the final answers were requested in the first check after it, before the answers that waited in the sockets had been read; and where both were ready, the choice was random.

Change: the final answers come 0.01 of the grace period after that check, and a response that is ready goes first. An answer that takes longer to read still gives way: the kill leaves no time that could be promised.

Ruled out: only a biased choice. An answer in the socket is read by another task first.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,7 +97,7 @@
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
-    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION},
+    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION, READ_FRACTION},
 };
 use crate::{
     clock,
@@ -241,7 +241,10 @@
             if is_idle || (had_final_answers && exits()) {
                 break;
             }
-            if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+            if !had_final_answers && waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+                // Targets' answers that arrived while the process was not scheduled
+                // go first.
+                tokio::time::sleep(grace.mul_f64(READ_FRACTION)).await;
                 gateway.final_answers.cancel();
             }
         }
@@ -412,6 +415,8 @@
         let id = self.names.request_id_of(req.headers()).unwrap_or("-");
         let id: Box<str> = id.into();
         let served = tokio::select! {
+            // A response that is ready goes before the final answer.
+            biased;
             served = self.serve(req, progress) => served,
             () = self.final_answers.cancelled() => Err(match progress.stage() {
                 Stage::NotRun => Refusal::Stopping,
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -18,6 +18,9 @@
 /// Fraction of the time between SIGTERM and SIGKILL after which requests that have no
 /// response yet are answered; the rest until the exit is for writing these answers.
 pub const FINAL_ANSWER_FRACTION: f64 = 0.92;
+/// Fraction of the time between SIGTERM and SIGKILL for which the final answers then wait,
+/// so that answers of targets that have arrived are read before.
+pub const READ_FRACTION: f64 = 0.01;
 
 /// Returns whether a request with the given time left is certain to be answered before
 /// the process exits, given that the process has been stopping for `stopping_for` and
