A process that stood still dates SIGTERM to the beginning of the pause

What callers saw: no answer to requests that waited when the process was killed.

Cause: the grace period was counted from the time at which SIGTERM was seen. A process that is not scheduled when the signal comes (SIGSTOP, a suspended machine) sees it when it wakes, and the platform kills it that much earlier than it expects.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -88,7 +88,7 @@
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
-    stop::ends_before_exit,
+    stop::{PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Verdict},
 };
 use self::{
@@ -213,10 +213,9 @@
     /// connections start to be closed. Shortly before the end of `stop_grace_s` of the
     /// settings, requests that have no response yet are answered. Once each has one, or at
     /// the end of the grace period, the method returns even if responses are still being
-    /// written.
-    pub async fn stop(self) {
+    /// written. The grace period began at `began`.
+    pub async fn stop(self, began: clock::BootTime) {
         let gateway = &self.gateway;
-        let began = clock::now();
         *gateway
             .stop_requested_at
             .lock()
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::clock::BootTime;
+
 /// Fraction of the time between SIGTERM and SIGKILL after which idle connections
 /// are closed. Until then, responses carry `connection: close`, so that callers do
 /// not reuse the connections.
@@ -29,3 +31,47 @@
 pub fn ends_before_exit(time_left: Duration, stopping_for: Duration, grace: Duration) -> bool {
     stopping_for.saturating_add(time_left) <= grace.mul_f64(FINAL_ANSWER_FRACTION)
 }
+
+/// Time after the end of a pause within which a signal that came during the pause is
+/// seen: some turns of a busy event loop.
+const SIGNAL_DELAY: Duration = Duration::from_millis(250);
+
+/// Remembers when the process last stood still, since a signal that comes meanwhile is
+/// seen only afterwards.
+#[derive(Debug)]
+pub struct PauseDetector {
+    /// Time between two checks above which the process has stood still.
+    max_gap: Duration,
+    checked_at: BootTime,
+    /// The newest pause: the last check before it and the first one after it.
+    pause: Option<(BootTime, BootTime)>,
+}
+
+impl PauseDetector {
+    /// Creates a detector whose [`Self::check`] is called more often than every `max_gap`.
+    #[must_use]
+    pub fn new(max_gap: Duration, now: BootTime) -> Self {
+        Self {
+            max_gap,
+            checked_at: now,
+            pause: None,
+        }
+    }
+
+    /// Records that the process runs.
+    pub fn check(&mut self, now: BootTime) {
+        if now.saturating_sub(self.checked_at) > self.max_gap {
+            self.pause = Some((self.checked_at, now));
+        }
+        self.checked_at = now;
+    }
+
+    /// Returns the time from which a signal that is seen now may have waited.
+    #[must_use]
+    pub fn earliest_signal(&self, now: BootTime) -> BootTime {
+        let recent = self
+            .pause
+            .filter(|(_, ended)| now.saturating_sub(*ended) <= SIGNAL_DELAY);
+        recent.map_or(now, |(began, _)| began)
+    }
+}
