A refusal reaches callers that still send their body

What callers saw: a broken or reset connection instead of 503 and Retry-After, when a daemon refused a request before its body had arrived: while stopping, or for the key, the path or the size. A caller that gets no answer may not repeat a non-idempotent call.

Cause: the unread body was dropped with the request, so the connection was closed while bytes were on their way, and the peer reset it.

Change: the rest of the body is read and discarded, for at most 1 s and the largest size of a body.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 
 use arc_swap::ArcSwap;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use strum::IntoEnumIterator;
 use tokio::{
     net::TcpListener,
@@ -411,12 +411,13 @@
         req: Request<Incoming>,
         progress: &Progress,
     ) -> Response<ResponseBody> {
-        let id = self.names.request_id_of(req.headers()).unwrap_or("-");
+        let (head, mut body) = req.into_parts();
+        let id = self.names.request_id_of(&head.headers).unwrap_or("-");
         let id: Box<str> = id.into();
         let served = tokio::select! {
             // A response that is ready goes before the final answer.
             biased;
-            served = self.serve(req, progress) => served,
+            served = self.serve(head, &mut body, progress) => served,
             () = self.final_answers.cancelled() => Err(match progress.stage() {
                 Stage::NotRun => Refusal::Stopping,
                 Stage::Sent | Stage::Responding => Refusal::Exiting,
@@ -434,6 +435,7 @@
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
                     .increment(1);
+                tokio::spawn(body::discard(body, self.limits().max_body_bytes));
                 refusal.response(rand::random())
             }
         }
@@ -442,11 +444,11 @@
     /// Admits a request, reads its body and forwards it to a target.
     async fn serve(
         self: &Arc<Self>,
-        req: Request<Incoming>,
+        head: Parts,
+        body: &mut Incoming,
         progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
-        let (head, body) = req.into_parts();
         let fleet = self.shared.fleet();
         let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
         let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
