--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 
 use arc_swap::ArcSwap;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use strum::IntoEnumIterator;
 use tokio::{
     net::TcpListener,
@@ -88,7 +88,7 @@
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
-    stop::ends_before_exit,
+    stop::{PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Verdict},
 };
 use self::{
@@ -97,7 +97,7 @@
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
-    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION},
+    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION, READ_FRACTION},
 };
 use crate::{
     clock,
@@ -211,11 +211,11 @@
     ///
     /// Even if none are left, it waits for twice the time after which idle
     /// connections start to be closed. Shortly before the end of `stop_grace_s` of the
-    /// settings, requests that have no response yet are answered, and the method returns
-    /// even if responses are still being written.
-    pub async fn stop(self) {
+    /// settings, requests that have no response yet are answered. Once each has one, or at
+    /// the end of the grace period, the method returns even if responses are still being
+    /// written. The grace period began at `began`.
+    pub async fn stop(self, began: clock::BootTime) {
         let gateway = &self.gateway;
-        let began = clock::now();
         *gateway
             .stop_requested_at
             .lock()
@@ -231,10 +231,19 @@
             // One check may come after both times, if the process was not scheduled or
             // the grace period is short. The final answers are then written first.
             let had_final_answers = gateway.final_answers.is_cancelled();
-            if is_idle || (had_final_answers && waited > grace.mul_f64(EXIT_FRACTION)) {
+            // Nothing bounds the time that writing the answers takes, but the kill does.
+            let exits = || {
+                waited > grace
+                    || (waited > grace.mul_f64(EXIT_FRACTION)
+                        && gateway.in_progress.unanswered_count() == 0)
+            };
+            if is_idle || (had_final_answers && exits()) {
                 break;
             }
-            if waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+            if !had_final_answers && waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+                // Targets' answers that arrived while the process was not scheduled
+                // go first.
+                tokio::time::sleep(grace.mul_f64(READ_FRACTION)).await;
                 gateway.final_answers.cancel();
             }
         }
@@ -402,10 +411,13 @@
         req: Request<Incoming>,
         progress: &Progress,
     ) -> Response<ResponseBody> {
-        let id = self.names.request_id_of(req.headers()).unwrap_or("-");
+        let (head, mut body) = req.into_parts();
+        let id = self.names.request_id_of(&head.headers).unwrap_or("-");
         let id: Box<str> = id.into();
         let served = tokio::select! {
-            served = self.serve(req, progress) => served,
+            // A response that is ready goes before the final answer.
+            biased;
+            served = self.serve(head, &mut body, progress) => served,
             () = self.final_answers.cancelled() => Err(match progress.stage() {
                 Stage::NotRun => Refusal::Stopping,
                 Stage::Sent | Stage::Responding => Refusal::Exiting,
@@ -423,6 +435,7 @@
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
                     .increment(1);
+                tokio::spawn(body::discard(body, self.limits().max_body_bytes));
                 refusal.response(rand::random())
             }
         }
@@ -431,11 +444,11 @@
     /// Admits a request, reads its body and forwards it to a target.
     async fn serve(
         self: &Arc<Self>,
-        req: Request<Incoming>,
+        head: Parts,
+        body: &mut Incoming,
         progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
-        let (head, body) = req.into_parts();
         let fleet = self.shared.fleet();
         let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
         let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
