A check for idle connections leaves refused bodies their connection

What callers saw: a stopping process refused a request whose body was still being sent, and reset the connection instead of reading the body, so that the caller could not send the rest, and may lose the refusal, which says that the request has not run.

Cause: from 0.4 of the grace period, each connection without a request in progress is shut down at a check once a second. A refused request was no longer in progress as soon as its response had been written, also while its body was being discarded. hyper closes a connection at once that is shut down after a response with `connection: close`.

Change: discarding counts as use of the connection; it is limited to 1 s as before, and hyper closes the connection afterwards.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -93,7 +93,8 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id = gateway.names.request_id_of(req.headers()).unwrap_or("-");
     let running = gateway.in_progress.start(id.into(), &in_flight);
-    let mut res = gateway.handle_request(req, running.progress()).await;
+    let handling = gateway.handle_request(req, running.progress(), &in_flight);
+    let mut res = handling.await;
     running.progress().set(Stage::Responding);
     if gateway.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -405,11 +405,13 @@
     }
 
     /// Handles a caller's request. A refusal is logged, counted and turned into
-    /// a response.
+    /// a response; the connection counts as in use until the request's body has been
+    /// discarded.
     async fn handle_request(
         self: &Arc<Self>,
         req: Request<Incoming>,
         progress: &Progress,
+        on_connection: &InFlightCounter,
     ) -> Response<ResponseBody> {
         let (head, mut body) = req.into_parts();
         let id = self.names.request_id_of(&head.headers).unwrap_or("-");
@@ -435,7 +437,12 @@
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
                     .increment(1);
-                tokio::spawn(body::discard(body, self.limits().max_body_bytes));
+                let unread = on_connection.start();
+                let max_body_bytes = self.limits().max_body_bytes;
+                tokio::spawn(async move {
+                    body::discard(body, max_body_bytes).await;
+                    drop(unread);
+                });
                 refusal.response(rand::random())
             }
         }
