A signal after a pause leaves responses the whole grace period

What callers saw: streams cut off up to a second too early, where SIGTERM came within 0.25 s after the process had stood still, or after its event loop had been late by 0.1 s.

Cause: such a signal is dated to the beginning of the pause, since it may have waited for the process to wake, and everything counted from that time, also the exit.

Change: what is not known counts on the safe side for each use. Final answers and refusals count from the earliest time of the signal, the end of responses from the time at which it was seen. The process no longer exits at the end of the grace period while a request has no response: by then each is about to have one, and the kill needs no help.

Ruled out: a shorter wait for signals after a pause, with exact dating (trial).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -88,7 +88,7 @@
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
-    stop::{PauseDetector, ends_before_exit},
+    stop::{GracePeriod, PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Verdict},
 };
 use self::{
@@ -97,7 +97,7 @@
     job::Job,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
-    stop::{EXIT_FRACTION, FINAL_ANSWER_FRACTION, IDLE_CLOSE_FRACTION, READ_FRACTION},
+    stop::{IDLE_CLOSE_FRACTION, READ_FRACTION},
 };
 use crate::{
     clock,
@@ -211,39 +211,39 @@
     ///
     /// Even if none are left, it waits for twice the time after which idle
     /// connections start to be closed. Shortly before the end of `stop_grace_s` of the
-    /// settings, requests that have no response yet are answered. Once each has one, or at
-    /// the end of the grace period, the method returns even if responses are still being
-    /// written. The grace period began at `began`.
-    pub async fn stop(self, began: clock::BootTime) {
+    /// settings, requests that have no response yet are answered. Once each has one, the
+    /// method returns even if responses are still being written. The grace period began at
+    /// `earliest` or later.
+    pub async fn stop(self, earliest: clock::BootTime) {
         let gateway = &self.gateway;
         *gateway
             .stop_requested_at
             .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(began);
+            .unwrap_or_else(PoisonError::into_inner) = Some(earliest);
         gateway.shared.mark_stopping();
         log::info!("event=stopping running={}", gateway.in_progress.count());
-        let grace = gateway.stop_grace();
+        let grace = GracePeriod {
+            earliest,
+            latest: clock::now(),
+            length: gateway.stop_grace(),
+        };
         loop {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-            let waited = clock::now().saturating_sub(began);
-            let is_idle = gateway.connections.count() == 0
-                && waited > grace.mul_f64(2.0 * IDLE_CLOSE_FRACTION);
+            let now = clock::now();
+            let is_idle = gateway.connections.count() == 0 && grace.may_exit_idle(now);
             // One check may come after both times, if the process was not scheduled or
             // the grace period is short. The final answers are then written first.
             let had_final_answers = gateway.final_answers.is_cancelled();
             // Nothing bounds the time that writing the answers takes, but the kill does.
-            let exits = || {
-                waited > grace
-                    || (waited > grace.mul_f64(EXIT_FRACTION)
-                        && gateway.in_progress.unanswered_count() == 0)
-            };
+            let exits =
+                || grace.may_cut_responses(now) && gateway.in_progress.unanswered_count() == 0;
             if is_idle || (had_final_answers && exits()) {
                 break;
             }
-            if !had_final_answers && waited > grace.mul_f64(FINAL_ANSWER_FRACTION) {
+            if !had_final_answers && grace.final_answers_due(now) {
                 // Targets' answers that arrived while the process was not scheduled
                 // go first.
-                tokio::time::sleep(grace.mul_f64(READ_FRACTION)).await;
+                tokio::time::sleep(grace.length.mul_f64(READ_FRACTION)).await;
                 gateway.final_answers.cancel();
             }
         }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -32,6 +32,39 @@
     stopping_for.saturating_add(time_left) <= grace.mul_f64(FINAL_ANSWER_FRACTION)
 }
 
+/// Time between SIGTERM and SIGKILL. A process that stood still does not know exactly when
+/// it began: what must come before its end counts from `earliest`, and what others may
+/// still use to its end counts from `latest`.
+#[derive(Clone, Copy, Debug)]
+pub struct GracePeriod {
+    /// Earliest time at which it may have begun.
+    pub earliest: BootTime,
+    /// Time at which the signal was seen.
+    pub latest: BootTime,
+    /// Length of the period.
+    pub length: Duration,
+}
+
+impl GracePeriod {
+    /// Returns whether requests that have no response yet are to be answered.
+    #[must_use]
+    pub fn final_answers_due(&self, now: BootTime) -> bool {
+        now.saturating_sub(self.earliest) > self.length.mul_f64(FINAL_ANSWER_FRACTION)
+    }
+
+    /// Returns whether the process may exit although responses are still being written.
+    #[must_use]
+    pub fn may_cut_responses(&self, now: BootTime) -> bool {
+        now.saturating_sub(self.latest) > self.length.mul_f64(EXIT_FRACTION)
+    }
+
+    /// Returns whether the process may exit if no caller is connected.
+    #[must_use]
+    pub fn may_exit_idle(&self, now: BootTime) -> bool {
+        now.saturating_sub(self.earliest) > self.length.mul_f64(2.0 * IDLE_CLOSE_FRACTION)
+    }
+}
+
 /// Time after the end of a pause within which a signal that came during the pause is
 /// seen: some turns of a busy event loop.
 const SIGNAL_DELAY: Duration = Duration::from_millis(250);
