A crash that names more parts than the table holds counts

What callers saw: where prompts are long, requests with a part that crashes engines keep crashing them; the part is never held.

Cause: one crash counts against all parts of the runs that it breaks, up to 64 each, and the table holds 64 parts. All have one crash at the same time, so the lowest hash was evicted. A deadly part with a low hash was evicted after each crash, and each crash was its first.

Change: the last crash of an evicted part is remembered (at most 4,096). A part that crashes again has two, and is kept before parts that have one. Table and reports keep their bounds.

Remains: a report names 8 parts, and only parts in the table. With longer prompts yet, a second crash has to come to the same daemon before the others hear of the part.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -43,8 +43,9 @@
 const MAX_CRASHES: usize = 8;
 /// Maximum number of parts with crashes.
 const MAX_ENTRIES: usize = 64;
-/// Maximum number of parts whose last answer is remembered.
-const MAX_BEGUN: usize = 4_096;
+/// Maximum number of parts whose last answer, or last crash without an entry, is
+/// remembered.
+const MAX_REMEMBERED: usize = 4_096;
 /// Maximum number of parts in one report.
 const MAX_REPORTED: usize = 8;
 /// Maximum number of held parts in one report, so that others find room.
@@ -219,14 +220,26 @@
     if is_later { reported } else { known }
 }
 
+/// Removes the older half of the times if there are more than [`MAX_REMEMBERED`].
+fn trim(times_by_part: &mut HashMap<PartKey, BootTime>) {
+    if times_by_part.len() > MAX_REMEMBERED {
+        let mut times: Vec<_> = times_by_part.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_REMEMBERED / 2);
+        times_by_part.retain(|_, at| *at > *median);
+    }
+}
+
 /// Crashes and answers by part, as far as this daemon knows those of all daemons.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     /// At most [`MAX_ENTRIES`]; in order, so that the same input leads to the same reports.
     entries: BTreeMap<PartKey, Entry>,
     /// Last time at which an answer with each part is known to have begun, for reports of
-    /// crashes that arrive later; at most [`MAX_BEGUN`].
+    /// crashes that arrive later; at most [`MAX_REMEMBERED`].
     begun: HashMap<PartKey, BootTime>,
+    /// Last crash of each part whose entry was evicted; at most [`MAX_REMEMBERED`]. One
+    /// crash of runs with long prompts may name more parts than there are entries.
+    evicted: HashMap<PartKey, BootTime>,
     reported_at: BootTime,
     /// Releases of parts whose entries are gone.
     released: Vec<HeldChange>,
@@ -258,15 +271,7 @@
             }
         }
         self.begun.extend(parts.iter().map(|part| (*part, now)));
-        self.trim_begun();
-    }
-
-    fn trim_begun(&mut self) {
-        if self.begun.len() > MAX_BEGUN {
-            let mut times: Vec<_> = self.begun.values().copied().collect();
-            let (_, median, _) = times.select_nth_unstable(MAX_BEGUN / 2);
-            self.begun.retain(|_, at| *at > *median);
-        }
+        trim(&mut self.begun);
     }
 
     /// Decides whether a request with these parts may be sent. `rank_of` returns the number
@@ -387,7 +392,7 @@
                     .extend(others_begun.take(MAX_CRASHES + 1));
             });
         }
-        self.trim_begun();
+        trim(&mut self.begun);
         self.evict(now);
     }
 
@@ -416,23 +421,33 @@
 
     fn entry(&mut self, part: PartKey, now: BootTime) -> &mut Entry {
         let begun_at = self.begun.get(&part).copied();
+        let is_new = !self.entries.contains_key(&part);
+        let crashed_at = is_new.then(|| self.evicted.remove(&part)).flatten();
+        let crashed_at = crashed_at.filter(|at| now.saturating_sub(*at) <= FORGET_AFTER);
         let entry = self.entries.entry(part);
-        entry.or_insert_with(|| Entry::new(begun_at, now))
+        let entry = entry.or_insert_with(|| Entry::new(begun_at, now));
+        if let Some(at) = crashed_at {
+            entry.update(now, |entry| entry.crashes.push(at));
+        }
+        entry
     }
 
     /// Removes the entries with the fewest crashes, oldest first, until the table is
-    /// within its bound.
+    /// within its bound, and remembers their last crashes.
     fn evict(&mut self, now: BootTime) {
         self.expire(now);
         while self.entries.len() > MAX_ENTRIES {
             let least = self.entries.iter().min_by_key(|(part, e)| {
                 let last = e.crashes.last().copied().unwrap_or_default();
-                (e.counted().len(), last, **part)
+                (e.counted().len(), e.crashes.len(), last, **part)
             });
-            if let Some(part) = least.map(|(part, _)| *part) {
+            let least = least.map(|(part, e)| (*part, e.crashes.last().copied()));
+            if let Some((part, crashed_at)) = least {
+                self.evicted.extend(crashed_at.map(|at| (part, at)));
                 self.remove_where(|p, _| *p == part);
             }
         }
+        trim(&mut self.evicted);
     }
 
     fn expire(&mut self, now: BootTime) {
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -207,6 +207,26 @@
     assert_eq!(check(&mut table, DEADLY, 11_600), Verdict::Send);
 }
 
+/// One crash named more parts than the table holds; the deadly one was evicted each time.
+#[test]
+fn long_prompts_hide_the_deadly_part() {
+    for deadly in [DEADLY, PartKey::MAX / 2, PartKey::MAX] {
+        let mut table = SuspectTable::default();
+        for crash in 0..5 {
+            let ms = u64::from(crash) * 1_000;
+            for run in 0..4 {
+                let first = 1_000 + 1_000 * crash + 100 * run;
+                let mut parts: Vec<PartKey> = (first..first + 40).collect();
+                parts.extend((run == 0).then_some(deadly));
+                table.record_crash(&parts, at(ms));
+            }
+            table.record_begun(&[CUSTOMER], at(ms + 500));
+        }
+        let verdict = table.check(&[deadly], |_| 1_000, at(5_500));
+        assert_eq!(verdict, Verdict::Hold(deadly), "part {deadly}");
+    }
+}
+
 #[test]
 fn reports_and_tables_are_bounded() {
     let mut table = crashed(DEADLY, &[0, 1_000, 2_000]);
