Pass marked requests on to a daemon that may run them

Callers saw: a harmless request whose stream broke at a crash got 429 and not-run from its daemon again and again, until its mark lapsed after ten minutes.

Cause: a marked request runs only at targets whose trial daemon is the daemon that has it.

Change: a marked request that finds no room, or for which this daemon has no untried trial target, is passed on over the caller port of the trial daemon of a target (src/forward.rs): first the mark, as a crash notice that must be acknowledged, then the request as it arrived, with the time it waited in a header. A request with that header is not passed on again. The receiver decides by its own view, so who runs what at which target is as before, and old daemons take part as receivers; no message changed. Up to three daemons are asked, the next one only if the last one said not-run or could not be reached; an answer lost between daemons is "unknown". Streams are relayed in whole events and end with an error event if the other daemon breaks off or is taken for dead.

Weighed: an assignment in which each daemon has a target. It depends on the lists of all targets and daemons, which differ right after a crash, and does not exist for more daemons than targets. Weighed: a lease of the trial, granted by the trial daemon. A marked run beyond its first tokens is still a suspect, so that several daemons with such runs at one target could each take theirs for the only suspect; a new trial daemon would not know of the lease. Both would change the verdict or its inputs; passing on changes neither. Price: one more hop for these requests, and daemons must reach each other's caller ports.

Not covered: where a routing intent bars other regions and no target of the region has its trial daemon there, the request is refused as before; two marked requests at one target while the daemons' lists differ, as before.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -208,6 +208,12 @@
             let (service, fingerprint) = (&self.request.service, &self.request.fingerprint);
             trial::check_not_quarantined(state, fingerprint)
                 .map_err(|refusal| self.with_earlier_runs(refusal))?;
+            trial::check_runs_here(state, fingerprint, service, &self.skipped.tried).map_err(
+                |refusal| {
+                    trial::log_unplaced(state, &context.id, fingerprint, service);
+                    self.with_earlier_runs(refusal)
+                },
+            )?;
             let skipped = self.skipped.targets(state, fingerprint, service);
             let estimate = self.request.estimate.as_ref();
             let placed = place_request(state, context, service, &skipped, estimate).await;
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -16,6 +16,7 @@
         with_request_id,
     },
     footprint::RequestEstimate,
+    forward::{self, Original, TrialRequest},
     http, json_response,
     lengths::LengthKey,
     quarantine::{self, Fingerprint},
@@ -63,7 +64,7 @@
     let served = match authenticate_and_read(&state, &mut req, id.clone()).await {
         Ok((context, body)) => match last_event {
             Some(token) => resume_generation(&state, context, &token).await,
-            None => generate(&state, context, &body).await,
+            None => generate(&state, context, Original::new(&req, body)).await,
         },
         Err(refusal) => Err(refusal),
     };
@@ -74,9 +75,9 @@
 async fn generate(
     state: &Arc<ServerState>,
     context: RequestContext,
-    body: &[u8],
+    original: Original,
 ) -> Result<Response, Refusal> {
-    let completion: Completion = serde_json::from_slice(body)
+    let completion: Completion = serde_json::from_slice(&original.body)
         .map_err(|e| Refusal::not_run(RefusalKind::BadRequest, e.to_string()))?;
     let service = find_service(&context.view, &completion.model, ServiceType::Generation)?;
     let streamed_delivery = completion.delivery.unwrap_or(service.delivery);
@@ -93,6 +94,7 @@
     );
     let is_baseline_policy = state.settings.policy == Policy::LeastInFlight;
     let deadline = completion.deadline_ms.map(Duration::from_millis);
+    let deadline = deadline.map(|after| after.saturating_sub(original.waited()));
     let completion_request = CompletionRequest {
         service: completion.model,
         generation: GenerationRequest {
@@ -106,17 +108,32 @@
         delivery,
         deadline: deadline.and_then(|after| Instant::now().checked_add(after)),
         estimate: Some(estimate),
-        fingerprint: quarantine::fingerprint(&context.customer, body),
+        fingerprint: quarantine::fingerprint(&context.customer, &original.body),
     };
     state.budget.deposit();
     let request_id = context.id.clone();
+    let trial_request = TrialRequest {
+        original,
+        request_id: context.id.clone(),
+        arrived_at: context.arrived_at,
+        service: completion_request.service.clone(),
+        fingerprint: completion_request.fingerprint,
+        deadline: completion_request.deadline,
+    };
     let mut answer = Answer::new(state, context, completion_request);
-    answer.start().await?;
+    if let Err(refusal) = answer.start().await {
+        return forward::forward_or_refuse(state, &trial_request, refusal).await;
+    }
     if is_streamed {
         Ok(stream_response(state, answer, request_id))
     } else {
-        let collected = json_response::collect(answer.deliver()).await;
-        collected.map_err(|refusal| refusal.unwrap_or_else(missing_result))
+        match json_response::collect(answer.deliver()).await {
+            Ok(response) => Ok(response),
+            Err(refusal) => {
+                let refusal = refusal.unwrap_or_else(missing_result);
+                forward::forward_or_refuse(state, &trial_request, refusal).await
+            }
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod feeds;
 mod follow;
 mod footprint;
+mod forward;
 pub mod gateway;
 mod generate;
 mod holder;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -11,6 +11,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -21,7 +22,7 @@
     cell,
     clock::{self, BootTime},
     entry::ServerState,
-    peer::{self, MessageKey},
+    peer::{self, MessageKey, PeerError},
     wire::{CrashNotice, Frame},
 };
 
@@ -108,6 +109,18 @@
         self.mark(fingerprint, now).is_some()
     }
 
+    /// Returns the notice that gives another daemon the mark of a request; `None`
+    /// if the request is not marked.
+    #[must_use]
+    pub fn notice_of(&self, fingerprint: &Fingerprint, now: BootTime) -> Option<CrashNotice> {
+        let mark = self.mark(fingerprint, now)?;
+        Some(CrashNotice {
+            fingerprint: *fingerprint,
+            crashes: mark.crashes,
+            sole_suspect_crashes: mark.sole_suspect_crashes,
+        })
+    }
+
     /// Starts a run at a target.
     ///
     /// # Errors
@@ -327,19 +340,44 @@
     }
 }
 
-/// Returns whether `me`, one of `daemons`, is the daemon that runs marked
-/// requests at `target`.
+/// Returns the daemon among `daemons` that runs marked requests at `target`.
 ///
 /// Each target has exactly one such daemon, independently of the other targets,
 /// so that two marked requests are never on trial there at the same time.
 #[must_use]
+pub fn trial_daemon<'a>(
+    target: &str,
+    daemons: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let weight = |daemon: &&str| cell::score(target, daemon);
+    daemons.into_iter().max_by_key(weight)
+}
+
+/// Returns whether `me`, one of `daemons`, is the trial daemon of `target`.
+#[must_use]
 pub fn is_trial_target<'a>(
     target: &str,
     me: &str,
     daemons: impl IntoIterator<Item = &'a str>,
 ) -> bool {
-    let weight = |daemon: &&str| cell::score(target, daemon);
-    daemons.into_iter().max_by_key(weight) == Some(me)
+    trial_daemon(target, daemons) == Some(me)
+}
+
+/// Returns the trial daemons of `targets`, each once, in the order of `targets`.
+///
+/// A daemon that is not among them runs no marked request at these targets, and
+/// passes it on to one that is.
+#[must_use]
+pub fn trial_daemons<'a, 't>(
+    targets: impl IntoIterator<Item = &'t str>,
+    daemons: &[&'a str],
+) -> Vec<&'a str> {
+    let mut found = Vec::new();
+    for target in targets {
+        let daemon = trial_daemon(target, daemons.iter().copied());
+        found.extend(daemon.filter(|d| !found.contains(d)));
+    }
+    found
 }
 
 /// Returns the targets at which this daemon should not run a request: for a
@@ -374,16 +412,21 @@
     let calls = notices.into_iter().flat_map(|notice| {
         let message_key = &message_key;
         let peers = view.peers.iter().map(|p| p.address);
-        peers.map(move |to| {
-            peer::call_peer::<_, Frame>(
-                message_key,
-                to,
-                Frame::CrashNotice(notice.clone()),
-                NOTIFY_TIMEOUT,
-            )
-        })
+        peers.map(move |to| notify_peer(message_key, to, notice.clone()))
     });
     for error in join_all(calls).await.into_iter().filter_map(Result::err) {
         log::debug!("event=crash_mark_not_told error={:?}", error.to_string());
     }
 }
+
+/// Sends a crash notice to one daemon and returns its answer.
+///
+/// # Errors
+/// Returns an error if the daemon does not answer within [`NOTIFY_TIMEOUT`].
+pub(crate) async fn notify_peer(
+    message_key: &MessageKey,
+    to: SocketAddr,
+    notice: CrashNotice,
+) -> Result<Frame, PeerError> {
+    peer::call_peer(message_key, to, Frame::CrashNotice(notice), NOTIFY_TIMEOUT).await
+}
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -114,6 +114,33 @@
     excluded.iter().any(|name| **name == *target)
 }
 
+/// Refuses a marked request that finds no target here on which it was not tried
+/// yet, because other daemons are the trial daemons of all others.
+///
+/// # Errors
+/// Returns a refusal if the request must be passed on, see [`crate::forward`].
+pub(crate) fn check_runs_here(
+    state: &ServerState,
+    fingerprint: &Fingerprint,
+    service: &str,
+    tried: &[Box<str>],
+) -> Result<(), Refusal> {
+    if !is_marked(state, fingerprint) {
+        return Ok(());
+    }
+    let excluded = quarantine::excluded_targets(state, fingerprint, service);
+    let view = state.view.load();
+    let targets = view.targets_of(service).iter();
+    let serving = || targets.clone().filter(|t| t.state == TargetState::Serving);
+    let mut own = serving().filter(|t| !excluded.contains(&t.name));
+    let is_elsewhere = serving().any(|t| excluded.contains(&t.name));
+    if is_elsewhere && own.all(|t| tried.contains(&t.name)) {
+        let message = "other daemons run this request apart from others";
+        return Err(Refusal::not_run(RefusalKind::NoRoom, message));
+    }
+    Ok(())
+}
+
 /// Returns whether a request is marked, so that it may run only on trial.
 pub(crate) fn is_marked(state: &ServerState, fingerprint: &Fingerprint) -> bool {
     state.quarantine.lock().is_marked(fingerprint, clock::now())
--- a/tests/common/client.rs
+++ b/tests/common/client.rs
@@ -261,6 +261,13 @@
         }
     }
 
+    /// Requests a completion that is not streamed.
+    pub fn complete(&self, prompt: &str) -> Answer {
+        let headers = [("authorization", self.authorization.as_str())];
+        let body = json!({"model": "drafting-desk", "prompt": prompt});
+        call("POST", &self.address, "/v1/completions", &headers, &body)
+    }
+
     /// Calls the plain service, with an idempotency key if `key` is given.
     pub fn call_service(
         &self,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -12,7 +12,10 @@
 };
 
 use bluebelldrift::{
-    quarantine::{MARK_LIFETIME, Quarantine, RunRefused, fingerprint, is_trial_target},
+    quarantine::{
+        MARK_LIFETIME, Quarantine, RunRefused, fingerprint, is_trial_target, trial_daemon,
+        trial_daemons,
+    },
     wire::CrashNotice,
 };
 use common::{Fleet, ZONES, client, history, wait_for};
@@ -22,6 +25,8 @@
 const WARM: [&str; 2] = ["--cold-ms", "0"];
 /// Number of attempts within which the crashing request must have run twice.
 const MAX_ATTEMPTS: usize = 40;
+/// Daemon that is the trial daemon of no target once its engine was replaced.
+const PASSING: usize = 1;
 /// Number of attempts within which a harmless request must be answered after a crash.
 const MAX_HARMLESS_ATTEMPTS: usize = 10;
 /// Time for which a daemon without room asks callers to wait.
@@ -207,6 +212,112 @@
     assert!(is_answered, "it was not answered: {failures:?}");
 }
 
+/// Starts a fleet and breaks a harmless request, which `send` sends through daemon
+/// `PASSING`, by a crash. The daemon is then the trial daemon of no target.
+fn fleet_after_crash(send: impl FnOnce(client::Caller) + Send + 'static) -> Fleet {
+    let mut fleet = fleet();
+    let caller = fleet.caller(PASSING);
+    let harmless = thread::spawn(move || send(caller));
+    wait_for("the harmless request runs", || {
+        let histories = fleet.targets.iter().map(|t| &*t.history);
+        let mut admitted = histories.flat_map(|path| history::events_named(path, "admitted"));
+        admitted
+            .any(|found| found.detail["mark"] == json!("harmless"))
+            .then_some(())
+    });
+    send_crashing(&fleet, PASSING);
+    let mut crashed = 1;
+    wait_for("the crashed engine is replaced", || {
+        replace_crashed(&mut fleet, &mut crashed);
+        (crashed == 2).then_some(())
+    });
+    harmless.join().expect("the thread ends");
+    fleet
+}
+
+/// Returns the name of the daemon to which daemon `PASSING` last passed a request on.
+fn passed_on_to(fleet: &Fleet) -> Option<String> {
+    let log = std::fs::read_to_string(&fleet.daemons[PASSING].log).ok()?;
+    let mut lines = log.lines().rev();
+    let line = lines.find(|l| l.contains("event=trial_forwarded"))?;
+    line.rsplit_once("daemon=").map(|(_, name)| name.to_owned())
+}
+
+/// Guards against a stream that looks complete, or never ends, because the daemon
+/// to which its request was passed on died.
+#[test]
+fn a_stream_that_was_passed_on_ends_with_an_error_if_its_daemon_dies() {
+    const PROMPT: &str = "[mark=harmless] [n=200] report";
+    let mut fleet = fleet_after_crash(|caller| {
+        let generated = caller.generate(PROMPT, &json!({}), &[]);
+        assert!(!generated.is_whole, "it did not break: {generated:?}");
+    });
+    let caller = fleet.caller(PASSING);
+    let mut stream = wait_for("the request runs at another daemon", || {
+        let stream = caller.open_stream(PROMPT, &json!({}), &[]).ok()?;
+        (stream.answer.status == 200).then_some(stream)
+    });
+    let first = stream.next().expect("a token arrives");
+    assert!(first.id.is_some(), "{first:?}");
+    let name = passed_on_to(&fleet).expect("the request was passed on");
+    let daemon = fleet.daemons.iter_mut().find(|d| d.name == name);
+    daemon.expect("the daemon is known").process.kill();
+    let generated = client::collect(stream);
+    assert!(!generated.is_whole, "{generated:?}");
+    let error = generated.error.expect("the stream ends with an error");
+    assert_eq!(error["error"]["ran"], json!("ran"), "{error}");
+    wait_for("it is answered through the daemons that are left", || {
+        let generated = caller.generate(PROMPT, &json!({}), &[]);
+        assert_ne!(generated.status, 422, "a harmless request is quarantined");
+        generated.is_whole.then_some(())
+    });
+}
+
+/// Guards against a response that is not streamed and that is not passed on.
+#[test]
+fn a_request_that_is_not_streamed_is_answered_by_the_trial_daemon_of_no_target() {
+    const PROMPT: &str = "[mark=harmless] [n=200] report";
+    let is_whole = |answer: &client::Answer| {
+        answer.status == 200 && answer.json()["usage"]["completion_tokens"] == json!(200)
+    };
+    let fleet = fleet_after_crash(move |caller| {
+        for attempt in 0..MAX_HARMLESS_ATTEMPTS {
+            thread::sleep(RETRY_AFTER * u32::from(attempt > 0));
+            let answer = caller.complete(PROMPT);
+            assert_ne!(answer.status, 422, "a harmless request is quarantined");
+            if is_whole(&answer) {
+                return;
+            }
+        }
+        panic!("it was not answered");
+    });
+    assert!(passed_on_to(&fleet).is_some(), "it was not passed on");
+}
+
+/// Returns `count` names that begin with `prefix`.
+fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("{prefix}-{i}")).collect()
+}
+
+/// Guards against a marked request that no daemon runs: with more daemons than
+/// targets, most are the trial daemon of none and pass it on.
+#[test]
+fn a_daemon_without_a_trial_target_passes_a_marked_request_on_to_one_that_has_some() {
+    for (daemons, targets) in [(340, 600), (600, 340), (340, 2), (3, 1), (1, 3)] {
+        let (daemons, targets) = (names("entry", daemons), names("engine", targets));
+        let daemons: Vec<&str> = daemons.iter().map(String::as_str).collect();
+        let on_trial = trial_daemons(targets.iter().map(String::as_str), &daemons);
+        let of_targets = targets
+            .iter()
+            .map(|t| trial_daemon(t, daemons.iter().copied()));
+        let of_targets: BTreeSet<&str> = of_targets.flatten().collect();
+        assert!(!on_trial.is_empty(), "no daemon runs marked requests");
+        assert_eq!(on_trial.len(), of_targets.len(), "a daemon is named twice");
+        assert_eq!(BTreeSet::from_iter(on_trial), of_targets);
+    }
+    assert!(trial_daemons([], &DAEMONS).is_empty(), "there is no target");
+}
+
 /// Request that crashes its target in the property test; the others are harmless.
 const CRASHING: u8 = 0;
 /// Daemons in the property test.
@@ -266,6 +377,48 @@
         }
         prop_assert!(!daemons[0].is_quarantined(&fingerprint_of(CRASHING), now + MARK_LIFETIME));
     }
+
+    /// Each target has one trial daemon, and each daemon runs a marked request or
+    /// names one that does, also with more daemons than targets.
+    #[test]
+    fn a_target_has_one_trial_daemon_and_a_marked_request_finds_one_from_any_daemon(
+        salt in 0u32..1_000_000, daemons in 1usize..24, targets in 1usize..12,
+    ) {
+        let daemons = names(&format!("entry-{salt}"), daemons);
+        let targets = names(&format!("engine-{salt}"), targets);
+        let daemons: Vec<&str> = daemons.iter().map(String::as_str).collect();
+        let targets: Vec<&str> = targets.iter().map(String::as_str).collect();
+        let has_trial = |daemon: &str| {
+            let mut targets = targets.iter();
+            targets.any(|t| is_trial_target(t, daemon, daemons.iter().copied()))
+        };
+        for target in &targets {
+            let all = daemons.iter().copied();
+            let on_trial = all.filter(|d| is_trial_target(target, d, daemons.iter().copied()));
+            prop_assert_eq!(on_trial.count(), 1);
+        }
+        let named = trial_daemons(targets.iter().copied(), &daemons);
+        prop_assert!(!named.is_empty());
+        for daemon in &daemons {
+            prop_assert_eq!(has_trial(daemon), named.contains(daemon));
+        }
+    }
+}
+
+#[test]
+fn a_mark_that_is_passed_on_is_the_same_at_another_daemon() {
+    let now = Duration::from_secs(1);
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    let fingerprint = fingerprint_of(1);
+    assert_eq!(one.notice_of(&fingerprint, now), None);
+    for _ in 0..2 {
+        one.begin(fingerprint, "t", now).expect("it may run");
+        one.on_crash("t", now);
+    }
+    let notice = one.notice_of(&fingerprint, now).expect("it is marked");
+    other.apply_notice(&notice, now);
+    assert!(other.is_quarantined(&fingerprint, now));
+    assert_eq!(other.notice_of(&fingerprint, now), Some(notice));
 }
 
 fn notify_others(
