Log when a lease is acquired, released and lost

Cause: the log did not say whether a daemon held the lease of a starting target, on which each of its grants depends, so that the two KNOWN-RED entries of cold_target could not be told apart from grants without a lease.

Change: one line for each acquisition (event=lease_acquired), release (event=lease_released) and loss (event=lease_lost reason=expired|conflict).

No test of its own.

--- a/src/allot.rs
+++ b/src/allot.rs
@@ -583,6 +583,7 @@
         let Some(tracked) = self.targets.get_mut(target) else {
             return;
         };
+        let was_held = tracked.lease.held_since(now).is_some();
         match answer {
             LeaseAnswer::Read(object) => {
                 tracked.lease.on_read(object.as_ref(), now);
@@ -596,6 +597,11 @@
             }
             LeaseAnswer::Failed => tracked.lease.on_failure(),
         }
+        match (was_held, tracked.lease.held_since(now).is_some()) {
+            (false, true) => log::info!("event=lease_acquired target={target}"),
+            (true, false) => log::warn!("event=lease_lost target={target} reason=conflict"),
+            _ => {}
+        }
     }
 }
 
@@ -639,6 +645,9 @@
     now: BootTime,
 ) -> Option<Action> {
     tracked.grants.as_ref()?;
+    if tracked.lease.take_expiry(now) {
+        log::warn!("event=lease_lost target={name} reason=expired");
+    }
     let ramp = tracked.ramp.state()?;
     let is_cold = tracked.ramp.is_cold(&tracked.listed.capacity);
     let is_held = tracked.lease.held_since(now).is_some();
@@ -648,6 +657,7 @@
     let call = if is_cold {
         tracked.lease.next_call(now)?
     } else {
+        log::info!("event=lease_released target={name} reason=warm");
         tracked.lease.release_with_write()?
     };
     let record = LeaseRecord {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -86,6 +86,12 @@
         self.held_since.filter(|_| now < self.held_until)
     }
 
+    /// Returns true once after the lease expired without being renewed or released.
+    pub fn take_expiry(&mut self, now: BootTime) -> bool {
+        let is_expired = |_: &mut BootTime| now >= self.held_until;
+        self.held_since.take_if(is_expired).is_some()
+    }
+
     /// Returns the call that is due to acquire or renew the lease, if any. A
     /// held lease is renewed after half its lifetime; calls are at least an
     /// eighth of it apart.
