Tests of cold engines wait for the release of the lease before the outage

The owner releases the lease on an engine that has become warm with its next heartbeat, up to 100 ms later, or more on a busy machine. The test stopped the platform and restarted the engine as soon as 20 requests were in flight. When the owner learned of the new start before that heartbeat, it still held the lease, for up to 4 s, and granted credits of the new start under it, as docs/DESIGN.md says: the engine did not fall over, and the work ended with the lease.

Trace: the owner's log (event=lease_released, event=target_started) against the kill of the engine.

Change: both tests with an outage first wait until the lease object says that the lease is released (its ramp is warm, which only a release writes). The assertion stays: nothing admitted.

--- a/tests/cold_target.rs
+++ b/tests/cold_target.rs
@@ -129,6 +129,18 @@
     peak
 }
 
+/// Waits until the owner of the warm engine has released its lease. While it holds
+/// the lease, it may send work to the next start of the engine, also without the
+/// platform.
+fn wait_lease_released(fleet: &Fleet) {
+    let path = "/v1/objects/lease/target/engine-new";
+    wait_for("the lease on the warm engine is released", || {
+        let answer = client::call("GET", &fleet.platform_address, path, &[], &Value::Null);
+        let lease: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        (lease["value"]["ramp"]["is_warm"] == json!(true)).then_some(())
+    });
+}
+
 /// Waits until the engine has more requests than a cold one can handle, and checks
 /// that it did not crash before.
 fn assert_ramped(fleet: &Fleet) {
@@ -261,6 +273,7 @@
     wait_for("the engine has at least 20 requests in flight", || {
         (peak_in_flight(&fleet) >= 20).then_some(())
     });
+    wait_lease_released(&fleet);
     fleet.set_faults(&json!({"is_down": true}));
     restart_engine(&mut fleet);
     // A starting target needs a lease from the platform before any daemon sends
@@ -292,6 +305,7 @@
     wait_for("the engine has at least 20 requests in flight", || {
         (peak_in_flight(&fleet) >= 20).then_some(())
     });
+    wait_lease_released(&fleet);
     fleet.set_faults(&json!({"is_down": true}));
     link.set_stalled(true);
     // Requests that are sent now wait on the link for an answer.
