A crash that several runs report counts once

Cause: one crash breaks many runs, and each of them reports it. The first report takes all runs in flight at the target and marks them. A later one took whatever was in flight by then. If that was a marked request on trial at the restarted target, it was the only suspect of a "second" crash and kept out for ten minutes, although one target had crashed once. The comment said that no run is in flight at the second report, which a quick restart makes untrue.

Change: a report by a run that is no longer in flight, because an earlier report took it, marks nothing.

Not covered: the first report of this daemon comes after a peer's notice and after a marked run has begun at the new start.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -173,8 +173,7 @@
     }
 
     /// Marks the requests in flight at a target that crashed, and returns the
-    /// notices for the other daemons. A second report of the same crash returns
-    /// no notices, since no run is in flight there any more.
+    /// notices for the other daemons.
     pub fn on_crash(&mut self, target: &str, now: BootTime) -> Vec<CrashNotice> {
         let mut runs = self.in_flight.remove(target).unwrap_or_default();
         runs.sort_by_key(|r| r.fingerprint);
@@ -197,6 +196,23 @@
         notices
     }
 
+    /// Does the same as [`Quarantine::on_crash`] for a crash that broke the run
+    /// `number`. If that run is no longer in flight, the crash was counted before, and
+    /// the runs in flight now have begun since.
+    pub fn on_run_crashed(
+        &mut self,
+        target: &str,
+        number: RunNumber,
+        now: BootTime,
+    ) -> Vec<CrashNotice> {
+        let mut runs = self.in_flight.get(target).into_iter().flatten();
+        if runs.any(|r| r.number == number) {
+            self.on_crash(target, now)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Applies a crash notice. One without crashes removes the mark; any other
     /// raises the counts of the mark to those of the notice and restarts its
     /// lifetime.
@@ -307,7 +323,9 @@
     /// returned notices must reach the other daemons before the caller gets the
     /// error, since the caller may retry through any of them.
     pub fn on_crash(self) -> Vec<CrashNotice> {
-        let notices = self.quarantine.lock().on_crash(&self.target, clock::now());
+        let mut quarantine = self.quarantine.lock();
+        let notices = quarantine.on_run_crashed(&self.target, self.number, clock::now());
+        drop(quarantine);
         for notice in &notices {
             log::warn!(
                 "event=crash_mark target={} crashes={} alone={}",
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -338,3 +338,25 @@
         );
     }
 }
+
+/// Two runs are broken by one crash; the second one is found to be lost only after a
+/// further run has begun at the target, which has restarted.
+#[test]
+fn a_late_report_of_a_crash_does_not_count_against_a_run_begun_since() {
+    let now = Duration::from_secs(1);
+    let mut quarantine = Quarantine::default();
+    let mut begin = || {
+        let begun = quarantine.begin(fingerprint_of(1), "t", now);
+        begun.expect("the request may run")
+    };
+    let (first, second) = (begin(), begin());
+    assert_eq!(quarantine.on_run_crashed("t", first, now).len(), 1);
+    quarantine
+        .begin(fingerprint_of(1), "t", now)
+        .expect("the request may run on trial");
+    assert!(quarantine.on_run_crashed("t", second, now).is_empty());
+    assert!(
+        !quarantine.is_quarantined(&fingerprint_of(1), now),
+        "only one target crashed"
+    );
+}
