--- a/src/allot.rs
+++ b/src/allot.rs
@@ -446,7 +446,7 @@
         let Some(tracked) = self.targets.get_mut(&target) else {
             return Vec::new();
         };
-        let Some(grants) = &tracked.grants else {
+        let Some(grants) = &mut tracked.grants else {
             return Vec::new();
         };
         let has_new_failure = grants.reports_new_failure(from, &request);
@@ -464,6 +464,7 @@
         let granted = grants.holders_with_grants().filter(|_| has_new_failure);
         let revoked_requests: Vec<(MemberId, u64)> =
             granted.map(|(id, seq)| (id.clone(), seq)).collect();
+        grants.record_unanswered(from, sequence, &request, now);
         tracked
             .deferred_requests
             .insert(from.clone(), (sequence, request));
@@ -555,8 +556,12 @@
             0
         };
         if is_cold && is_serving {
-            // Without the lease, another daemon may also be granting credits.
-            grants.restart_takeover(tracked.lease.held_since(now)?);
+            let Some(held_since) = tracked.lease.held_since(now) else {
+                // Another daemon may also be granting credits.
+                grants.record_unanswered(from, sequence, request, now);
+                return None;
+            };
+            grants.restart_takeover(held_since);
         }
         let (credits, first_tokens) = grants.on_request(from, sequence, request, limit, now)?;
         let life_ms = grants.life_ms();
@@ -583,6 +588,7 @@
         let Some(tracked) = self.targets.get_mut(target) else {
             return;
         };
+        let was_held = tracked.lease.held_since(now).is_some();
         match answer {
             LeaseAnswer::Read(object) => {
                 tracked.lease.on_read(object.as_ref(), now);
@@ -596,6 +602,11 @@
             }
             LeaseAnswer::Failed => tracked.lease.on_failure(),
         }
+        match (was_held, tracked.lease.held_since(now).is_some()) {
+            (false, true) => log::info!("event=lease_acquired target={target}"),
+            (true, false) => log::warn!("event=lease_lost target={target} reason=conflict"),
+            _ => {}
+        }
     }
 }
 
@@ -639,6 +650,9 @@
     now: BootTime,
 ) -> Option<Action> {
     tracked.grants.as_ref()?;
+    if tracked.lease.take_expiry(now) {
+        log::warn!("event=lease_lost target={name} reason=expired");
+    }
     let ramp = tracked.ramp.state()?;
     let is_cold = tracked.ramp.is_cold(&tracked.listed.capacity);
     let is_held = tracked.lease.held_since(now).is_some();
@@ -648,6 +662,7 @@
     let call = if is_cold {
         tracked.lease.next_call(now)?
     } else {
+        log::info!("event=lease_released target={name} reason=warm");
         tracked.lease.release_with_write()?
     };
     let record = LeaseRecord {
