The product's daemon reads the body of a request that it refuses

What callers saw: a broken connection instead of the refusal, which says that the request has not run, when a daemon refused a request while its body was still being sent: for the key, the size or a missing configuration.

Cause: the unread body was dropped with the request, so the connection was closed with unread bytes, and the peer reset it.

Change: the gateway's function that discards the rest of a body moves to http, and the ports for callers and operators use it too.

Test: tests/admission.rs, a_refusal_is_lost_when_the_body_is_still_on_its_way.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -3,12 +3,10 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
 use super::in_flight::InFlightGuard;
@@ -116,15 +114,3 @@
         }
     }
 }
-
-/// Time limit for the rest of a body whose request was refused.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Reads the rest of the body of a request that was refused. A connection that is closed
-/// with unread bytes is reset, and the caller may lose the response.
-pub(crate) async fn discard(body: Incoming, max_bytes: usize) {
-    let mut body = Limited::new(body, max_bytes);
-    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
-    // Ends with the connection at the latest.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,7 +100,7 @@
     stop::{IDLE_CLOSE_FRACTION, READ_FRACTION},
 };
 use crate::{
-    clock,
+    clock, http,
     supervisor::{supervise, supervise_local},
 };
 
@@ -440,7 +440,7 @@
                 let unread = on_connection.start();
                 let max_body_bytes = self.limits().max_body_bytes;
                 tokio::spawn(async move {
-                    body::discard(body, max_body_bytes).await;
+                    http::discard(body, max_body_bytes).await;
                     drop(unread);
                 });
                 refusal.response(rand::random())
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -66,7 +66,10 @@
             Some(token) => resume_generation(&state, context, &token).await,
             None => generate(&state, context, Original::new(&req, body)).await,
         },
-        Err(refusal) => Err(refusal),
+        Err(refusal) => {
+            http::discard_rest(&mut req, state.settings.limits.max_body_bytes);
+            Err(refusal)
+        }
     };
     with_request_id(served, &id)
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -353,14 +353,14 @@
 }
 
 /// Reads a complete request body of at most `max_body_bytes` bytes within
-/// `timeout`.
+/// `timeout`. After an error, the rest of the body is left in the request.
 pub(crate) async fn read_body(
     req: &mut Request,
     max_body_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    let body = std::mem::replace(req.body_mut(), Body::Empty);
-    let collected = tokio::time::timeout(timeout, Limited::new(body, max_body_bytes).collect())
+    let body = Limited::new(req.body_mut(), max_body_bytes);
+    let collected = tokio::time::timeout(timeout, body.collect())
         .await
         .map_err(|_| BodyError::TooSlow { timeout })?;
     match collected {
@@ -374,6 +374,28 @@
     }
 }
 
+/// Time limit for the rest of a body whose request was refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads the rest of the body of a request that was refused. A connection that is closed
+/// with unread bytes is reset, and the caller may lose the response.
+pub(crate) async fn discard<B>(body: B, max_bytes: usize)
+where
+    B: hyper::body::Body + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = Limited::new(body, max_bytes);
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // Ends with the connection at the latest.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+}
+
+/// Calls [`discard`] in the background for what has not been read of a request.
+pub(crate) fn discard_rest(req: &mut Request, max_bytes: usize) {
+    let body = std::mem::replace(req.body_mut(), Body::Empty);
+    tokio::spawn(discard(body, max_bytes));
+}
+
 /// Returns a response with a JSON body.
 pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Response {
     let bytes = serde_json::to_vec(body).unwrap_or_else(|e| e.to_string().into_bytes());
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -247,14 +247,18 @@
 }
 
 async fn put_records(ctx: &OperatorContext, mut req: Request) -> Response {
+    let limits = &ctx.state.settings.limits;
     if let Some(response) = auth_error(ctx, &req) {
+        http::discard_rest(&mut req, limits.max_body_bytes);
         return response;
     }
-    let limits = &ctx.state.settings.limits;
     let body = http::read_body(&mut req, limits.max_body_bytes, limits.request_timeout).await;
     let body = match body {
         Ok(body) => body,
-        Err(e) => return error_response(e.status(), vec![fault("", &e.to_string())]),
+        Err(e) => {
+            http::discard_rest(&mut req, limits.max_body_bytes);
+            return error_response(e.status(), vec![fault("", &e.to_string())]);
+        }
     };
     let view = ctx.state.view.load_full();
     let envelopes = match check_batch(&body, &view.records) {
--- a/src/service.rs
+++ b/src/service.rs
@@ -50,9 +50,13 @@
 pub(crate) async fn serve(state: Arc<ServerState>, mut req: Request) -> Response {
     let id = new_id();
     let active = ActiveRequest::new(&state);
+    let max_body_bytes = state.settings.limits.max_body_bytes;
     let result = match read(&state, &mut req, id.clone()).await {
         Ok((context, plain)) => dispatch(state, context, plain, active).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => {
+            http::discard_rest(&mut req, max_body_bytes);
+            Err(refusal)
+        }
     };
     with_request_id(result, &id)
 }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -82,6 +82,26 @@
     assert_serves(&fleet);
 }
 
+// A refusal while the body was still being sent did not reach the caller.
+#[test]
+fn a_refusal_is_lost_when_the_body_is_still_on_its_way() {
+    let fleet = limited_fleet();
+    let mut tcp = TcpStream::connect(&fleet.daemons[0].caller_address).expect("connect");
+    tcp.set_read_timeout(Some(CLOSE_TIMEOUT))
+        .expect("set the read timeout");
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer wrong\r\n\
+                content-length: 2000\r\n\r\n";
+    tcp.write_all(head.as_bytes()).expect("send the head");
+    for part in [b'x'; 2_000].chunks(250) {
+        std::thread::sleep(Duration::from_millis(50));
+        tcp.write_all(part).expect("send a part of the body");
+    }
+    let mut answer = [0; 12];
+    tcp.read_exact(&mut answer).expect("read the answer");
+    assert_eq!(&answer, b"HTTP/1.1 401");
+    assert_serves(&fleet);
+}
+
 #[test]
 fn invalid_and_unroutable_requests_are_refused() {
     let fleet = limited_fleet();
