Return a trial that reached no engine

What callers saw: a request tried a held part, found no target or was declined by all engines, and was refused; requests with that part, also a sound one, were then held for 30 s more, and for 180 s after the second such trial.

Cause: SuspectTable::check counts the trial before a target is found.

Change: a request holds its trial in a guard. Dropped while the request has certainly not run (no target, declined, budget, deadline or caller gone before the send), it restores the time and number of trials. Reports carry the number of returns, so that a report from before a return does not bring the trial back, and others restore theirs unless they began one since. After a return the next trial waits 1 s a rank; at the daemon that returned it 1.5 s, doubling to 8.5 s, so that one without targets neither storms nor keeps others from trying. A trial in progress holds all others as before.

Ruled out: counting the trial at the send (two requests would try at once); naming the returned trial by its time (echoes shift it); no wait after a return (a trial for each request without a target). A send that the deadline interrupts while it connects still counts.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -2,17 +2,47 @@
 //! crashes and answers of runs.
 
 use super::{
-    Gateway, job::Job, model::Target, peer_wire::PartKey, refusal::Refusal, suspects::Verdict,
+    Gateway,
+    in_flight::{Progress, Stage},
+    job::Job,
+    model::Target,
+    peer_wire::PartKey,
+    refusal::Refusal,
+    suspects::{SuspectTracker, Verdict},
 };
-use crate::{cell, clock};
+use crate::{
+    cell,
+    clock::{self, BootTime},
+};
+
+/// A request's trial. Returned on drop if the request has certainly not run.
+pub(super) struct Trial {
+    suspects: SuspectTracker,
+    job_parts: Box<[PartKey]>,
+    progress: Progress,
+    began_at: BootTime,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if self.progress.stage() != Stage::NotRun {
+            return;
+        }
+        log::info!("event=part_trial_returned parts={}", self.job_parts.len());
+        let now = clock::now();
+        self.suspects.with(now, |table| {
+            table.return_trial(&self.job_parts, self.began_at, now);
+        });
+    }
+}
 
 impl Gateway {
-    /// Checks the parts of a request before it is sent. Returns whether the request is the
-    /// trial of a part on which engines crashed.
-    pub(super) fn check_parts(&self, job: &Job) -> Result<bool, Refusal> {
+    /// Checks the parts of a request before it is sent. Returns a trial if the request
+    /// tries a part on which engines crashed.
+    pub(super) fn check_parts(&self, job: &Job) -> Result<Option<Trial>, Refusal> {
         let parts = &job.info.parts;
         if parts.is_empty() {
-            return Ok(false);
+            return Ok(None);
         }
         let now = clock::now();
         let rank_of = |part| self.rank_for(part);
@@ -21,10 +51,15 @@
             .with(now, |table| table.check(parts, rank_of, now));
         let id = &job.info.request_id;
         match verdict {
-            Verdict::Send => Ok(false),
+            Verdict::Send => Ok(None),
             Verdict::Trial(part) => {
                 log::warn!("event=part_trial request={id} part={part:08x}");
-                Ok(true)
+                Ok(Some(Trial {
+                    suspects: self.suspects.clone(),
+                    job_parts: parts.clone(),
+                    progress: job.progress.clone(),
+                    began_at: now,
+                }))
             }
             Verdict::Hold(part) => {
                 log::info!("event=part_hold request={id} part={part:08x}");
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -84,7 +84,8 @@
         let mut tried = Vec::new();
         let mut last_refusal = Refusal::NoTarget;
         let mut was_sent = false;
-        let mut is_trial = false;
+        // Returned on each way out before the request has run.
+        let mut trial = None;
         loop {
             let now = clock::now();
             let fleet = self.shared.fleet();
@@ -92,7 +93,9 @@
                 admitted =
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
-            is_trial = is_trial || self.check_parts(job)?;
+            if trial.is_none() {
+                trial = self.check_parts(job)?;
+            }
             let placement = self
                 .place(&fleet, job, &admitted, &tried)
                 .ok_or(last_refusal)?;
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -102,6 +102,8 @@
     pub tried_age_ms: Option<u32>,
     /// Number of trials since the first crash.
     pub trials: u32,
+    /// Number of trials that were returned because they reached no engine.
+    pub returns: u32,
     /// Age of the last request with the part.
     pub asked_age_ms: u32,
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -35,6 +35,11 @@
 const TRIAL_GROWTH: u32 = 6;
 /// Longest interval between trials.
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
+/// Time from the return of a trial that reached no engine to the next trial, for the daemon
+/// that ranks first; each lower rank waits as much longer. Longer than a report takes.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of times that a daemon doubles its own [`RETRY_INTERVAL`].
+const MAX_RETRY_DOUBLINGS: u32 = 3;
 /// Time without a crash or request after which a part is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// How long a cleared part is still reported, so that all daemons clear it.
@@ -86,6 +91,22 @@
     Forgotten,
 }
 
+/// A trial by this daemon, and what it replaced.
+#[derive(Clone, Copy, Debug)]
+struct OwnTrial {
+    at: BootTime,
+    tried_before: Option<BootTime>,
+    trials_before: u32,
+}
+
+/// The last known return of a trial that reached no engine.
+#[derive(Clone, Copy, Debug)]
+struct Return {
+    /// Time at which this daemon made it or heard of it.
+    at: BootTime,
+    is_own: bool,
+}
+
 /// Crashes and answers by one part.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -102,6 +123,11 @@
     tried_at: Option<BootTime>,
     /// Number of trials since the first crash.
     trials: u32,
+    own_trial: Option<OwnTrial>,
+    /// Number of returns of trials; tells a report that still has a returned trial.
+    returns: u32,
+    own_returns: u32,
+    last_return: Option<Return>,
     /// Time of the last request with this part.
     asked_at: BootTime,
     /// Time of the last report.
@@ -121,6 +147,10 @@
             cleared_at: Some(now),
             tried_at: None,
             trials: 0,
+            own_trial: None,
+            returns: 0,
+            own_returns: 0,
+            last_return: None,
             asked_at: BootTime::ZERO,
             reported_at: BootTime::ZERO,
             reports: 0,
@@ -162,8 +192,77 @@
             .min(MAX_TRIAL_INTERVAL);
         let turns = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
         let last = self.crashes.last().copied().max(self.tried_at);
-        last.unwrap_or_default()
-            .saturating_add(interval.saturating_mul(turns))
+        let due = last
+            .unwrap_or_default()
+            .saturating_add(interval.saturating_mul(turns));
+        let retry = self.last_return.map(|last| {
+            let wait = if last.is_own {
+                // Lets other daemons try in between, apart from all of their turns.
+                let doublings = self.own_returns.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
+                RETRY_INTERVAL * 2_u32.pow(doublings) + RETRY_INTERVAL / 2
+            } else {
+                RETRY_INTERVAL.saturating_mul(turns)
+            };
+            last.at.saturating_add(wait)
+        });
+        due.max(retry.unwrap_or_default())
+    }
+
+    fn start_trial(&mut self, now: BootTime) {
+        self.own_trial = Some(OwnTrial {
+            at: now,
+            tried_before: self.tried_at,
+            trials_before: self.trials,
+        });
+        self.tried_at = Some(now);
+        self.trials += 1;
+        self.reports = 0;
+    }
+
+    /// Undoes the own trial that began at this time.
+    fn return_trial(&mut self, began_at: BootTime, now: BootTime) {
+        let Some(trial) = self.own_trial.take_if(|trial| trial.at == began_at) else {
+            return;
+        };
+        // Another daemon may have begun a later one.
+        if self.tried_at == Some(trial.at) {
+            self.tried_at = trial.tried_before;
+            self.trials = trial.trials_before;
+        }
+        self.returns = self.returns.saturating_add(1);
+        self.own_returns = self.own_returns.saturating_add(1);
+        self.last_return = Some(Return {
+            at: now,
+            is_own: true,
+        });
+        self.reports = 0;
+    }
+
+    /// Adds the trials that another daemon reports.
+    fn merge_trials(&mut self, report: &SuspectReport, tried_at: Option<BootTime>, now: BootTime) {
+        if report.returns < self.returns {
+            return;
+        }
+        let is_own = self.own_trial.is_some_and(|t| Some(t.at) == self.tried_at);
+        if report.returns > self.returns {
+            self.returns = report.returns;
+            self.last_return = Some(Return {
+                at: now,
+                is_own: false,
+            });
+            self.reports = 0;
+            if !is_own {
+                self.tried_at = tried_at;
+                self.trials = report.trials;
+                return;
+            }
+        }
+        let later_at = later(self.tried_at, tried_at);
+        if later_at != self.tried_at {
+            self.tried_at = later_at;
+            self.trials = self.trials.max(report.trials);
+            self.reports = 0;
+        }
     }
 
     /// Changes the crashes, answers of others and last answer, keeps their invariants and
@@ -189,6 +288,9 @@
             self.cleared_at.get_or_insert(now);
             self.tried_at = None;
             self.trials = 0;
+            self.own_trial = None;
+            self.own_returns = 0;
+            self.last_return = None;
         } else {
             self.cleared_at = None;
         }
@@ -303,14 +405,22 @@
         };
         for part in parts {
             if let Some(entry) = self.entries.get_mut(part).filter(|e| e.is_held(now)) {
-                entry.tried_at = Some(now);
-                entry.trials += 1;
-                entry.reports = 0;
+                entry.start_trial(now);
             }
         }
         Verdict::Trial(part)
     }
 
+    /// Takes back the trial that [`Self::check`] allowed at `began_at` for a request with
+    /// these parts, because the request certainly ran on no engine.
+    pub fn return_trial(&mut self, parts: &[PartKey], began_at: BootTime, now: BootTime) {
+        for part in parts {
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.return_trial(began_at, now);
+            }
+        }
+    }
+
     /// Returns whether a run with these parts that broke as [`Self::record_crash`] says may
     /// be repeated. One crash may be a coincidence.
     #[must_use]
@@ -352,6 +462,7 @@
                 begun_age_ms: entry.begun_at.map(age),
                 tried_age_ms: entry.tried_at.map(age),
                 trials: entry.trials,
+                returns: entry.returns,
                 asked_age_ms: age(entry.asked_at),
             }
         };
@@ -377,12 +488,7 @@
             }
             let entry = self.entry(report.part, now);
             entry.asked_at = later(Some(entry.asked_at), Some(asked_at)).unwrap_or_default();
-            let tried_at = later(entry.tried_at, report.tried_age_ms.map(time));
-            if tried_at != entry.tried_at {
-                entry.tried_at = tried_at;
-                entry.trials = entry.trials.max(report.trials);
-                entry.reports = 0;
-            }
+            entry.merge_trials(report, report.tried_age_ms.map(time), now);
             let others_begun = report.others_begun_ages_ms.iter().copied().map(time);
             entry.update(now, |entry| {
                 entry.begun_at = later(entry.begun_at, report.begun_age_ms.map(time));
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -139,6 +139,94 @@
     assert!(trials.len() > in_ten_minutes, "trials: {trials:?}");
 }
 
+/// A trial that found no engine was counted, and a sound part stayed held for 30 s more.
+#[test]
+fn a_trial_that_reached_no_engine_is_repeated_soon() {
+    let mut table = crashed(7, &[0, 1_000, 2_000]);
+    assert_eq!(check(&mut table, 7, 7_100), Verdict::Trial(7));
+    table.return_trial(&[7], at(7_100), at(7_300));
+    assert_eq!(check(&mut table, 7, 7_400), Verdict::Hold(7));
+    assert_eq!(check(&mut table, 7, 9_000), Verdict::Trial(7));
+    assert_eq!(check(&mut table, 7, 9_100), Verdict::Hold(7));
+    // The second one is sent, and counts as the first.
+    assert_eq!(check(&mut table, 7, 38_900), Verdict::Hold(7));
+    assert_eq!(check(&mut table, 7, 39_100), Verdict::Trial(7));
+}
+
+#[test]
+fn returned_trials_come_one_at_a_time_and_ever_less_often() {
+    let mut table = crashed(7, &[0, 1_000, 2_000]);
+    let mut trials = vec![];
+    for ms in (7_000..37_000).step_by(50) {
+        if check(&mut table, 7, ms) == Verdict::Trial(7) {
+            assert_eq!(check(&mut table, 7, ms), Verdict::Hold(7));
+            table.return_trial(&[7], at(ms), at(ms + 10));
+            trials.push(ms);
+        }
+    }
+    assert!((4..=8).contains(&trials.len()), "trials: {trials:?}");
+}
+
+#[test]
+fn only_the_trial_that_is_named_is_returned() {
+    let mut table = crashed(7, &[0, 1_000, 2_000]);
+    assert_eq!(check(&mut table, 7, 7_100), Verdict::Trial(7));
+    table.return_trial(&[7], at(7_000), at(7_200));
+    assert_eq!(check(&mut table, 7, 12_000), Verdict::Hold(7));
+    table.return_trial(&[7], at(7_100), at(12_100));
+    table.return_trial(&[7], at(7_100), at(12_200));
+    assert_eq!(check(&mut table, 7, 14_000), Verdict::Trial(7));
+    table.record_begun(&[7], at(14_100));
+    table.return_trial(&[7], at(14_000), at(14_200));
+    assert_eq!(check(&mut table, 7, 14_300), Verdict::Send);
+}
+
+/// Other daemons had heard of the trial, and their late reports of it brought it back.
+#[test]
+fn other_daemons_hear_of_a_returned_trial() {
+    for delay_ms in [0, 200, 1_500] {
+        let mut first = crashed(7, &[0, 1_000, 2_000]);
+        let mut second = SuspectTable::default();
+        exchange(&mut first, &mut second, 3_000);
+        assert_eq!(check(&mut first, 7, 7_100), Verdict::Trial(7));
+        exchange(&mut first, &mut second, 7_200);
+        let stale = second.report(at(8_400));
+        first.return_trial(&[7], at(7_100), at(8_300));
+        first.merge(&stale, at(8_400 + delay_ms));
+        exchange(&mut first, &mut second, 12_000);
+        // Its turn comes without a second trial at the same moment.
+        let mut try_second = |ms| second.check(&[7], |_| 1, at(ms));
+        assert_eq!(try_second(13_900), Verdict::Hold(7), "{delay_ms} ms");
+        assert_eq!(try_second(14_100), Verdict::Trial(7), "{delay_ms} ms");
+        exchange(&mut first, &mut second, 14_200);
+        assert_eq!(
+            check(&mut first, 7, 20_000),
+            Verdict::Hold(7),
+            "{delay_ms} ms"
+        );
+    }
+}
+
+/// A daemon without targets tries and returns without end; another one has targets.
+#[test]
+fn a_daemon_without_targets_leaves_trials_to_others() {
+    let mut first = crashed(7, &[0, 1_000, 2_000]);
+    let mut second = SuspectTable::default();
+    let mut sent = vec![];
+    for ms in (3_000..30_000).step_by(100) {
+        if check(&mut first, 7, ms) == Verdict::Trial(7) {
+            first.return_trial(&[7], at(ms), at(ms));
+        }
+        if let Verdict::Trial(_) = second.check(&[7], |_| 1, at(ms)) {
+            sent.push(ms);
+        }
+        if ms % TICK_MS == 0 {
+            exchange(&mut first, &mut second, ms);
+        }
+    }
+    assert_eq!(sent.len(), 1, "trials: {sent:?}");
+}
+
 #[test]
 fn a_part_is_forgotten_once_no_request_with_it_comes() {
     let mut table = crashed(DEADLY, &[0, 1_000, 2_000]);
