--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod shared_state;
 mod start;
 mod stop;
+mod suspect_entry;
 mod suspects;
 
 use std::{
