--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -15,32 +15,14 @@
     time::Duration,
 };
 
-use super::peer_wire::{PartKey, SuspectReport};
+use super::{
+    peer_wire::{PartKey, SuspectReport},
+    suspect_entry::{CHANGE_REPORTS, Crash, Entry, FORGET_AFTER, MAX_CRASHES, later},
+};
 use crate::clock::{self, BootTime};
 
-/// Span within which crashes count as one: the engines of a zone that lose power together,
-/// and one crash as several daemons see it. Also the most by which the delay of a report
-/// and its echo may shift a time.
-const MERGE_WINDOW: Duration = Duration::from_millis(500);
-/// Number of crashes from which requests with a part are held.
-const HOLD_CRASHES: usize = 3;
 /// Maximum number of crashes with which a run that one of them broke is still repeated.
 const MAX_CRASHES_TO_REPEAT: usize = 1;
-/// Time from the crash that completes [`HOLD_CRASHES`] to the hold: reports of answers
-/// that have begun with the part may be on their way.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
-/// Time from the last crash to the first trial of a held part.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
-/// Factor by which each trial lengthens the interval until the next one.
-const TRIAL_GROWTH: u32 = 6;
-/// Longest interval between trials.
-const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
-/// Time without a crash or request after which a part is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(600);
-/// How long a cleared part is still reported, so that all daemons clear it.
-const CLEARED_KEPT_FOR: Duration = Duration::from_secs(5);
-/// Maximum number of crashes kept for a part.
-const MAX_CRASHES: usize = 8;
 /// Maximum number of parts with crashes.
 const MAX_ENTRIES: usize = 64;
 /// Maximum number of parts whose last answer, or last crash without an entry, is
@@ -50,8 +32,6 @@
 const MAX_REPORTED: usize = 8;
 /// Maximum number of held parts in one report, so that others find room.
 const MAX_REPORTED_HELD: usize = 4;
-/// Number of reports that carry a change at once; datagrams may be lost.
-const CHANGE_REPORTS: u8 = 3;
 /// Interval between reports without a change, for daemons that have started or were
 /// cut off.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -86,142 +66,8 @@
     Forgotten,
 }
 
-/// Crashes and answers by one part.
-#[derive(Clone, Debug)]
-struct Entry {
-    /// Crashes after `begun_at`, oldest first, at least [`MERGE_WINDOW`] apart.
-    crashes: Vec<BootTime>,
-    /// For each crash, the first time after it and before the next crash at which an
-    /// answer without this part had begun, if there is one; oldest first.
-    others_begun: Vec<BootTime>,
-    /// Last time at which an answer with this part had begun.
-    begun_at: Option<BootTime>,
-    /// Time at which the last crash was cleared; set exactly while there are no crashes.
-    cleared_at: Option<BootTime>,
-    /// Time of the last trial.
-    tried_at: Option<BootTime>,
-    /// Number of trials since the first crash.
-    trials: u32,
-    /// Time of the last request with this part.
-    asked_at: BootTime,
-    /// Time of the last report.
-    reported_at: BootTime,
-    /// Number of reports since the last change, at most [`CHANGE_REPORTS`].
-    reports: u8,
-    /// Whether the part was held when changes were last collected.
-    was_held: bool,
-}
-
-impl Entry {
-    fn new(begun_at: Option<BootTime>, now: BootTime) -> Self {
-        Self {
-            crashes: Vec::new(),
-            others_begun: Vec::new(),
-            begun_at,
-            cleared_at: Some(now),
-            tried_at: None,
-            trials: 0,
-            asked_at: BootTime::ZERO,
-            reported_at: BootTime::ZERO,
-            reports: 0,
-            was_held: false,
-        }
-    }
-
-    /// Returns the crashes that count: the first one, and each that follows an answer of
-    /// others after the last counted one.
-    fn counted(&self) -> Vec<BootTime> {
-        let mut counted: Vec<BootTime> = Vec::new();
-        for at in &self.crashes {
-            let is_separate = |last: &BootTime| {
-                let mut others = self.others_begun.iter();
-                others.any(|begun| last < begun && begun < at)
-            };
-            if counted.last().is_none_or(is_separate) {
-                counted.push(*at);
-            }
-        }
-        counted
-    }
-
-    /// Returns the number of crashes that count if requests with this part are held.
-    fn held_crashes(&self, now: BootTime) -> Option<usize> {
-        let counted = self.counted();
-        let completed_at = counted.get(HOLD_CRASHES - 1)?;
-        (now.saturating_sub(*completed_at) >= SETTLE_TIME).then_some(counted.len())
-    }
-
-    fn is_held(&self, now: BootTime) -> bool {
-        self.held_crashes(now).is_some()
-    }
-
-    /// Returns the time from which a daemon of this rank may try the part.
-    fn next_trial(&self, rank: usize) -> BootTime {
-        let interval = TRIAL_INTERVAL
-            .saturating_mul(TRIAL_GROWTH.saturating_pow(self.trials))
-            .min(MAX_TRIAL_INTERVAL);
-        let turns = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
-        let last = self.crashes.last().copied().max(self.tried_at);
-        last.unwrap_or_default()
-            .saturating_add(interval.saturating_mul(turns))
-    }
-
-    /// Changes the crashes, answers of others and last answer, keeps their invariants and
-    /// records whether the counts may have changed.
-    fn update(&mut self, now: BootTime, change: impl FnOnce(&mut Self)) {
-        let before = (self.crashes.clone(), self.others_begun.clone());
-        change(self);
-        self.crashes.sort_unstable();
-        self.crashes
-            .dedup_by(|later, earlier| later.saturating_sub(*earlier) < MERGE_WINDOW);
-        self.crashes.retain(|at| Some(*at) > self.begun_at);
-        while self.crashes.len() > MAX_CRASHES {
-            let counted = self.counted();
-            let uncounted = self.crashes.iter().position(|at| !counted.contains(at));
-            self.crashes.remove(uncounted.unwrap_or(0));
-        }
-        let crashes = &self.crashes;
-        let crashes_before = |at: &BootTime| crashes.partition_point(|crash| crash < at);
-        self.others_begun.sort_unstable();
-        self.others_begun.retain(|at| crashes_before(at) > 0);
-        self.others_begun.dedup_by_key(|at| crashes_before(at));
-        if self.crashes.is_empty() {
-            self.cleared_at.get_or_insert(now);
-            self.tried_at = None;
-            self.trials = 0;
-        } else {
-            self.cleared_at = None;
-        }
-        if before != (self.crashes.clone(), self.others_begun.clone()) {
-            self.reports = 0;
-        }
-    }
-
-    fn release_reason(&self) -> ReleaseReason {
-        if self.cleared_at.is_some() {
-            ReleaseReason::AnswerBegun
-        } else {
-            ReleaseReason::Forgotten
-        }
-    }
-
-    fn is_expired(&self, now: BootTime) -> bool {
-        let last = self.crashes.last().copied().unwrap_or_default();
-        self.cleared_at
-            .is_some_and(|at| now.saturating_sub(at) > CLEARED_KEPT_FOR)
-            || now.saturating_sub(last.max(self.asked_at)) > FORGET_AFTER
-    }
-}
-
-/// Returns the later of a known and a reported time. The reported one has to be later by
-/// more than the delay of a report, else times would grow each time that they are echoed.
-fn later(known: Option<BootTime>, reported: Option<BootTime>) -> Option<BootTime> {
-    let is_later = reported > known.map(|at| at + MERGE_WINDOW);
-    if is_later { reported } else { known }
-}
-
 /// Removes the older half of the times if there are more than [`MAX_REMEMBERED`].
-fn trim(times_by_part: &mut HashMap<PartKey, BootTime>) {
+fn trim<T: Copy + Ord>(times_by_part: &mut HashMap<PartKey, T>) {
     if times_by_part.len() > MAX_REMEMBERED {
         let mut times: Vec<_> = times_by_part.values().copied().collect();
         let (_, median, _) = times.select_nth_unstable(MAX_REMEMBERED / 2);
@@ -239,7 +85,7 @@
     begun: HashMap<PartKey, BootTime>,
     /// Last crash of each part whose entry was evicted; at most [`MAX_REMEMBERED`]. One
     /// crash of runs with long prompts may name more parts than there are entries.
-    evicted: HashMap<PartKey, BootTime>,
+    evicted: HashMap<PartKey, Crash>,
     reported_at: BootTime,
     /// Releases of parts whose entries are gone.
     released: Vec<HeldChange>,
@@ -255,7 +101,7 @@
         for part in if held.is_empty() { parts } else { &held } {
             let entry = self.entry(*part, now);
             entry.asked_at = now;
-            entry.update(now, |entry| entry.crashes.push(now));
+            entry.update(now, |entry| entry.add_crash(Crash::new(*part, now)));
         }
         self.evict(now);
     }
@@ -303,14 +149,22 @@
         };
         for part in parts {
             if let Some(entry) = self.entries.get_mut(part).filter(|e| e.is_held(now)) {
-                entry.tried_at = Some(now);
-                entry.trials += 1;
-                entry.reports = 0;
+                entry.start_trial(now);
             }
         }
         Verdict::Trial(part)
     }
 
+    /// Takes back the trial that [`Self::check`] allowed at `began_at` for a request with
+    /// these parts, because the request certainly ran on no engine.
+    pub fn return_trial(&mut self, parts: &[PartKey], began_at: BootTime, now: BootTime) {
+        for part in parts {
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.return_trial(began_at, now);
+            }
+        }
+    }
+
     /// Returns whether a run with these parts that broke as [`Self::record_crash`] says may
     /// be repeated. One crash may be a coincidence.
     #[must_use]
@@ -347,11 +201,16 @@
             };
             SuspectReport {
                 part: *part,
-                crash_ages_ms: entry.crashes.iter().copied().map(age).collect(),
+                crashes: entry
+                    .crashes
+                    .iter()
+                    .map(|c| (age(c.at), c.number))
+                    .collect(),
                 others_begun_ages_ms: entry.others_begun.iter().copied().map(age).collect(),
                 begun_age_ms: entry.begun_at.map(age),
                 tried_age_ms: entry.tried_at.map(age),
                 trials: entry.trials,
+                returns: entry.returns,
                 asked_age_ms: age(entry.asked_at),
             }
         };
@@ -367,8 +226,11 @@
                 self.begun.insert(report.part, at);
             }
             let asked_at = time(report.asked_age_ms);
-            let crashes = report.crash_ages_ms.iter().copied().map(time);
-            let last = crashes.clone().max();
+            let crashes = report.crashes.iter().map(|(age_ms, number)| Crash {
+                at: time(*age_ms),
+                number: *number,
+            });
+            let last = crashes.clone().map(|crash| crash.at).max();
             let is_forgotten =
                 now.saturating_sub(asked_at.max(last.unwrap_or_default())) > FORGET_AFTER;
             let is_known = self.entries.contains_key(&report.part);
@@ -377,16 +239,13 @@
             }
             let entry = self.entry(report.part, now);
             entry.asked_at = later(Some(entry.asked_at), Some(asked_at)).unwrap_or_default();
-            let tried_at = later(entry.tried_at, report.tried_age_ms.map(time));
-            if tried_at != entry.tried_at {
-                entry.tried_at = tried_at;
-                entry.trials = entry.trials.max(report.trials);
-                entry.reports = 0;
-            }
+            entry.merge_trials(report, report.tried_age_ms.map(time), now);
             let others_begun = report.others_begun_ages_ms.iter().copied().map(time);
             entry.update(now, |entry| {
                 entry.begun_at = later(entry.begun_at, report.begun_age_ms.map(time));
-                entry.crashes.extend(crashes.take(MAX_CRASHES));
+                for crash in crashes.take(MAX_CRASHES) {
+                    entry.add_crash(crash);
+                }
                 entry
                     .others_begun
                     .extend(others_begun.take(MAX_CRASHES + 1));
@@ -422,12 +281,12 @@
     fn entry(&mut self, part: PartKey, now: BootTime) -> &mut Entry {
         let begun_at = self.begun.get(&part).copied();
         let is_new = !self.entries.contains_key(&part);
-        let crashed_at = is_new.then(|| self.evicted.remove(&part)).flatten();
-        let crashed_at = crashed_at.filter(|at| now.saturating_sub(*at) <= FORGET_AFTER);
+        let crash = is_new.then(|| self.evicted.remove(&part)).flatten();
+        let crash = crash.filter(|crash| now.saturating_sub(crash.at) <= FORGET_AFTER);
         let entry = self.entries.entry(part);
         let entry = entry.or_insert_with(|| Entry::new(begun_at, now));
-        if let Some(at) = crashed_at {
-            entry.update(now, |entry| entry.crashes.push(at));
+        if let Some(crash) = crash {
+            entry.update(now, |entry| entry.add_crash(crash));
         }
         entry
     }
@@ -438,12 +297,12 @@
         self.expire(now);
         while self.entries.len() > MAX_ENTRIES {
             let least = self.entries.iter().min_by_key(|(part, e)| {
-                let last = e.crashes.last().copied().unwrap_or_default();
+                let last = e.crashes.last().map(|crash| crash.at);
                 (e.counted().len(), e.crashes.len(), last, **part)
             });
             let least = least.map(|(part, e)| (*part, e.crashes.last().copied()));
-            if let Some((part, crashed_at)) = least {
-                self.evicted.extend(crashed_at.map(|at| (part, at)));
+            if let Some((part, crash)) = least {
+                self.evicted.extend(crash.map(|crash| (part, crash)));
                 self.remove_where(|p, _| *p == part);
             }
         }
