Count answers between the crashes of a part that was evicted

What callers saw: where prompts are long, requests with a part that crashes engines crash one engine more than others before the part is held.

Cause: one crash of runs with long prompts names more parts than the table holds, and an evicted part keeps only its last crash. The answers of others since then are gone, so the next crash does not count as a separate one.

Change: the table remembers the last time at which this daemon saw any answer begin. A part that comes back from eviction takes it as an answer of others; one with the part itself would have cleared the crash.

Test: a_part_in_long_prompts_is_held_one_crash_late failed before (not held after three crashes) and passes.

Remains: the second crash still has to come to a daemon that saw the first, unless the part is among the 8 that a report names.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -86,6 +86,9 @@
     /// Last crash of each part whose entry was evicted; at most [`MAX_REMEMBERED`]. One
     /// crash of runs with long prompts may name more parts than there are entries.
     evicted: HashMap<PartKey, Crash>,
+    /// Last time at which this daemon saw any answer begin, for parts that come back from
+    /// `evicted`.
+    any_begun_at: Option<BootTime>,
     reported_at: BootTime,
     /// Releases of parts whose entries are gone.
     released: Vec<HeldChange>,
@@ -118,6 +121,7 @@
         }
         self.begun.extend(parts.iter().map(|part| (*part, now)));
         trim(&mut self.begun);
+        self.any_begun_at = self.any_begun_at.max(Some(now));
     }
 
     /// Decides whether a request with these parts may be sent. `rank_of` returns the number
@@ -286,7 +290,12 @@
         let entry = self.entries.entry(part);
         let entry = entry.or_insert_with(|| Entry::new(begun_at, now));
         if let Some(crash) = crash {
-            entry.update(now, |entry| entry.add_crash(crash));
+            // An answer with the part would have cleared the crash.
+            let others_begun = self.any_begun_at;
+            entry.update(now, |entry| {
+                entry.add_crash(crash);
+                entry.others_begun.extend(others_begun);
+            });
         }
         entry
     }
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -315,6 +315,27 @@
     }
 }
 
+/// The answers of others before a second crash were forgotten with the first one, so that a
+/// part in long prompts was held after four crashes in place of three.
+#[test]
+fn a_part_in_long_prompts_is_held_one_crash_late() {
+    for deadly in [DEADLY, PartKey::MAX / 2, PartKey::MAX] {
+        let mut table = SuspectTable::default();
+        for crash in 0..3 {
+            let ms = u64::from(crash) * 1_000;
+            for run in 0..4 {
+                let first = 1_000 + 1_000 * crash + 100 * run;
+                let mut parts: Vec<PartKey> = (first..first + 40).collect();
+                parts.extend((run == 0).then_some(deadly));
+                table.record_crash(&parts, at(ms));
+            }
+            table.record_begun(&[CUSTOMER], at(ms + 500));
+        }
+        let verdict = table.check(&[deadly], |_| 1_000, at(3_100));
+        assert_eq!(verdict, Verdict::Hold(deadly), "part {deadly}");
+    }
+}
+
 #[test]
 fn reports_and_tables_are_bounded() {
     let mut table = crashed(DEADLY, &[0, 1_000, 2_000]);
