A resumed run does not release the parts of its prompt

What callers saw: a part that crashes engines was released while requests with it came, and the next ones crashed engines again.

Cause: the second event of each run clears the parts of its prompt, also that of a run which began before the part crashed engines, broke and was resumed. Its new engine goes on from a copy and does not begin the answer.

Change: an answer is recorded as begun once. A run that broke before it was recorded still is, when the engine that resumes it goes on past its first event.

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -52,6 +52,9 @@
     longest_gap: Duration,
     /// Events that the current run has sent, also those that the caller already had.
     events_of_run: u64,
+    /// Whether the answer was recorded as begun. An engine that resumes it later goes on from
+    /// a copy, which says nothing about the parts of the prompt.
+    is_begun_recorded: bool,
 }
 
 impl Delivered {
@@ -172,7 +175,9 @@
         }
         match run_end {
             // The second event records all longer answers.
-            RunEnd::Whole if delivered.events_of_run == 1 => self.record_begun(job),
+            RunEnd::Whole if delivered.events_of_run == 1 && !delivered.is_begun_recorded => {
+                self.record_begun(job);
+            }
             RunEnd::Disconnected(_) if delivered.events < EVENTS_BEGUN => {
                 self.record_crash(job, &run.target);
             }
@@ -285,7 +290,8 @@
     ) -> Result<(), ()> {
         while let Some(event) = splitter.next_event() {
             delivered.events_of_run += 1;
-            if delivered.events_of_run == EVENTS_BEGUN {
+            if delivered.events_of_run == EVENTS_BEGUN && !delivered.is_begun_recorded {
+                delivered.is_begun_recorded = true;
                 self.record_begun(job);
             }
             if event.id.is_some() && event.id <= delivered.last_id {
