A pause right after another does not hide the first one

What callers saw: no answer to requests that waited when the process was killed.

Cause: only the newest pause was remembered. A process that stood still when SIGTERM came, and whose first turn afterwards took longer than the recognised gap, took that turn for the pause, and dated the signal to the end of the first pause instead of its beginning.

Change: all pauses that ended within 0.25 s are remembered, and the oldest one counts. It is the same time within which a signal of a pause is seen, so that the list holds few.

Test: tests/gateway_stop.rs, a_signal_after_two_pauses_is_dated_to_the_second: pauses of 2 s and 0.2 s with a signal 10 ms later.

--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -6,7 +6,7 @@
 //! a refusal at once, with a time to return, is better than breaking it off later.
 //! What was accepted earlier and still waits gets an answer before the process exits.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::clock::BootTime;
 
@@ -76,8 +76,9 @@
     /// Time between two checks above which the process has stood still.
     max_gap: Duration,
     checked_at: BootTime,
-    /// The newest pause: the last check before it and the first one after it.
-    pause: Option<(BootTime, BootTime)>,
+    /// Pauses that ended within [`SIGNAL_DELAY`], oldest first: the last check before each
+    /// and the first one after it.
+    pauses: VecDeque<(BootTime, BootTime)>,
 }
 
 impl PauseDetector {
@@ -87,24 +88,29 @@
         Self {
             max_gap,
             checked_at: now,
-            pause: None,
+            pauses: VecDeque::new(),
         }
     }
 
     /// Records that the process runs.
     pub fn check(&mut self, now: BootTime) {
         if now.saturating_sub(self.checked_at) > self.max_gap {
-            self.pause = Some((self.checked_at, now));
+            self.pauses.push_back((self.checked_at, now));
         }
+        self.pauses.retain(|(_, ended)| is_recent(*ended, now));
         self.checked_at = now;
     }
 
     /// Returns the time from which a signal that is seen now may have waited.
     #[must_use]
     pub fn earliest_signal(&self, now: BootTime) -> BootTime {
-        let recent = self
-            .pause
-            .filter(|(_, ended)| now.saturating_sub(*ended) <= SIGNAL_DELAY);
-        recent.map_or(now, |(began, _)| began)
+        let mut pauses = self.pauses.iter();
+        let recent = pauses.find(|(_, ended)| is_recent(*ended, now));
+        recent.map_or(now, |(began, _)| *began)
     }
 }
+
+/// Returns whether a signal of a pause that ended at `ended` may not have been seen yet.
+fn is_recent(ended: BootTime, now: BootTime) -> bool {
+    now.saturating_sub(ended) <= SIGNAL_DELAY
+}
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -46,3 +46,14 @@
     detector.check(ms(3_400));
     assert_eq!(detector.earliest_signal(ms(3_400)), ms(3_400));
 }
+
+// A busy first turn after a pause counted as another pause and hid the first one.
+#[test]
+fn a_signal_after_two_pauses_is_dated_to_the_second() {
+    let mut detector = PauseDetector::new(ms(150), ms(1_000));
+    detector.check(ms(3_000));
+    detector.check(ms(3_200));
+    assert_eq!(detector.earliest_signal(ms(3_210)), ms(1_000));
+    detector.check(ms(3_300));
+    assert_eq!(detector.earliest_signal(ms(3_300)), ms(3_000));
+}
