Tests keep the logs of a run that failed

Change: a fleet that is dropped during a panic keeps its folder and prints the path. A passing test removes it as before.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,6 +83,16 @@
     pub history: PathBuf,
 }
 
+impl Drop for Fleet {
+    /// Keeps the logs and histories of a test that failed.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.dir.disable_cleanup(true);
+            eprintln!("logs are kept in {}", self.dir.path().display());
+        }
+    }
+}
+
 impl Fleet {
     /// Starts only the platform.
     pub fn start() -> Self {
