Tests write their records again while the platform is down

Seen: once, in a run of tests/quarantine.rs at a load of 27 on 8 cores: "the records were not written", 503 with "step=timeout ... no answer in 500ms". A write and a read of the instance list at the stand-in of the platform timed out both. On the same machine, four processes that sleep 5 ms at a time ran up to 0.27 s late in 20 s, at a load of 38.

Cause: the set-up took the first answer, although 503 asks to try again, and the time limit of 500 ms for a platform call depends on the machine.

Change: the set-up repeats the write after a 503, for 20 s like its other waits. Any other answer fails the test at once. The tests of failing writes call the daemon themselves and are as before.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -249,13 +249,17 @@
         Caller::new(&self.daemons[i].caller_address)
     }
 
-    /// Writes records through the first daemon.
+    /// Writes records through the first daemon, again while it answers that the platform
+    /// is down: on a busy machine a call may time out.
     pub fn write_records(&self, records: &Value) {
-        let answer = self.operator(0).put_records(records);
-        assert_eq!(
-            answer.status, 200,
-            "the records were not written: {answer:?}"
-        );
+        wait_for("the platform takes the records", || {
+            let answer = self.operator(0).put_records(records);
+            assert!(
+                matches!(answer.status, 200 | 503),
+                "the records were not written: {answer:?}"
+            );
+            (answer.status == 200).then_some(())
+        });
     }
 
     /// Waits until every daemon is ready and lists every target.
