Refuse a request at once that is quarantined while it waits for room

Callers saw: 422 up to a queue timeout (1 s) after the verdict, where the verdict reached the daemon while the request waited there for a credit.

Cause: the verdict was looked at before and after the wait for a credit, not in between. It can reach a daemon after the next copy of the request: the daemon that saw the crash waits for acknowledgements for 500 ms only, and on the busy machine single threads stand still that long. In the code before the wait nothing waits: no credit, no other daemon, no platform, and the lock of the quarantine is not held over any call.

Change: while the request waits, the verdict is looked at every 20 ms.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -216,9 +216,13 @@
             )?;
             let skipped = self.skipped.targets(state, fingerprint, service);
             let estimate = self.request.estimate.as_ref();
-            let placed = place_request(state, context, service, &skipped, estimate).await;
-            // Another daemon may have reported a crash while this request waited
-            // for a credit.
+            // Another daemon may report a crash while this request waits for a credit.
+            let placed = tokio::select! {
+                biased;
+                placed = place_request(state, context, service, &skipped, estimate) => placed,
+                () = trial::wait_until_quarantined(state, fingerprint) =>
+                    Err(trial::quarantined_refusal()),
+            };
             trial::check_not_quarantined(state, fingerprint)
                 .map_err(|refusal| self.with_earlier_runs(refusal))?;
             let chosen = placed.map_err(|refusal| {
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -15,6 +15,8 @@
 
 /// Pause before a marked request is placed again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Interval between checks whether a waiting request is quarantined.
+const VERDICT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of probes of an engine that broke a run, and the pause after each
 /// failed one. A single probe is not enough, since an engine that is exiting
 /// may still accept connections.
@@ -102,6 +104,13 @@
     }
 }
 
+/// Waits until a request is quarantined.
+pub(crate) async fn wait_until_quarantined(state: &ServerState, fingerprint: &Fingerprint) {
+    while check_not_quarantined(state, fingerprint).is_ok() {
+        tokio::time::sleep(VERDICT_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns whether a request should not run at `target` although it was placed
 /// there. This happens if it was marked after the targets were selected.
 pub(crate) fn is_excluded(
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -12,11 +12,12 @@
 };
 
 use bluebelldrift::{
+    MessageKey, call_peer,
     quarantine::{
         MARK_LIFETIME, Quarantine, RunRefused, fingerprint, is_trial_target, trial_daemon,
         trial_daemons,
     },
-    wire::CrashNotice,
+    wire::{CrashNotice, Frame},
 };
 use common::{Fleet, ZONES, client, history, wait_for};
 use proptest::prelude::*;
@@ -294,6 +295,58 @@
     assert!(passed_on_to(&fleet).is_some(), "it was not passed on");
 }
 
+/// Prompt of the requests whose marks the tests set by crash notices.
+const NOTED_PROMPT: &str = "[mark=noted] [n=5] report";
+
+/// Tells a daemon that requests with [`NOTED_PROMPT`] crashed one target, and how
+/// often one was the only suspect.
+fn send_notice(fleet: &Fleet, daemon: usize, sole_suspect_crashes: u32) {
+    let body = json!({"model": "drafting-desk", "prompt": NOTED_PROMPT, "stream": true});
+    let notice = CrashNotice {
+        fingerprint: fingerprint("clinic", body.to_string().as_bytes()),
+        crashes: 1,
+        sole_suspect_crashes,
+    };
+    let address = fleet.daemons[daemon].peer_address.parse();
+    let address = address.expect("parse the address of the daemon");
+    let message_key = MessageKey::new("peer-key-of-the-tests");
+    let call = call_peer(
+        &message_key,
+        address,
+        Frame::CrashNotice(notice),
+        common::WAIT_TIMEOUT,
+    );
+    let runtime = tokio::runtime::Runtime::new().expect("start a runtime");
+    let told: Result<Frame, _> = runtime.block_on(call);
+    assert_eq!(told.expect("the daemon answers"), Frame::Acknowledged);
+}
+
+/// Guards against a quarantined request that keeps its caller for the whole queue
+/// timeout, because its verdict came while it waited for room.
+#[test]
+fn a_request_that_is_quarantined_while_it_waits_for_room_is_refused_at_once() {
+    const LONG_QUEUE_TIMEOUT: Duration = Duration::from_secs(15);
+    let mut fleet = Fleet::start();
+    fleet.add_daemon(0, &json!({"timing": {"queue_timeout": "15s"}}));
+    fleet.write_records(&common::default_records());
+    fleet.wait_ready();
+    let caller = fleet.caller(0);
+    let waiting = thread::spawn(move || {
+        // There is no engine, and so no room.
+        let generated = caller.generate(NOTED_PROMPT, &json!({}), &[]);
+        (generated, Instant::now())
+    });
+    thread::sleep(Duration::from_millis(500));
+    assert!(!waiting.is_finished(), "it did not wait for room");
+    let told_at = Instant::now();
+    send_notice(&fleet, 0, 1);
+    let (generated, refused_at) = waiting.join().expect("the thread ends");
+    assert_eq!(generated.status, 422, "{generated:?}");
+    assert_eq!(generated.ran.as_deref(), Some("not-run"), "{generated:?}");
+    let waited = refused_at - told_at;
+    assert!(waited < LONG_QUEUE_TIMEOUT / 3, "refused after {waited:?}");
+}
+
 /// Returns `count` names that begin with `prefix`.
 fn names(prefix: &str, count: usize) -> Vec<String> {
     (0..count).map(|i| format!("{prefix}-{i}")).collect()
