A daemon that missed a verdict answers the 422 of the trial daemon

Callers saw: 429, not-run and "retry after 1 s" for a quarantined request, again and again, at a daemon that has the mark of the request but not the verdict.

Cause: such a daemon passes the request on. The 422 of the other daemon says not-run, and every not-run counted as "no room there": the next daemon was asked, and in the end the caller got the 429 of the first.

Change: a 422 that says not-run ends the search and is answered. Whether the request ran earlier at the first daemon is kept, as for its other refusals. The first daemon does not take the verdict over: that would prolong the ten minutes of the quarantine.

Not covered: a daemon that missed the verdict and is itself the trial daemon of a target with room runs the request a third time. Notices are sent once, to daemons that are alive in the view of the sender.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -11,7 +11,7 @@
 use futures::{StreamExt, stream};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use hyper::{
-    Method,
+    Method, StatusCode,
     body::Incoming,
     header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue},
 };
@@ -25,6 +25,7 @@
     peer::MessageKey,
     quarantine::{self, Fingerprint},
     refusal::{RAN_HEADER, Ran, Refusal, RefusalKind},
+    trial,
     view::{PeerDaemon, Target, TargetState},
     wire::{CrashNotice, Frame},
 };
@@ -91,6 +92,8 @@
     Answered(Response),
     /// The request did not run there.
     NotRun,
+    /// The request is quarantined there, and did not run.
+    Quarantined,
 }
 
 /// Passes a request that was refused here on, if it is marked and found no room;
@@ -98,7 +101,8 @@
 ///
 /// # Errors
 /// Returns `refusal` if the request ran at none of the daemons to which it was
-/// offered, and another refusal if it may have run at the last one.
+/// offered, and another refusal if one of them has it in quarantine or if it may have
+/// run at the last one.
 pub(crate) async fn forward_or_refuse(
     state: &Arc<ServerState>,
     request: &TrialRequest,
@@ -125,8 +129,15 @@
             ran: refusal.ran.combine(e.ran),
             ..e
         })?;
-        if let Offer::Answered(response) = offered {
-            return Ok(response);
+        match offered {
+            Offer::Answered(response) => return Ok(response),
+            Offer::Quarantined => {
+                return Err(Refusal {
+                    ran: refusal.ran,
+                    ..trial::quarantined_refusal()
+                });
+            }
+            Offer::NotRun => {}
         }
     }
     Err(refusal)
@@ -183,6 +194,7 @@
         }),
     };
     match sent {
+        Ok(res) if is_quarantined(&res) => Ok(Offer::Quarantined),
         Ok(res) if has_not_run(&res) => Ok(Offer::NotRun),
         Ok(res) => relay(state, request, peer, res).await.map(Offer::Answered),
         Err(e) if e.is_unsent() => Ok(Offer::NotRun),
@@ -223,6 +235,12 @@
     res.headers().get(RAN_HEADER).is_some_and(|r| r == not_run)
 }
 
+/// Returns whether a response refuses a request because it is quarantined. Nothing
+/// else gives this status to a generation.
+fn is_quarantined(res: &hyper::Response<Incoming>) -> bool {
+    has_not_run(res) && res.status() == StatusCode::UNPROCESSABLE_ENTITY
+}
+
 /// Returns the response of another daemon as one to the caller.
 ///
 /// # Errors
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -347,6 +347,37 @@
     assert!(waited < LONG_QUEUE_TIMEOUT / 3, "refused after {waited:?}");
 }
 
+/// Guards against a quarantined request whose caller is asked to send it again: its
+/// daemon did not hear the verdict, and passes it on to one that did.
+#[test]
+fn a_request_that_is_quarantined_at_its_trial_daemon_is_refused_as_such() {
+    const TRIAL_DAEMON: usize = 0;
+    let mut fleet = Fleet::start();
+    let is_tried_there =
+        |name: &String| is_trial_target(name, DAEMONS[TRIAL_DAEMON], DAEMONS[..2].iter().copied());
+    let engine = names("engine", 100).into_iter().find(is_tried_there);
+    let engine = engine.expect("the daemon is the trial daemon of an engine");
+    fleet.add_engine(&engine, ZONES[0].0, &WARM);
+    for i in [TRIAL_DAEMON, PASSING] {
+        fleet.add_daemon(i, &json!({}));
+    }
+    fleet.write_records(&common::default_records());
+    fleet.wait_ready();
+    wait_for("the daemon knows its peer", || {
+        let peers = fleet.operator(PASSING).status()["peers"].as_array()?.len();
+        (peers == 1).then_some(())
+    });
+    send_notice(&fleet, TRIAL_DAEMON, 1);
+    send_notice(&fleet, PASSING, 0);
+    let caller = fleet.caller(PASSING);
+    let generated = caller.generate(NOTED_PROMPT, &json!({}), &[]);
+    assert_eq!(passed_on_to(&fleet).as_deref(), Some(DAEMONS[TRIAL_DAEMON]));
+    assert_eq!(generated.status, 422, "{generated:?}");
+    assert_eq!(generated.ran.as_deref(), Some("not-run"), "{generated:?}");
+    let admitted = history::events_named(&fleet.targets[0].history, "admitted");
+    assert!(admitted.is_empty(), "it ran");
+}
+
 /// Returns `count` names that begin with `prefix`.
 fn names(prefix: &str, count: usize) -> Vec<String> {
     (0..count).map(|i| format!("{prefix}-{i}")).collect()
