The stand-in of an engine ends on the thread that makes it fail

Seen in the logs of the failed run of tests/quarantine.rs (KNOWN-RED.txt): the engine admitted the crashing request, and 1.0 s later still answered cancellations; its connections broke after 1.4 s. The two other engines that crashed in that run broke theirs after 8 and 10 ms.

Cause, by reading: a failure woke the main thread, which ended the process; the worker threads went on serving until that thread ran.

Change: a task on the worker threads ends the process. It is woken by the thread that admits the request and runs there next.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -35,7 +35,7 @@
     register_target, spawn_http,
 };
 use crate::{
-    cli::EngineArgs,
+    cli::{EXIT_FAILED, EngineArgs},
     clock::{self, BootTime},
     engine::{GenerationRequest, LoadReport},
     http,
@@ -129,22 +129,29 @@
     Ok(running)
 }
 
-/// Runs the stand-in until it fails or the process is killed.
+/// Runs the stand-in until it fails, which ends the process, or the process is killed.
 ///
 /// # Errors
-/// The stand-in could not start, or it failed.
+/// The stand-in could not start.
 pub async fn run(args: EngineArgs) -> Result<(), StandinError> {
     let (running, shared) = spawn_shared(&args).await?;
     println!(
         "event=bound standin=engine name={} address={}",
         args.target.name, running.address
     );
-    shared.failed.cancelled().await;
-    Err(StandinError::Unexpected {
-        step: "fall_over",
-        peer: args.target.name,
-        reason: "too many sequences while cold, or a prompt with [crash]".into(),
-    })
+    // The thread that admitted the last request ends the process. The main thread may
+    // run a second later on a busy machine, and the engine would serve meanwhile.
+    tokio::spawn(async move {
+        shared.failed.cancelled().await;
+        let error = StandinError::Unexpected {
+            step: "fall_over",
+            peer: args.target.name,
+            reason: "too many sequences while cold, or a prompt with [crash]".into(),
+        };
+        eprintln!("{error}");
+        std::process::exit(EXIT_FAILED.into());
+    });
+    std::future::pending().await
 }
 
 async fn spawn_shared(args: &EngineArgs) -> Result<(Running, Arc<Shared>), StandinError> {
