A daemon that loses a starting target releases its lease

Callers saw: a restarted engine got no work for 4 s more than needed, each time its owner changed for a moment, as when a daemon is not heard for 0.8 s on a busy machine and returns.

Cause: a daemon that lost the target to another owner only forgot the lease. The object still named it, and the owner had to see it unchanged for the life of a lease (4 s). The same where the write that acquired the lease was under way when the target was lost.

Change: such a daemon writes the object as released (a new field, which older daemons ignore: they wait as before). That is safe: it grants nothing since, and a new holder of the lease first lets all credits granted before expire. After a release, no other call on the lease is made until its answer: that answer could be taken for the one to a write that acquires the lease.

Ruled out: the release by the daemon that no longer owns the target through its handover message; it is sent only if this daemon knows all holders, and may be lost.

Tests in tests/credits.rs: the owner has the lease within 4 s and grants credits, after another daemon held it (before: the other still had it), and after another acquired it too late (with only that part taken out: the same).

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -25,6 +25,10 @@
     pub holder: MemberId,
     /// State of the target's ramp, for the next owner.
     pub ramp: Option<RampState>,
+    /// Whether the holder released the lease, so that another daemon need not wait
+    /// for it to expire.
+    #[serde(default)]
+    pub is_released: bool,
 }
 
 /// A call to the platform on a lease object.
@@ -52,6 +56,11 @@
     can_acquire: bool,
     /// Whether an outstanding write acquires the lease, rather than releasing it.
     is_acquiring: bool,
+    /// Whether an outstanding write releases the lease.
+    is_releasing: bool,
+    /// Whether the object, as last seen, names this daemon as the holder of a lease
+    /// that is not released.
+    is_recorded: bool,
     /// When this daemon acquired the lease, which counts as held until
     /// `held_until`; `None` if it never did, or released or lost the lease.
     held_since: Option<BootTime>,
@@ -72,6 +81,8 @@
             last_seen: None,
             can_acquire: false,
             is_acquiring: false,
+            is_releasing: false,
+            is_recorded: false,
             held_since: None,
             held_until: BootTime::ZERO,
             pending_until: BootTime::ZERO,
@@ -141,15 +152,33 @@
         // If this daemon is the recorded holder, the answer to its write was
         // lost, and it may write again. A warm ramp means that the holder no
         // longer needs the lease.
-        let can_acquire = |r: LeaseRecord| r.holder == self.me || r.ramp.is_some_and(|r| r.is_warm);
-        self.can_acquire = record.is_some_and(can_acquire);
+        let is_released =
+            |r: &LeaseRecord| r.is_released || r.ramp.as_ref().is_some_and(|r| r.is_warm);
+        let is_mine = |r: &LeaseRecord| r.holder == self.me;
+        self.can_acquire = record
+            .as_ref()
+            .is_some_and(|r| is_mine(r) || is_released(r));
+        self.is_recorded = record
+            .as_ref()
+            .is_some_and(|r| is_mine(r) && !is_released(r));
+    }
+
+    /// Returns whether the object names this daemon as the holder, so that others must
+    /// wait for the lease to expire.
+    #[must_use]
+    pub fn is_recorded(&self) -> bool {
+        self.is_recorded
     }
 
     /// Releases the lease and returns the last write to make, after which other
     /// daemons may acquire it.
-    pub fn release_with_write(&mut self) -> Option<LeaseCall> {
+    pub fn release_with_write(&mut self, now: BootTime) -> Option<LeaseCall> {
         let (revision, _) = self.last_seen?;
         self.release();
+        // Until its answer, no other call is made, for which it could be taken.
+        self.pending_until = now + self.life;
+        self.is_releasing = true;
+        self.is_recorded = false;
         Some(LeaseCall::Write(WriteCondition::AtRevision(revision)))
     }
 
@@ -163,8 +192,10 @@
 
     /// Records the result of a write that was sent at `sent_at`.
     pub fn on_write(&mut self, result: &PutResult, sent_at: BootTime, now: BootTime) {
+        let is_release = std::mem::take(&mut self.is_releasing);
         match result {
             PutResult::Written(revision) => {
+                self.is_recorded = !is_release;
                 let was_absent = self.last_seen.is_some_and(|(last_seen, _)| last_seen == 0);
                 self.last_seen = Some((*revision, now));
                 self.pending_until = BootTime::ZERO;
@@ -189,5 +220,6 @@
     /// the object is unknown.
     pub fn on_failure(&mut self) {
         self.pending_until = BootTime::ZERO;
+        self.is_releasing = false;
     }
 }
--- a/tests/credits.rs
+++ b/tests/credits.rs
@@ -29,6 +29,10 @@
 /// Rounds of 300 ms in which a lease is acquired, a takeover ends and one node gets
 /// its share.
 const TAKEOVER_ROUNDS: u32 = 15;
+/// Rounds of 100 ms in which a lease that was released is acquired and a takeover
+/// ends; a lease that was not released takes as long as this to expire.
+const RETURN_ROUNDS: u32 = 40;
+
 #[derive(Clone, Debug)]
 enum Step {
     Advance(u16),
@@ -334,6 +338,17 @@
         found.expect("the holder is a node")
     }
 
+    /// Runs [`RETURN_ROUNDS`] and checks that `owner` then has the lease and grants
+    /// credits.
+    fn assert_served_by(&mut self, owner: usize) {
+        for _ in 0..RETURN_ROUNDS {
+            self.round(0, 0, 100);
+            self.nodes.iter_mut().for_each(|n| n.running.clear());
+        }
+        assert_eq!(self.lease_holder(), owner);
+        assert!(self.held() > 0, "the target gets no work");
+    }
+
     /// Lets only one node use the target for [`TAKEOVER_ROUNDS`], and returns the
     /// credits that it then holds.
     fn held_by_only_user(&mut self, node: usize) -> u32 {
@@ -537,6 +552,59 @@
     assert_eq!(world.held_by_only_user(owner), FAIR_SHARE);
 }
 
+/// Another daemon acquires the lease while the owner is silent, and loses the target
+/// to the owner again before the lease expires.
+#[test]
+fn an_owner_that_returns_does_not_wait_until_the_lease_of_another_expires() {
+    let mut world = Credits::init_test(&());
+    let owner = world.lease_holder();
+    let without_owner = ALL_NODES & !(1 << owner);
+    let others = (0..NODES).filter(|i| *i != owner);
+    others.for_each(|i| world.refresh(i, without_owner));
+    for _ in 0..TAKEOVER_ROUNDS * 2 {
+        world.round(1 << owner, 0, 300);
+        world.nodes.iter_mut().for_each(|n| n.running.clear());
+    }
+    assert_ne!(world.lease_holder(), owner, "another daemon has the lease");
+    assert!(world.held() > 0, "it grants credits");
+    (0..NODES).for_each(|i| world.refresh(i, ALL_NODES));
+    world.assert_served_by(owner);
+}
+
+/// The write of the other daemon is under way when it loses the target.
+#[test]
+fn an_owner_that_returns_does_not_wait_for_a_lease_that_another_acquires_too_late() {
+    let mut world = Credits::init_test(&());
+    let owner = world.lease_holder();
+    let others: Vec<usize> = (0..NODES).filter(|i| *i != owner).collect();
+    for i in &others {
+        world.refresh(*i, ALL_NODES & !(1 << owner));
+    }
+    let is_write = |c: &PlatformCall| matches!(c.call, LeaseCall::Write(_));
+    let late = loop {
+        world.now += QUIET_ROUND;
+        for i in &others {
+            world.tick(*i);
+        }
+        for call in std::mem::take(&mut world.calls) {
+            if is_write(&call) {
+                world.calls.push(call);
+            } else {
+                world.call_platform(&call, true);
+            }
+        }
+        if let Some(call) = world.calls.pop() {
+            break call;
+        }
+    };
+    world.sent.clear();
+    world.probes.clear();
+    (0..NODES).for_each(|i| world.refresh(i, ALL_NODES));
+    world.call_platform(&late, true);
+    assert_ne!(world.lease_holder(), owner, "another daemon has the lease");
+    world.assert_served_by(owner);
+}
+
 /// A new owner counts requests that no holder reports, and the target restarts.
 #[test]
 fn requests_that_no_holder_reports_do_not_count_after_a_restart() {
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -192,6 +192,7 @@
         let record = LeaseRecord {
             holder,
             ramp: Some(ramp),
+            is_released: true,
         };
         let object = Object {
             key: "lease/target/t".into(),
