Lease: one field for the purpose of the outstanding call

Change: what the last call is for is an enum. No change of behaviour: a release ends the wish to acquire, and the answer to a release ends it, as before.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -40,6 +40,15 @@
     Write(WriteCondition),
 }
 
+/// What a call on a lease object is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallPurpose {
+    /// To acquire or renew the lease.
+    Acquire,
+    /// To release the lease.
+    Release,
+}
+
 /// One lease as seen by this daemon.
 ///
 /// Invariant: the lease counts as held only for `life` by this daemon's own
@@ -54,10 +63,8 @@
     last_seen: Option<(Revision, BootTime)>,
     /// Whether the lease may be acquired without waiting for it to expire.
     can_acquire: bool,
-    /// Whether an outstanding write acquires the lease, rather than releasing it.
-    is_acquiring: bool,
-    /// Whether an outstanding write releases the lease.
-    is_releasing: bool,
+    /// What the last call is for; `None` if its answer no longer matters.
+    purpose: Option<CallPurpose>,
     /// Whether the object, as last seen, names this daemon as the holder of a lease
     /// that is not released.
     is_recorded: bool,
@@ -80,8 +87,7 @@
             life,
             last_seen: None,
             can_acquire: false,
-            is_acquiring: false,
-            is_releasing: false,
+            purpose: None,
             is_recorded: false,
             held_since: None,
             held_until: BootTime::ZERO,
@@ -121,7 +127,7 @@
         {
             return None;
         }
-        self.is_acquiring = true;
+        self.purpose = Some(CallPurpose::Acquire);
         self.last_call_at = Some(now);
         self.pending_until = now + self.life;
         let is_available = |at| self.can_acquire || now.saturating_sub(at) > self.life;
@@ -177,14 +183,14 @@
         self.release();
         // Until its answer, no other call is made, for which it could be taken.
         self.pending_until = now + self.life;
-        self.is_releasing = true;
+        self.purpose = Some(CallPurpose::Release);
         self.is_recorded = false;
         Some(LeaseCall::Write(WriteCondition::AtRevision(revision)))
     }
 
     /// Releases the lease: it no longer counts as held.
     pub fn release(&mut self) {
-        self.is_acquiring = false;
+        self.purpose.take_if(|p| *p == CallPurpose::Acquire);
         self.held_since = None;
         self.held_until = BootTime::ZERO;
         self.can_acquire = false;
@@ -192,14 +198,14 @@
 
     /// Records the result of a write that was sent at `sent_at`.
     pub fn on_write(&mut self, result: &PutResult, sent_at: BootTime, now: BootTime) {
-        let is_release = std::mem::take(&mut self.is_releasing);
+        let is_release = self.end_release();
         match result {
             PutResult::Written(revision) => {
                 self.is_recorded = !is_release;
                 let was_absent = self.last_seen.is_some_and(|(last_seen, _)| last_seen == 0);
                 self.last_seen = Some((*revision, now));
                 self.pending_until = BootTime::ZERO;
-                if !self.is_acquiring {
+                if self.purpose != Some(CallPurpose::Acquire) {
                     return;
                 }
                 if was_absent {
@@ -220,6 +226,12 @@
     /// the object is unknown.
     pub fn on_failure(&mut self) {
         self.pending_until = BootTime::ZERO;
-        self.is_releasing = false;
+        self.end_release();
+    }
+
+    /// Returns whether a write that releases the lease was outstanding, and ends that.
+    fn end_release(&mut self) -> bool {
+        let is_release = |p: &mut CallPurpose| *p == CallPurpose::Release;
+        self.purpose.take_if(is_release).is_some()
     }
 }
