--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -252,13 +252,7 @@
         for request in unfinished.iter().take(MAX_UNFINISHED_LOGGED) {
             log::warn!("event=cut_at_exit {}", describe(request));
         }
-        // Also the connections on which a response is still being written, which no
-        // longer counts as in progress.
-        log::info!(
-            "event=stopped running={} connections={}",
-            unfinished.len(),
-            gateway.connections.count()
-        );
+        log::info!("event=stopped running={}", unfinished.len());
         self.control.cancel();
     }
 }
