Test of hedges: a stall of the test shifts the requests, and failures say why

Cause of the first part, by the figures: without hedges p95 and p99 were lower by the same 0.7 s. The engine is paused by the index of the request and requests are sent by the clock, so that a test that stands still before the pause catches up, and pauses the engine for less than 80 paces. The cause of the two failed requests is not known: their answers and the daemon's log were not kept.

Change: requests are one pace apart, whatever happened before, so that the pause lasts 80 paces at least; all bounds are as before. Figures hold what callers of failed requests got.

--- a/tests/hedges.rs
+++ b/tests/hedges.rs
@@ -11,8 +11,9 @@
 use common::{Caller, Fleet};
 use serde_json::json;
 
-/// Number of requests. They are sent at a fixed pace, whether or not earlier ones
-/// have been answered.
+/// Number of requests. They are sent one pace apart, whether or not earlier ones have been
+/// answered. If this process stands still, the rest is sent later: the engine is paused
+/// for the same time.
 const REQUESTS: usize = 160;
 /// Time between two requests.
 const PACE: Duration = Duration::from_millis(50);
@@ -28,8 +29,8 @@
 struct Figures {
     p95: Duration,
     p99: Duration,
-    /// Requests without a whole answer.
-    failed: usize,
+    /// What callers of requests without a whole answer got.
+    failed: Vec<String>,
     /// Hedges and lost runs.
     extra_runs: usize,
 }
@@ -45,10 +46,10 @@
     fleet.write_records(&common::default_records());
     fleet.wait_ready();
     let mut calls = Vec::new();
-    let started = Instant::now();
+    let mut due = Instant::now();
     for i in 0..REQUESTS {
-        let due = started + PACE * u32::try_from(i).expect("the index fits in 32 bits");
         thread::sleep(due.saturating_duration_since(Instant::now()));
+        due = Instant::now().max(due) + PACE;
         if i == STALLED.start {
             fleet.targets[0].process.pause();
         }
@@ -61,8 +62,13 @@
     let results = calls
         .into_iter()
         .map(|c| c.join().expect("the caller's thread ends"));
-    let results: Vec<Option<Duration>> = results.collect();
-    let mut times: Vec<Duration> = results.iter().flatten().copied().collect();
+    let (mut times, mut failed) = (Vec::new(), Vec::new());
+    for result in results {
+        match result {
+            Ok(time) => times.push(time),
+            Err(answer) => failed.push(answer),
+        }
+    }
     times.sort();
     let percentile = |percent: usize| times[(times.len() * percent / 100).min(times.len() - 1)];
     let log =
@@ -71,18 +77,23 @@
     Figures {
         p95: percentile(95),
         p99: percentile(99),
-        failed: REQUESTS - times.len(),
+        failed,
         extra_runs: count("event=hedged") + count("event=run_lost"),
     }
 }
 
-/// Returns the time to the first token, if the answer is whole.
-fn first_token(caller: &Caller) -> Option<Duration> {
+/// Returns the time to the first token.
+///
+/// # Errors
+/// Returns what the caller got if the answer is not whole.
+fn first_token(caller: &Caller) -> Result<Duration, String> {
     let sent_at = Instant::now();
-    let mut stream = caller.open_stream("[n=5]", &json!({}), &[]).ok()?;
-    let first = stream.next()?.at - sent_at;
+    let stream = caller.open_stream("[n=5]", &json!({}), &[]);
+    let mut stream = stream.map_err(|e| format!("{e:?}"))?;
+    let first = stream.next().map(|token| token.at - sent_at);
     let generated = common::client::collect(stream);
-    generated.is_whole.then_some(first)
+    let first = first.filter(|_| generated.is_whole);
+    first.ok_or_else(|| format!("{generated:?}"))
 }
 
 #[test]
@@ -94,5 +105,6 @@
     assert!(without.extra_runs <= REQUESTS / 20 + FLOOR, "{without:?}");
     assert!(with.p95 < without.p95, "{with:?} {without:?}");
     assert!(with.p99 < without.p99, "{with:?} {without:?}");
-    assert_eq!((with.failed, without.failed), (0, 0));
+    assert!(with.failed.is_empty(), "{with:?}");
+    assert!(without.failed.is_empty(), "{without:?}");
 }
