A test of an unreachable target keeps its port from other tests

Seen: once, in the whole script beside three busy processes, with logs kept: a_claim_is_released_when_no_target_could_be_reached got "unknown" in place of "not-run".

Cause, from the logs: a connection to the killed target's port was refused at 8.274 s, and one at 8.425 s was accepted and reset. The target was gone, so that another process had been given the port meanwhile: ports of the kernel's range are free for all tests that run at the time. "Unknown" is then the true answer.

Change: the test binds the port again, and does not listen, so that connections to it are refused as long as it lasts. All checks are as before.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io::Write,
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -18,6 +18,7 @@
     client, record, wait_for,
 };
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// Starts daemons with short timeouts and a plain service with one target.
 fn fleet(daemons: usize) -> Fleet {
@@ -123,6 +124,11 @@
 fn a_claim_is_released_when_no_target_could_be_reached() {
     let mut fleet = fleet(2);
     fleet.targets[0].process.kill();
+    // Nothing listens at the address, and no other test gets its port meanwhile.
+    let address: SocketAddr = fleet.targets[0].address.parse().expect("parse the address");
+    let reserved = Socket::new(Domain::IPV4, Type::STREAM, None).expect("open a socket");
+    reserved.set_reuse_address(true).expect("set the option");
+    reserved.bind(&address.into()).expect("bind the port");
     let refused = book(&fleet, 0, "unreached", &json!({}));
     assert_eq!(ran(&refused), Some("not-run"), "{refused:?}");
     fleet.add_service("ledger-2", common::ZONES[1].0);
