Keep to the rate of requests that a target states in its answers

Cause: no code read the statement. A target in need kept its part of all requests.

Change: target_limits holds what targets have stated. Each request draws a number; a target with a limit gets only those that fall into a range as wide as its limit against all requests for the service. So the sum over all daemons follows the limit without a grant or a share for each daemon, which would be one request in half a minute with 82 of them. All daemons stop where the reported sends reach the limit; those of a zone report such sends at once and keep to the zone's part, since requests can grow faster than other zones hear of it. Limits and their ends are passed on (Message::Limits): by who heard them, and once a second by the leader of each zone. What fits nowhere is refused at once, not run, with a time to come back.

Counted are first sends, repeats and resumed runs; copies of runs are not, they go to the target that runs them. Counters of services without recent sends are now forgotten.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,16 +12,21 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
+    Trackers,
     change_log::ChangeLog,
     config_patch::replace_with_patches,
     fleet::FeedState,
     load::LoadTracker,
     model::{Change, Fleet, Topic},
-    peer_wire::{Answer, Fetch, Query, TargetWork, Update, WorkReport, ZoneLoad, target_key},
+    peer_wire::{
+        Answer, Fetch, Query, ServiceSendCounts, TargetWork, Update, WorkReport, ZoneLoad,
+        target_key,
+    },
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
     suspects::Suspects,
+    target_limits::LimitTracker,
 };
 use crate::{
     clock::{self, BootTime},
@@ -53,6 +58,7 @@
     loads: LoadTracker,
     sends: SendTracker,
     pub suspects: Suspects,
+    pub limits: LimitTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -75,9 +81,7 @@
     /// Creates the state of a daemon that knows no topic yet.
     pub fn new(
         peers: Peers,
-        loads: LoadTracker,
-        sends: SendTracker,
-        suspects: Suspects,
+        trackers: Trackers,
         send_window: Duration,
         shared: Arc<SharedState>,
     ) -> Self {
@@ -91,9 +95,10 @@
             awaited_confirmation: None,
             config_gained: Arc::default(),
             peers,
-            loads,
-            sends,
-            suspects,
+            loads: trackers.loads,
+            sends: trackers.sends,
+            suspects: trackers.suspects,
+            limits: trackers.limits,
             send_window,
             shared,
             // The first tick decides.
@@ -113,10 +118,9 @@
         self.is_store_up.subscribe()
     }
 
-    /// Returns the handle that is notified when this daemon sends prompts to prefill,
-    /// and when a prompt has been prefilled.
-    pub fn prefill_changes(&self) -> Arc<Notify> {
-        self.loads.prefill_changes()
+    /// Returns the handle that is notified when this daemon's work is to be reported at once.
+    pub fn report_requests(&self) -> Arc<Notify> {
+        self.loads.report_requests()
     }
 
     /// Returns the revision up to which a topic is known; 0 before the first read.
@@ -287,7 +291,7 @@
     pub fn build_query(&self, nonce: u64, is_remote: bool) -> Query {
         let zone = is_remote.then(|| {
             let now = clock::now();
-            let sends = self.sends.counts(now, self.send_window);
+            let sends = self.own_sends(now);
             self.peers.zone_load(&self.own_work(), &sends, now)
         });
         Query {
@@ -297,11 +301,18 @@
         }
     }
 
+    /// Returns the recent sends of this daemon.
+    fn own_sends(&self, now: BootTime) -> ServiceSendCounts {
+        let mut sends = self.sends.counts(now, self.send_window);
+        sends.extend(self.limits.counts(now));
+        sends
+    }
+
     /// Builds the report of this daemon's running work for its zone.
     pub fn build_work_report(&self) -> WorkReport {
         WorkReport {
             sender_work: self.own_work(),
-            sends: self.sends.counts(clock::now(), self.send_window),
+            sends: self.own_sends(clock::now()),
         }
     }
 
@@ -440,9 +451,15 @@
 
     fn publish_peer_load(&self, now: BootTime) {
         let (work, sends) = self.peers.other_work_and_sends(now);
+        let zone_sends = if self.limits.is_in_force() {
+            self.peers.other_zone_sends(now)
+        } else {
+            ServiceSendCounts::new()
+        };
         let peer_load = PeerLoad {
             work: work.into_iter().collect(),
             sends: sends.into_iter().collect(),
+            zone_sends: zone_sends.into_iter().collect(),
         };
         self.shared.set_peer_load(peer_load);
     }
@@ -481,6 +498,10 @@
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
+        if self.limits.is_in_force() {
+            let listed: HashSet<_> = targets.values().map(|entry| entry.key).collect();
+            self.limits.table().retain(|key| listed.contains(&key));
+        }
     }
 }
 
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -98,7 +98,7 @@
             }
             let placement = self
                 .place(&fleet, job, &admitted, &tried)
-                .ok_or(last_refusal)?;
+                .ok_or_else(|| self.refusal_without_target(&fleet, job, last_refusal))?;
             let repeat = was_sent.then_some(RepeatReason::OtherTarget);
             if !self.try_record_send(job, repeat, now) {
                 return Err(last_refusal);
@@ -206,7 +206,8 @@
         reservation: Reservation,
         tcp: Option<TcpStream>,
     ) -> SendOutcome<Run> {
-        let req = self.request_for(job, admitted, target, send_headers, clock::now());
+        let now = clock::now();
+        let req = self.request_for(job, admitted, target, send_headers, now);
         let opened = match tcp {
             Some(tcp) => Exchange::open_over(tcp, target.address, req).await,
             None => Exchange::open(target.address, req).await,
@@ -221,6 +222,7 @@
             }
             Err(e) => return SendOutcome::Unknown(e.to_string().into()),
         };
+        self.record_statements(job, target, &exchange.response, now);
         if let Some(outcome) = self.classify_head(&exchange.response, &job.info.request_id) {
             return outcome;
         }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -44,6 +44,9 @@
     pub seal: HeaderName,
     /// Set by a target that did not run the request.
     pub not_run: HeaderName,
+    /// Set by a target that takes no more than this number of requests per second from all
+    /// daemons together, for as long as its answers say so.
+    pub limit: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by
     /// a comma.
     pub token_count: HeaderName,
@@ -122,6 +125,23 @@
         })
     }
 
+    /// Returns the limit that a target states in an answer, in requests per second: the
+    /// lowest one if there are several.
+    ///
+    /// # Errors
+    /// Returns the first value if no value is a rate.
+    pub fn stated_limit<'a>(&self, headers: &'a HeaderMap) -> Result<Option<f64>, &'a HeaderValue> {
+        let values = headers.get_all(&self.limit);
+        let Some(first) = values.iter().next() else {
+            return Ok(None);
+        };
+        let rates = values.iter().filter_map(|value| {
+            let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+            (rate.is_finite() && rate >= 0.0).then_some(rate)
+        });
+        rates.min_by(f64::total_cmp).map(Some).ok_or(first)
+    }
+
     /// Returns the headers of a request that are forwarded to a target, without
     /// those that the gateway adds to each send.
     #[must_use]
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,11 +1,11 @@
 //! Admits a caller's request, chooses a target for it and builds the request
 //! that the target receives.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Uri, header::HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header::HeaderValue};
 
 use super::{
     Gateway,
@@ -13,15 +13,18 @@
     in_flight::Progress,
     load::Work,
     model::{Customer, Fleet, KnownTarget, RepeatPolicy, Route, Service, Target, Tokens},
-    peer_wire::{SubjectKey, target_key},
+    peer_wire::{ServiceSendCounts, SubjectKey, TargetKey, target_key},
     placement::{
         Candidate, Distance, GenerationDemand, engine_cost, has_room_for_backup, plain_cost,
         sample_other_zones,
     },
     refusal::Refusal,
     routing::Denied,
-    send_budget::RepeatReason,
+    send_budget::{RepeatReason, SendCounts},
     suspects::SuspectTracker,
+    target_limits::{
+        LIMIT_WINDOW, LimitChange, SentToTarget, demand_name, drawn_targets, has_room,
+    },
 };
 use crate::clock::{self, BootTime};
 
@@ -144,6 +147,10 @@
         admitted: &Admitted,
         tried: &[Box<str>],
     ) -> Option<Placement> {
+        let now = clock::now();
+        if tried.is_empty() && self.limits.is_in_force() {
+            self.limits.record_request(&job.service, now);
+        }
         let placement = self.choose(fleet, job, admitted, tried)?;
         let work = &placement.work;
         log::info!(
@@ -157,7 +164,7 @@
             work.tokens,
             work.pending_prompt_tokens
         );
-        self.record_placement(fleet, &placement.target, clock::now());
+        self.record_placement(fleet, &placement.target, now);
         Some(placement)
     }
 
@@ -183,7 +190,12 @@
                     .route
                     .allows_region(admitted.customer.as_deref(), region)
         });
-        let eligible = available.filter(|entry| self.is_within_cold_limit(entry, &service, now));
+        let available: Vec<_> = available.collect();
+        let closed = self.closed_by_limits(&job.service, &available, now);
+        let eligible = available
+            .into_iter()
+            .filter(|entry| !closed.contains(&entry.key))
+            .filter(|entry| self.is_within_cold_limit(entry, &service, now));
         let (in_own_zone, in_other_zones): (Vec<_>, Vec<_>) =
             eligible.partition(|entry| entry.target.zone == settings.zone);
         let mut rng = rand::rng();
@@ -253,7 +265,8 @@
         let peer_load = self.shared.peer_load();
         let candidates = fleet
             .available_targets(&target.service)
-            .filter(|entry| entry.target.zone == target.zone && !tried.contains(&entry.target.id));
+            .filter(|entry| entry.target.zone == target.zone && !tried.contains(&entry.target.id))
+            .filter(|entry| self.has_room_in_limit(&target.service, entry.key, now));
         let costs = candidates.map(|entry| {
             let (mut work, failures) = self.loads.get(&entry.target.id, now);
             work.add(peer_load.work.get(&entry.key));
@@ -289,8 +302,124 @@
         self.cold_sends.has_room(target, quota, now)
     }
 
-    /// Counts a request against a target's cold limit if the target is cold.
+    /// Returns the targets with limits to which one request of a service may not be sent.
+    fn closed_by_limits(
+        &self,
+        service: &str,
+        available: &[&KnownTarget],
+        now: BootTime,
+    ) -> Vec<TargetKey> {
+        let limits: Vec<_> = {
+            let table = self.limits.table();
+            let limit = |entry: &&KnownTarget| Some((entry.key, table.limit(entry.key)?));
+            available.iter().filter_map(limit).collect()
+        };
+        if limits.is_empty() {
+            return Vec::new();
+        }
+        let per_second =
+            |counts: SendCounts, window: Duration| f64::from(counts.firsts) / window.as_secs_f64();
+        let window = self.settings().send_budget().window;
+        let sends = self.sends.counts(now, window);
+        let requests = self.limits.counts(now);
+        let sends = self.count_of_all(&sends, target_key(service));
+        let requests = self.count_of_all(&requests, target_key(&demand_name(service)));
+        let demand = per_second(sends, window).max(per_second(requests, LIMIT_WINDOW));
+        let drawn = drawn_targets(&limits, demand, rand::random());
+        let keys = limits.iter().map(|(key, _)| *key);
+        keys.filter(|key| !drawn.contains(key) || !self.has_room_in_limit(service, *key, now))
+            .collect()
+    }
+
+    /// Returns whether one more request to a target keeps to the limit that it has stated.
+    pub(crate) fn has_room_in_limit(
+        &self,
+        service: &str,
+        target: TargetKey,
+        now: BootTime,
+    ) -> bool {
+        let Some(limit) = self.limits.table().limit(target) else {
+            return true;
+        };
+        let zone_sends = &self.shared.peer_load().zone_sends;
+        let to_target = self.limits.counts(now);
+        let to_service = self.sends.counts(now, self.settings().send_budget().window);
+        let service = target_key(service);
+        let service_by_zone = sum_counts(&to_service, zone_sends, service).firsts;
+        let service_by_all = self.count_of_all(&to_service, service).firsts;
+        let sent = SentToTarget {
+            by_all: self.count_of_all(&to_target, target).firsts,
+            by_zone: sum_counts(&to_target, zone_sends, target).firsts,
+            zone_share: f64::from(service_by_zone) / f64::from(service_by_all.max(1)),
+        };
+        has_room(limit, &sent)
+    }
+
+    /// Returns this daemon's count and that of all others.
+    fn count_of_all(&self, own: &ServiceSendCounts, key: TargetKey) -> SendCounts {
+        sum_counts(own, &self.shared.peer_load().sends, key)
+    }
+
+    /// Returns why a request has found no target, where `last` is what the targets before
+    /// said.
+    pub(crate) fn refusal_without_target(
+        &self,
+        fleet: &Fleet,
+        job: &Job,
+        last: Refusal,
+    ) -> Refusal {
+        let table = self.limits.table();
+        let mut available = fleet.available_targets(&job.service);
+        let is_limited = available.any(|entry| table.limit(entry.key).is_some());
+        if last == Refusal::NoTarget && is_limited {
+            Refusal::Limited
+        } else {
+            last
+        }
+    }
+
+    /// Records what a target states in an answer to a request that was sent at `sent_at`.
+    pub(crate) fn record_statements<B>(
+        &self,
+        job: &Job,
+        target: &Target,
+        res: &Response<B>,
+        sent_at: BootTime,
+    ) {
+        let headers = res.headers();
+        let echoed = headers.get(&self.names.request_id);
+        let is_of_another = echoed.is_some_and(|e| e.as_bytes() != job.info.request_id.as_bytes());
+        if is_of_another || res.status() == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let id = &target.id;
+        let limit = match self.names.stated_limit(headers) {
+            Ok(limit) => limit,
+            Err(value) => {
+                log::warn!("event=limit_unreadable target={id} value={value:?}");
+                return;
+            }
+        };
+        let now = clock::now();
+        let change = self
+            .limits
+            .table()
+            .record_answer(target_key(id), limit, sent_at, now);
+        match change {
+            Some(LimitChange::Stated(limit)) => {
+                log::info!("event=limit target={id} per_second={limit}");
+            }
+            Some(LimitChange::Ended) => log::info!("event=limit_ended target={id}"),
+            None => {}
+        }
+    }
+
+    /// Counts a request against the limit that a target has stated, and against its cold
+    /// limit if the target is cold.
     pub(crate) fn record_placement(&self, fleet: &Fleet, target: &Target, now: BootTime) {
+        if self.limits.record_send(&target.id, now) {
+            self.loads.request_report();
+        }
         let entry = fleet.targets.get(&target.id);
         if entry.is_some_and(|e| e.cold_until > now) {
             self.cold_sends.record(&target.id, now);
@@ -380,6 +509,18 @@
     }
 }
 
+/// Returns this daemon's count and that of others.
+fn sum_counts(
+    own: &ServiceSendCounts,
+    others: &HashMap<TargetKey, SendCounts>,
+    key: TargetKey,
+) -> SendCounts {
+    let own = own.iter().find(|(k, _)| *k == key);
+    let mut counts = own.map(|(_, counts)| *counts).unwrap_or_default();
+    counts.add(others.get(&key).copied().unwrap_or_default());
+    counts
+}
+
 /// Upper bound of the random part of a cost: about the share of an engine that
 /// one run takes.
 const MAX_TIE_JITTER: f64 = 0.02;
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -39,8 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTracker {
     entries: Arc<Mutex<HashMap<TargetId, Entry>>>,
-    /// Notified when prompt tokens are added, and when a prompt has been prefilled.
-    prefill_changed: Arc<Notify>,
+    /// Notified when other daemons are to hear of a change at once.
+    report_due: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -75,7 +75,7 @@
             entry.work.pending_prompt_tokens += work.pending_prompt_tokens;
         });
         if work.pending_prompt_tokens > 0 {
-            self.prefill_changed.notify_one();
+            self.request_report();
         }
         Reservation {
             loads: self.clone(),
@@ -84,11 +84,16 @@
         }
     }
 
-    /// Returns the handle that is notified when prompt tokens are added, and when a
-    /// prompt has been prefilled.
+    /// Returns the handle that is notified when prompt tokens are added, when a prompt has
+    /// been prefilled, and by [`Self::request_report`].
     #[must_use]
-    pub fn prefill_changes(&self) -> Arc<Notify> {
-        self.prefill_changed.clone()
+    pub fn report_requests(&self) -> Arc<Notify> {
+        self.report_due.clone()
+    }
+
+    /// Has this daemon's work and sends reported to other daemons at once.
+    pub fn request_report(&self) {
+        self.report_due.notify_one();
     }
 
     /// Returns this daemon's work at a target and the target's number of recent
@@ -158,7 +163,7 @@
         self.loads
             .update_entry(&self.target, |e| e.work.pending_prompt_tokens -= prefilled);
         if prefilled > 0 {
-            self.loads.prefill_changed.notify_one();
+            self.loads.request_report();
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod stop;
 mod suspect_entry;
 mod suspects;
+mod target_limits;
 
 use std::{
     cell::RefCell,
@@ -76,8 +77,8 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        ServiceSendCounts, SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport,
-        ZoneLoad, target_key,
+        LimitReport, ServiceSendCounts, SubjectKey, SuspectReport, TargetKey, TargetWork, Update,
+        WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -91,6 +92,10 @@
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
+    target_limits::{
+        LIMIT_WINDOW, LimitChange, LimitTable, LimitTracker, SentToTarget, demand_name,
+        drawn_targets, has_room,
+    },
 };
 use self::{
     control::Control,
@@ -117,6 +122,16 @@
 /// end.
 const MAX_UNFINISHED_LOGGED: usize = 256;
 
+/// What the traffic thread counts and the control thread shares with other daemons. Clones
+/// share their state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trackers {
+    pub loads: LoadTracker,
+    pub sends: SendTracker,
+    pub suspects: Suspects,
+    pub limits: LimitTracker,
+}
+
 /// State that the tasks of the traffic thread share.
 pub struct Gateway {
     settings: ArcSwap<GatewaySettings>,
@@ -127,6 +142,7 @@
     prefill_rate: PrefillRate,
     sends: SendTracker,
     suspects: Suspects,
+    limits: LimitTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -164,15 +180,11 @@
         crate::metrics::install();
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
-        let loads = LoadTracker::default();
-        let sends = SendTracker::default();
-        let suspects = Suspects::default();
+        let trackers = Trackers::default();
         let control_started = spawn_control(
             store,
             &settings,
-            loads.clone(),
-            sends.clone(),
-            suspects.clone(),
+            trackers.clone(),
             shared.clone(),
             control.clone(),
         );
@@ -182,10 +194,11 @@
             names,
             engines,
             shared,
-            loads,
+            loads: trackers.loads,
             prefill_rate: PrefillRate::default(),
-            sends,
-            suspects,
+            sends: trackers.sends,
+            suspects: trackers.suspects,
+            limits: trackers.limits,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
@@ -280,9 +293,7 @@
 async fn spawn_control(
     store: Store,
     settings: &GatewaySettings,
-    loads: LoadTracker,
-    sends: SendTracker,
-    suspects: Suspects,
+    trackers: Trackers,
     shared: Arc<SharedState>,
     stop: CancellationToken,
 ) -> io::Result<()> {
@@ -298,9 +309,7 @@
         if identity.has_seeds() {
             peers = peers.with_seeds();
         }
-        let control = Rc::new(RefCell::new(Control::new(
-            peers, loads, sends, suspects, window, shared,
-        )));
+        let control = Rc::new(RefCell::new(Control::new(peers, trackers, window, shared)));
         tasks.block_on(&runtime, async move {
             let port = PeerPort::bind(identity, control.clone()).await;
             let started = port.map(|port| start_control(Rc::new(port), &store, &control));
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -162,7 +162,7 @@
         let mut remote_queries = tokio::time::interval(REMOTE_QUERY_INTERVAL);
         let mut reports = tokio::time::interval(REPORT_PERIOD);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let changed = self.control.borrow().prefill_changes();
+        let changed = self.control.borrow().report_requests();
         let config_gained = self.control.borrow().config_gained();
         let mut buf = vec![0; RECEIVE_BYTES];
         loop {
@@ -208,6 +208,7 @@
             self.report_other_zones().await;
         }
         self.report_suspects(now).await;
+        self.report_limits(now).await;
     }
 
     /// Detects that this process stood still.
@@ -285,6 +286,18 @@
         }
     }
 
+    /// Reports the limits of targets in the same way.
+    async fn report_limits(&self, now: BootTime) {
+        let report = {
+            let control = self.control.borrow();
+            let leads = control.peers.is_zone_leader(now);
+            control.limits.table().report(leads, now)
+        };
+        if !report.is_empty() {
+            self.send_to_zones(&Message::Limits(report), now).await;
+        }
+    }
+
     /// Sends a message to this daemon's zone, and to the leaders of other zones if this
     /// daemon leads its zone.
     async fn send_to_zones(&self, message: &Message, now: BootTime) {
@@ -421,7 +434,9 @@
                     .borrow_mut()
                     .record_other_zones(&packet.from, load);
             }
-            Message::Suspects(_) | Message::PlainSuspects(_) if self.is_after_pause(now) => {
+            Message::Suspects(_) | Message::PlainSuspects(_) | Message::Limits(_)
+                if self.is_after_pause(now) =>
+            {
                 log::debug!("event=report_ignored peer={from}");
             }
             Message::Suspects(reports) => {
@@ -432,6 +447,11 @@
                 let suspects = &self.control.borrow().suspects.plain;
                 suspects.with(now, |table| table.merge(&reports, now));
             }
+            Message::Limits(reports) => {
+                let control = self.control.borrow();
+                let forwards = control.peers.is_zone_leader(now);
+                control.limits.table().merge(&reports, forwards, now);
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -23,7 +23,9 @@
 /// Work of one or more daemons, by target.
 pub type TargetWork = Vec<(TargetKey, Work)>;
 
-/// Sends of one or more daemons, by the hash of the service's name.
+/// Sends of one or more daemons, by the hash of the service's name. While targets have
+/// limits, also the sends to each of these and the requests for their services; see
+/// `target_limits`.
 pub type ServiceSendCounts = Vec<(TargetKey, SendCounts)>;
 
 /// A datagram between daemons.
@@ -56,6 +58,8 @@
     Suspects(Vec<SuspectReport>),
     /// Subjects of plain requests on which targets crashed.
     PlainSuspects(Vec<SuspectReport>),
+    /// Limits that targets have stated.
+    Limits(Vec<LimitReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -114,6 +118,17 @@
     pub asked_age_ms: u32,
 }
 
+/// What a target has stated of the requests that it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Hash of the target's id.
+    pub target: TargetKey,
+    /// Requests per second; `None` if the target no longer states a limit.
+    pub per_second: Option<f32>,
+    /// Age of the newest answer that says so, in milliseconds at the time of the send.
+    pub age_ms: u32,
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -501,6 +501,12 @@
         )
     }
 
+    /// Returns the sends of the other daemons of this daemon's zone.
+    #[must_use]
+    pub fn other_zone_sends(&self, now: BootTime) -> ServiceSendCounts {
+        sum_sends(self.zone_states(now).map(|state| &state.sends))
+    }
+
     /// Returns the number of daemons in this daemon's zone that may be running, this one
     /// included.
     #[must_use]
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -73,6 +73,7 @@
                 trial = self.check_subjects(job)?;
             }
             let Some(placement) = self.place(&fleet, job, &admitted, &tried) else {
+                last_refusal = self.refusal_without_target(&fleet, job, last_refusal);
                 break;
             };
             let repeat = was_sent.then_some(RepeatReason::OtherTarget);
@@ -144,7 +145,8 @@
             ..Work::default()
         };
         let _reservation = self.loads.reserve(&target.id, work);
-        let req = self.request_for(job, admitted, target, &SendHeaders::default(), clock::now());
+        let now = clock::now();
+        let req = self.request_for(job, admitted, target, &SendHeaders::default(), now);
         let exchange = match Exchange::open(target.address, req).await {
             Ok(exchange) => exchange,
             Err(e @ ExchangeError::Connect { .. }) => {
@@ -155,6 +157,7 @@
             }
             Err(e) => return SendOutcome::Unknown(e.to_string().into()),
         };
+        self.record_statements(job, target, &exchange.response, now);
         let outcome = self.classify_head(&exchange.response, &job.info.request_id);
         if let Some(outcome) = outcome {
             return outcome;
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -22,6 +22,7 @@
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
     model::{Fleet, Target},
+    peer_wire::target_key,
     send_budget::RepeatReason,
     sent::SendOutcome,
 };
@@ -427,6 +428,9 @@
         if !fleet.accepts_resumed_runs(target, drain_time, now) {
             return Err("the copy's target takes no work".into());
         }
+        if !self.has_room_in_limit(&job.service, target_key(&target.id), now) {
+            return Err("the limit of the copy's target".into());
+        }
         if !self.try_record_send(job, Some(RepeatReason::BrokenRun), now) {
             return Err("budget".into());
         }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -33,6 +33,8 @@
     Exiting,
     /// No target may receive the request now; it has not run.
     NoTarget,
+    /// Each target that could take it has stated a limit that is used up; it has not run.
+    Limited,
     /// Every target that was tried was unreachable or declined; the request has not
     /// run.
     Declined,
@@ -51,6 +53,9 @@
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(250);
 /// Minimum `Retry-After` when this daemon cannot serve, but another one may.
 const RETRY_OTHER_DAEMON: Duration = Duration::from_millis(100);
+/// Minimum `Retry-After` when the limits of targets are used up: a part of the window over
+/// which they are counted.
+const RETRY_LIMITED: Duration = Duration::from_millis(500);
 /// Minimum `Retry-After` when targets crash on the request.
 const RETRY_SUSPECT: Duration = Duration::from_secs(2);
 
@@ -61,6 +66,7 @@
             | Self::StaleKeys
             | Self::Stopping
             | Self::NoTarget
+            | Self::Limited
             | Self::Declined
             | Self::Suspect
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,6 +87,7 @@
             Self::NoConfig | Self::StaleKeys | Self::Stopping => {
                 Some(RETRY_OTHER_DAEMON.mul_f64(1.0 + jitter))
             }
+            Self::Limited => Some(RETRY_LIMITED.mul_f64(1.0 + jitter)),
             Self::Suspect => Some(RETRY_SUSPECT.mul_f64(1.0 + jitter)),
             _ => None,
         }
--- a/src/gateway/send_budget.rs
+++ b/src/gateway/send_budget.rs
@@ -145,15 +145,18 @@
         act(services.entry(target_key(service)).or_default())
     }
 
-    /// Returns the counts of all services that have any sends within the window.
+    /// Returns the counts of all services that have any sends within the window, and forgets
+    /// the others.
     #[must_use]
     pub fn counts(&self, now: BootTime, window: Duration) -> Vec<(TargetKey, SendCounts)> {
         let mut services = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let counts = services
-            .iter_mut()
-            .map(|(key, sends)| (*key, sends.counts(now, window)));
-        counts
-            .filter(|(_, counts)| *counts != SendCounts::default())
-            .collect()
+        let mut all = Vec::new();
+        services.retain(|key, sends| {
+            let counts = sends.counts(now, window);
+            let is_any = counts != SendCounts::default();
+            all.extend(is_any.then_some((*key, counts)));
+            is_any
+        });
+        all
     }
 }
--- a/src/gateway/shared_state.rs
+++ b/src/gateway/shared_state.rs
@@ -24,6 +24,8 @@
     pub work: HashMap<TargetKey, Work>,
     /// Sends of the other daemons, by service.
     pub sends: HashMap<TargetKey, SendCounts>,
+    /// Sends of the other daemons of this daemon's zone; empty unless a target has a limit.
+    pub zone_sends: HashMap<TargetKey, SendCounts>,
 }
 
 /// The newest view of the fleet, written by the control thread and read without
