--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -132,7 +132,7 @@
         let (head, body) = self.response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
         drop(self.connection);
-        let body = body.map_err(|e| Box::from(e.to_string()))?;
+        let body = body.map_err(|e| -> Box<str> { e.to_string().into() })?;
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -500,7 +500,9 @@
 /// Connects to the engine of a copy before the run has to be resumed there.
 async fn preconnect(copy: RunCopy) -> Result<RunCopy, Box<str>> {
     let peer: SocketAddr = copy.target.address;
-    let tcp = connect(peer).await.map_err(|e| Box::from(e.to_string()))?;
+    let tcp = connect(peer)
+        .await
+        .map_err(|e| -> Box<str> { e.to_string().into() })?;
     Ok(RunCopy {
         tcp: Some(tcp),
         ..copy
