Check the id of a refusal before it is taken for the request's own

What other operators reported: a faulty server wrote an earlier refusal once more; clients were told "not run" for requests that a server had run, or such a request ran at a second server.

It can happen here, on the single request of a connection: a refusal was believed before its id was compared. The test failed: 2 runs of a request that may run once, answered 503. Change: the id is compared first. After: 1 run, 502.

A third report, of a server that stops within the head of its answer: not reproduced. The test for it, cuts within head and body for plain and streamed requests, passed before and after and stays.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -125,6 +125,13 @@
         })
     }
 
+    /// Returns whether an answer carries the id of another request than `id`.
+    #[must_use]
+    pub fn is_of_other_request(&self, headers: &HeaderMap, id: &str) -> bool {
+        let echoed = headers.get(&self.request_id);
+        echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes())
+    }
+
     /// Returns the limit that a target states in an answer, in requests per second: the
     /// lowest one if there are several.
     ///
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -387,9 +387,10 @@
         sent_at: BootTime,
     ) {
         let headers = res.headers();
-        let echoed = headers.get(&self.names.request_id);
-        let is_of_another = echoed.is_some_and(|e| e.as_bytes() != job.info.request_id.as_bytes());
-        if is_of_another || res.status() == StatusCode::MISDIRECTED_REQUEST {
+        let is_of_other = self
+            .names
+            .is_of_other_request(headers, &job.info.request_id);
+        if is_of_other || res.status() == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
         let id = &target.id;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -178,17 +178,17 @@
     ) -> Option<SendOutcome<A>> {
         let headers = res.headers();
         let status = res.status();
+        // A target may write a refusal of an earlier request once more.
+        if self.names.is_of_other_request(headers, id) {
+            return Some(SendOutcome::Unknown(
+                "response carries the id of another request".into(),
+            ));
+        }
         if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&self.names.not_run) {
             return Some(SendOutcome::NotRun(
                 format!("status={}", status.as_u16()).into(),
             ));
         }
-        let echoed = headers.get(&self.names.request_id);
-        if echoed.is_some_and(|e| e.as_bytes() != id.as_bytes()) {
-            return Some(SendOutcome::Unknown(
-                "response carries the id of another request".into(),
-            ));
-        }
         if !headers.contains_key(&self.names.seal) {
             return Some(SendOutcome::Unknown(
                 format!("response has no seal, status={}", status.as_u16()).into(),
