--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod shared_state;
 mod start;
+mod statements;
 mod stop;
 mod suspect_entry;
 mod suspects;
--- /dev/null
+++ b/src/gateway/statements.rs
@@ -0,0 +1,146 @@
+//! Connects sends and answers with what targets state: which targets a request may be sent
+//! to, and what their answers say of themselves.
+
+use std::{collections::HashMap, time::Duration};
+
+use hyper::{Response, StatusCode};
+
+use super::{
+    Gateway,
+    job::Job,
+    model::{Fleet, KnownTarget, Target},
+    peer_wire::{ServiceSendCounts, TargetKey, target_key},
+    refusal::Refusal,
+    send_budget::SendCounts,
+    target_limits::{
+        LIMIT_WINDOW, LimitChange, SentToTarget, demand_name, drawn_targets, has_room,
+    },
+};
+use crate::clock::{self, BootTime};
+
+impl Gateway {
+    /// Returns the targets with limits to which one request of a service may not be sent.
+    pub(super) fn closed_by_limits(
+        &self,
+        service: &str,
+        available: &[&KnownTarget],
+        now: BootTime,
+    ) -> Vec<TargetKey> {
+        let limits: Vec<_> = {
+            let table = self.limits.table();
+            let limit = |entry: &&KnownTarget| Some((entry.key, table.limit(entry.key)?));
+            available.iter().filter_map(limit).collect()
+        };
+        if limits.is_empty() {
+            return Vec::new();
+        }
+        let per_second =
+            |counts: SendCounts, window: Duration| f64::from(counts.firsts) / window.as_secs_f64();
+        let window = self.settings().send_budget().window;
+        let sends = self.sends.counts(now, window);
+        let requests = self.limits.counts(now);
+        let sends = self.count_of_all(&sends, target_key(service));
+        let requests = self.count_of_all(&requests, target_key(&demand_name(service)));
+        let demand = per_second(sends, window).max(per_second(requests, LIMIT_WINDOW));
+        let drawn = drawn_targets(&limits, demand, rand::random());
+        let keys = limits.iter().map(|(key, _)| *key);
+        keys.filter(|key| !drawn.contains(key) || !self.has_room_in_limit(service, *key, now))
+            .collect()
+    }
+
+    /// Returns whether one more request to a target keeps to the limit that it has stated.
+    pub(crate) fn has_room_in_limit(
+        &self,
+        service: &str,
+        target: TargetKey,
+        now: BootTime,
+    ) -> bool {
+        let Some(limit) = self.limits.table().limit(target) else {
+            return true;
+        };
+        let zone_sends = &self.shared.peer_load().zone_sends;
+        let to_target = self.limits.counts(now);
+        let to_service = self.sends.counts(now, self.settings().send_budget().window);
+        let service = target_key(service);
+        let service_by_zone = sum_counts(&to_service, zone_sends, service).firsts;
+        let service_by_all = self.count_of_all(&to_service, service).firsts;
+        let sent = SentToTarget {
+            by_all: self.count_of_all(&to_target, target).firsts,
+            by_zone: sum_counts(&to_target, zone_sends, target).firsts,
+            zone_share: f64::from(service_by_zone) / f64::from(service_by_all.max(1)),
+        };
+        has_room(limit, &sent)
+    }
+
+    /// Returns this daemon's count and that of all others.
+    fn count_of_all(&self, own: &ServiceSendCounts, key: TargetKey) -> SendCounts {
+        sum_counts(own, &self.shared.peer_load().sends, key)
+    }
+
+    /// Returns why a request has found no target, where `last` is what the targets before
+    /// said.
+    pub(crate) fn refusal_without_target(
+        &self,
+        fleet: &Fleet,
+        job: &Job,
+        last: Refusal,
+    ) -> Refusal {
+        let table = self.limits.table();
+        let mut available = fleet.available_targets(&job.service);
+        let is_limited = available.any(|entry| table.limit(entry.key).is_some());
+        if last == Refusal::NoTarget && is_limited {
+            Refusal::Limited
+        } else {
+            last
+        }
+    }
+
+    /// Records what a target states in an answer to a request that was sent at `sent_at`.
+    pub(crate) fn record_statements<B>(
+        &self,
+        job: &Job,
+        target: &Target,
+        res: &Response<B>,
+        sent_at: BootTime,
+    ) {
+        let headers = res.headers();
+        let is_of_other = self
+            .names
+            .is_of_other_request(headers, &job.info.request_id);
+        if is_of_other || res.status() == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let id = &target.id;
+        let limit = match self.names.stated_limit(headers) {
+            Ok(limit) => limit,
+            Err(value) => {
+                log::warn!("event=limit_unreadable target={id} value={value:?}");
+                return;
+            }
+        };
+        let now = clock::now();
+        let change = self
+            .limits
+            .table()
+            .record_answer(target_key(id), limit, sent_at, now);
+        match change {
+            Some(LimitChange::Stated(limit)) => {
+                log::info!("event=limit target={id} per_second={limit}");
+            }
+            Some(LimitChange::Ended) => log::info!("event=limit_ended target={id}"),
+            None => {}
+        }
+    }
+}
+
+/// Returns this daemon's count and that of others.
+fn sum_counts(
+    own: &ServiceSendCounts,
+    others: &HashMap<TargetKey, SendCounts>,
+    key: TargetKey,
+) -> SendCounts {
+    let own = own.iter().find(|(k, _)| *k == key);
+    let mut counts = own.map(|(_, counts)| *counts).unwrap_or_default();
+    counts.add(others.get(&key).copied().unwrap_or_default());
+    counts
+}
