Split statements of targets from the arithmetic of limits

No change of behaviour. target_statements holds what targets have stated and reports it, target_limits decides what a limit leaves room for; two further statements are to share the former.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -26,7 +26,7 @@
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
     suspects::Suspects,
-    target_limits::LimitTracker,
+    target_statements::StatementTracker,
 };
 use crate::{
     clock::{self, BootTime},
@@ -58,7 +58,7 @@
     loads: LoadTracker,
     sends: SendTracker,
     pub suspects: Suspects,
-    pub limits: LimitTracker,
+    pub statements: StatementTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -98,7 +98,7 @@
             loads: trackers.loads,
             sends: trackers.sends,
             suspects: trackers.suspects,
-            limits: trackers.limits,
+            statements: trackers.statements,
             send_window,
             shared,
             // The first tick decides.
@@ -304,7 +304,7 @@
     /// Returns the recent sends of this daemon.
     fn own_sends(&self, now: BootTime) -> ServiceSendCounts {
         let mut sends = self.sends.counts(now, self.send_window);
-        sends.extend(self.limits.counts(now));
+        sends.extend(self.statements.counts(now));
         sends
     }
 
@@ -451,7 +451,7 @@
 
     fn publish_peer_load(&self, now: BootTime) {
         let (work, sends) = self.peers.other_work_and_sends(now);
-        let zone_sends = if self.limits.is_in_force() {
+        let zone_sends = if self.statements.is_in_force() {
             self.peers.other_zone_sends(now)
         } else {
             ServiceSendCounts::new()
@@ -498,9 +498,9 @@
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
-        if self.limits.is_in_force() {
+        if self.statements.is_in_force() {
             let listed: HashSet<_> = targets.values().map(|entry| entry.key).collect();
-            self.limits.table().retain(|key| listed.contains(&key));
+            self.statements.table().retain(|key| listed.contains(&key));
         }
     }
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -145,8 +145,8 @@
         tried: &[Box<str>],
     ) -> Option<Placement> {
         let now = clock::now();
-        if tried.is_empty() && self.limits.is_in_force() {
-            self.limits.record_request(&job.service, now);
+        if tried.is_empty() && self.statements.is_in_force() {
+            self.statements.record_request(&job.service, now);
         }
         let placement = self.choose(fleet, job, admitted, tried)?;
         let work = &placement.work;
@@ -302,7 +302,7 @@
     /// Counts a request against the limit that a target has stated, and against its cold
     /// limit if the target is cold.
     pub(crate) fn record_placement(&self, fleet: &Fleet, target: &Target, now: BootTime) {
-        if self.limits.record_send(&target.id, now) {
+        if self.statements.record_send(&target.id, now) {
             self.loads.request_report();
         }
         let entry = fleet.targets.get(&target.id);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod suspect_entry;
 mod suspects;
 mod target_limits;
+mod target_statements;
 
 use std::{
     cell::RefCell,
@@ -78,8 +79,8 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        LimitReport, ServiceSendCounts, SubjectKey, SuspectReport, TargetKey, TargetWork, Update,
-        WorkReport, ZoneLoad, target_key,
+        ServiceSendCounts, StatementReport, SubjectKey, SuspectReport, TargetKey, TargetWork,
+        Update, WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -93,10 +94,8 @@
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
-    target_limits::{
-        LIMIT_WINDOW, LimitChange, LimitTable, LimitTracker, SentToTarget, demand_name,
-        drawn_targets, has_room,
-    },
+    target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
+    target_statements::{LimitChange, StatementTable, StatementTracker},
 };
 use self::{
     control::Control,
@@ -130,7 +129,7 @@
     pub loads: LoadTracker,
     pub sends: SendTracker,
     pub suspects: Suspects,
-    pub limits: LimitTracker,
+    pub statements: StatementTracker,
 }
 
 /// State that the tasks of the traffic thread share.
@@ -143,7 +142,7 @@
     prefill_rate: PrefillRate,
     sends: SendTracker,
     suspects: Suspects,
-    limits: LimitTracker,
+    statements: StatementTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -199,7 +198,7 @@
             prefill_rate: PrefillRate::default(),
             sends: trackers.sends,
             suspects: trackers.suspects,
-            limits: trackers.limits,
+            statements: trackers.statements,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -208,7 +208,7 @@
             self.report_other_zones().await;
         }
         self.report_suspects(now).await;
-        self.report_limits(now).await;
+        self.report_statements(now).await;
     }
 
     /// Detects that this process stood still.
@@ -287,14 +287,14 @@
     }
 
     /// Reports the limits of targets in the same way.
-    async fn report_limits(&self, now: BootTime) {
+    async fn report_statements(&self, now: BootTime) {
         let report = {
             let control = self.control.borrow();
             let leads = control.peers.is_zone_leader(now);
-            control.limits.table().report(leads, now)
+            control.statements.table().report(leads, now)
         };
         if !report.is_empty() {
-            self.send_to_zones(&Message::Limits(report), now).await;
+            self.send_to_zones(&Message::Statements(report), now).await;
         }
     }
 
@@ -434,7 +434,7 @@
                     .borrow_mut()
                     .record_other_zones(&packet.from, load);
             }
-            Message::Suspects(_) | Message::PlainSuspects(_) | Message::Limits(_)
+            Message::Suspects(_) | Message::PlainSuspects(_) | Message::Statements(_)
                 if self.is_after_pause(now) =>
             {
                 log::debug!("event=report_ignored peer={from}");
@@ -447,10 +447,10 @@
                 let suspects = &self.control.borrow().suspects.plain;
                 suspects.with(now, |table| table.merge(&reports, now));
             }
-            Message::Limits(reports) => {
+            Message::Statements(reports) => {
                 let control = self.control.borrow();
                 let forwards = control.peers.is_zone_leader(now);
-                control.limits.table().merge(&reports, forwards, now);
+                control.statements.table().merge(&reports, forwards, now);
             }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -59,7 +59,7 @@
     /// Subjects of plain requests on which targets crashed.
     PlainSuspects(Vec<SuspectReport>),
     /// Limits that targets have stated.
-    Limits(Vec<LimitReport>),
+    Statements(Vec<StatementReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -120,7 +120,7 @@
 
 /// What a target has stated of the requests that it takes.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitReport {
+pub struct StatementReport {
     /// Hash of the target's id.
     pub target: TargetKey,
     /// Requests per second; `None` if the target no longer states a limit.
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -12,9 +12,8 @@
     peer_wire::{ServiceSendCounts, TargetKey, target_key},
     refusal::Refusal,
     send_budget::SendCounts,
-    target_limits::{
-        LIMIT_WINDOW, LimitChange, SentToTarget, demand_name, drawn_targets, has_room,
-    },
+    target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
+    target_statements::LimitChange,
 };
 use crate::clock::{self, BootTime};
 
@@ -27,7 +26,7 @@
         now: BootTime,
     ) -> Vec<TargetKey> {
         let limits: Vec<_> = {
-            let table = self.limits.table();
+            let table = self.statements.table();
             let limit = |entry: &&KnownTarget| Some((entry.key, table.limit(entry.key)?));
             available.iter().filter_map(limit).collect()
         };
@@ -38,7 +37,7 @@
             |counts: SendCounts, window: Duration| f64::from(counts.firsts) / window.as_secs_f64();
         let window = self.settings().send_budget().window;
         let sends = self.sends.counts(now, window);
-        let requests = self.limits.counts(now);
+        let requests = self.statements.counts(now);
         let sends = self.count_of_all(&sends, target_key(service));
         let requests = self.count_of_all(&requests, target_key(&demand_name(service)));
         let demand = per_second(sends, window).max(per_second(requests, LIMIT_WINDOW));
@@ -55,11 +54,11 @@
         target: TargetKey,
         now: BootTime,
     ) -> bool {
-        let Some(limit) = self.limits.table().limit(target) else {
+        let Some(limit) = self.statements.table().limit(target) else {
             return true;
         };
         let zone_sends = &self.shared.peer_load().zone_sends;
-        let to_target = self.limits.counts(now);
+        let to_target = self.statements.counts(now);
         let to_service = self.sends.counts(now, self.settings().send_budget().window);
         let service = target_key(service);
         let service_by_zone = sum_counts(&to_service, zone_sends, service).firsts;
@@ -85,7 +84,7 @@
         job: &Job,
         last: Refusal,
     ) -> Refusal {
-        let table = self.limits.table();
+        let table = self.statements.table();
         let mut available = fleet.available_targets(&job.service);
         let is_limited = available.any(|entry| table.limit(entry.key).is_some());
         if last == Refusal::NoTarget && is_limited {
@@ -120,7 +119,7 @@
         };
         let now = clock::now();
         let change = self
-            .limits
+            .statements
             .table()
             .record_answer(target_key(id), limit, sent_at, now);
         match change {
--- /dev/null
+++ b/src/gateway/target_statements.rs
@@ -0,0 +1,231 @@
+//! Holds what targets state of themselves in their answers: how many requests they take,
+//! and that they leave.
+//!
+//! Load pattern: a target's answers go to whichever daemon had a request for it, and each
+//! daemon of hundreds gets few of them, while the store says nothing of limits and is late
+//! with departures, or away. Who hears a statement tells the others. A statement holds from
+//! the answer on, until an answer, the store or time ends it.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use super::{
+    peer_wire::{ServiceSendCounts, StatementReport, TargetKey, target_key},
+    send_budget::SendTracker,
+    target_limits::{LIMIT_WINDOW, demand_name},
+};
+use crate::clock::{self, BootTime};
+
+/// Smallest limit that is kept to, in requests per second. Without any request no answer
+/// would tell that the limit has ended.
+const MIN_LIMIT: f64 = 0.25;
+/// Largest limit that is kept to, in requests per second; far above what a target serves.
+const MAX_LIMIT: f64 = 1e6;
+/// Time by which a report has to be newer than what is known, since reports are delayed and
+/// echoed.
+const MERGE_WINDOW: Duration = Duration::from_millis(500);
+/// How long a limit that has ended is still reported, so that all daemons hear of the end.
+const ENDED_KEPT_FOR: Duration = Duration::from_secs(5);
+/// Number of reports that carry a change at once; datagrams may be lost.
+const CHANGE_REPORTS: u8 = 3;
+/// Interval at which the leader of a zone reports all limits, for daemons that have started
+/// or were cut off.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of limits in one report; as many fit a datagram.
+const MAX_REPORTED: usize = 64;
+/// Maximum number of targets with limits, far above the targets of a fleet.
+const MAX_STATEMENTS: usize = 4_096;
+
+/// What a target has stated, as far as this daemon knows.
+#[derive(Clone, Copy, Debug)]
+struct Statement {
+    /// Requests per second; `None` once an answer without a limit has arrived.
+    per_second: Option<f64>,
+    /// Time of the newest answer that says so.
+    at: BootTime,
+    /// Time from which `per_second` is what it is.
+    since: BootTime,
+    /// Number of reports since the last change, at most [`CHANGE_REPORTS`].
+    reports: u8,
+    reported_at: BootTime,
+}
+
+/// A limit that has begun, changed or ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitChange {
+    /// The target takes this many requests per second.
+    Stated(f64),
+    /// The target no longer states a limit.
+    Ended,
+}
+
+/// The limits that targets have stated.
+#[derive(Clone, Debug, Default)]
+pub struct StatementTable {
+    /// At most [`MAX_STATEMENTS`].
+    statements: HashMap<TargetKey, Statement>,
+    reported_at: BootTime,
+}
+
+impl StatementTable {
+    /// Records an answer of a target to a request sent at `sent_at`, and the limit that it
+    /// states, in requests per second.
+    pub fn record_answer(
+        &mut self,
+        target: TargetKey,
+        limit: Option<f64>,
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> Option<LimitChange> {
+        let known = self.statements.get(&target).copied();
+        match (known, limit) {
+            (None, None) => return None,
+            // The answer may be older than the one with the limit.
+            (Some(known), None) if sent_at <= known.at => return None,
+            _ => {}
+        }
+        self.replace(target, limit, now, now, 0)
+    }
+
+    /// Adds the reports of another daemon. A daemon that `forwards` them reports what
+    /// changed.
+    pub fn merge(&mut self, reports: &[StatementReport], forwards: bool, now: BootTime) {
+        let reports_made = if forwards { 0 } else { CHANGE_REPORTS };
+        for report in reports {
+            let at = now.saturating_sub(Duration::from_millis(report.age_ms.into()));
+            let known = self.statements.get(&report.target);
+            let is_news = match known {
+                Some(known) => at > known.at + MERGE_WINDOW,
+                None => report.per_second.is_some(),
+            };
+            if is_news {
+                let limit = report.per_second.map(f64::from);
+                self.replace(report.target, limit, at, now, reports_made);
+            }
+        }
+    }
+
+    fn replace(
+        &mut self,
+        target: TargetKey,
+        limit: Option<f64>,
+        at: BootTime,
+        now: BootTime,
+        reports: u8,
+    ) -> Option<LimitChange> {
+        let known = self.statements.get(&target).copied();
+        if known.is_none() && self.statements.len() >= MAX_STATEMENTS {
+            return None;
+        }
+        let limit = limit.map(|limit| limit.clamp(MIN_LIMIT, MAX_LIMIT));
+        let is_same = known.is_some_and(|known| match (known.per_second, limit) {
+            (Some(a), Some(b)) => (a - b).abs() < f64::from(f32::EPSILON) * b,
+            (a, b) => a.is_none() && b.is_none(),
+        });
+        let unchanged = known.filter(|_| is_same);
+        let statement = Statement {
+            per_second: limit,
+            at,
+            since: unchanged.map_or(now, |known| known.since),
+            reports: unchanged.map_or(reports, |known| known.reports),
+            reported_at: known.map_or(BootTime::ZERO, |known| known.reported_at),
+        };
+        self.statements.insert(target, statement);
+        let change = limit.map_or(LimitChange::Ended, LimitChange::Stated);
+        (!is_same).then_some(change)
+    }
+
+    /// Returns the report to send to other daemons now; empty if none is due. `leads` says
+    /// whether this daemon leads its zone.
+    pub fn report(&mut self, leads: bool, now: BootTime) -> Vec<StatementReport> {
+        self.statements
+            .retain(|_, s| s.per_second.is_some() || now.saturating_sub(s.since) < ENDED_KEPT_FOR);
+        let is_due = leads && now.saturating_sub(self.reported_at) >= REPORT_INTERVAL;
+        if is_due {
+            self.reported_at = now;
+        }
+        let reported = self
+            .statements
+            .iter_mut()
+            .filter(|(_, s)| is_due || s.reports < CHANGE_REPORTS);
+        let mut reported: Vec<_> = reported.collect();
+        reported.sort_by_key(|(key, s)| (s.reports, s.reported_at, **key));
+        reported.truncate(MAX_REPORTED);
+        let report = |(target, statement): (&TargetKey, &mut Statement)| {
+            statement.reports = (statement.reports + 1).min(CHANGE_REPORTS);
+            statement.reported_at = now;
+            let age = clock::millis(now.saturating_sub(statement.at));
+            #[expect(
+                clippy::cast_possible_truncation,
+                reason = "the precision of f32 is enough for a rate"
+            )]
+            let per_second = statement.per_second.map(|limit| limit as f32);
+            StatementReport {
+                target: *target,
+                per_second,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            }
+        };
+        reported.into_iter().map(report).collect()
+    }
+
+    /// Returns the limit of a target in requests per second; `None` if it has none.
+    #[must_use]
+    pub fn limit(&self, target: TargetKey) -> Option<f64> {
+        self.statements.get(&target)?.per_second
+    }
+
+    /// Removes the statements of targets that are not listed.
+    pub fn retain(&mut self, is_listed: impl Fn(TargetKey) -> bool) {
+        self.statements.retain(|target, _| is_listed(*target));
+    }
+}
+
+/// The [`StatementTable`] of this daemon, its sends to targets with limits, and the requests
+/// that it has for their services. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct StatementTracker {
+    table: Arc<Mutex<StatementTable>>,
+    sends: SendTracker,
+}
+
+impl StatementTracker {
+    /// Returns the table.
+    pub fn table(&self) -> MutexGuard<'_, StatementTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether any target has a limit.
+    #[must_use]
+    pub fn is_in_force(&self) -> bool {
+        let table = self.table();
+        table.statements.values().any(|s| s.per_second.is_some())
+    }
+
+    /// Records a request to a target if the target has a limit, and returns whether it has.
+    #[must_use]
+    pub fn record_send(&self, target: &str, now: BootTime) -> bool {
+        let is_limited = self.table().limit(target_key(target)).is_some();
+        if is_limited {
+            self.sends.with(target, |sends| sends.record_first(now));
+        }
+        is_limited
+    }
+
+    /// Records a request for a service, whether or not a target may take it.
+    pub fn record_request(&self, service: &str, now: BootTime) {
+        let name = demand_name(service);
+        self.sends
+            .with(&name, |requests| requests.record_first(now));
+    }
+
+    /// Returns the counts within [`LIMIT_WINDOW`], by the hash of a target's id or of
+    /// [`demand_name`].
+    #[must_use]
+    pub fn counts(&self, now: BootTime) -> ServiceSendCounts {
+        self.sends.counts(now, LIMIT_WINDOW)
+    }
+}
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -7,7 +7,7 @@
 };
 
 use bluebelldrift::gateway::{
-    LIMIT_WINDOW, LimitChange, LimitTable, SentToTarget, TargetKey, drawn_targets, has_room,
+    LIMIT_WINDOW, LimitChange, SentToTarget, StatementTable, TargetKey, drawn_targets, has_room,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -19,14 +19,14 @@
 }
 
 /// Exchanges reports of two daemons, of which the first leads the zone.
-fn exchange(leader: &mut LimitTable, other: &mut LimitTable, ms: u64) {
+fn exchange(leader: &mut StatementTable, other: &mut StatementTable, ms: u64) {
     other.merge(&leader.report(true, at(ms)), false, at(ms));
     leader.merge(&other.report(false, at(ms)), true, at(ms));
 }
 
 #[test]
 fn a_limit_is_kept_until_an_answer_without_one() {
-    let mut table = LimitTable::default();
+    let mut table = StatementTable::default();
     assert_eq!(table.record_answer(TARGET, None, at(0), at(10)), None);
     let stated = table.record_answer(TARGET, Some(2.5), at(0), at(10));
     assert_eq!(stated, Some(LimitChange::Stated(2.5)));
@@ -41,7 +41,7 @@
 
 #[test]
 fn a_limit_of_zero_leaves_room_for_the_request_that_finds_its_end() {
-    let mut table = LimitTable::default();
+    let mut table = StatementTable::default();
     table.record_answer(TARGET, Some(0.0), at(0), at(10));
     let limit = table.limit(TARGET).expect("the limit");
     let sent = |by_all| SentToTarget {
@@ -55,12 +55,12 @@
 
 #[test]
 fn other_daemons_hear_of_a_limit_and_of_its_end() {
-    let (mut leader, mut other) = (LimitTable::default(), LimitTable::default());
+    let (mut leader, mut other) = (StatementTable::default(), StatementTable::default());
     other.record_answer(TARGET, Some(2.0), at(0), at(10));
     exchange(&mut leader, &mut other, 200);
     assert_eq!(leader.limit(TARGET), Some(2.0));
     // The leader tells a daemon that has just started.
-    let mut started = LimitTable::default();
+    let mut started = StatementTable::default();
     exchange(&mut leader, &mut started, 2_000);
     assert_eq!(started.limit(TARGET), Some(2.0));
     leader.record_answer(TARGET, None, at(3_000), at(3_010));
@@ -74,7 +74,7 @@
 /// Reports that two daemons echo to each other kept a limit in force after its end.
 #[test]
 fn echoed_reports_do_not_bring_a_limit_back() {
-    let (mut leader, mut other) = (LimitTable::default(), LimitTable::default());
+    let (mut leader, mut other) = (StatementTable::default(), StatementTable::default());
     other.record_answer(TARGET, Some(2.0), at(0), at(10));
     for ms in (200..20_000).step_by(200) {
         exchange(&mut leader, &mut other, ms);
@@ -89,7 +89,7 @@
 
 #[test]
 fn reports_and_tables_are_bounded() {
-    let mut table = LimitTable::default();
+    let mut table = StatementTable::default();
     for target in 0..10_000 {
         table.record_answer(target, Some(1.0), at(0), at(10));
     }
