Give no new work to targets that say in their answers that they leave

Callers' requests went to a target that leaves for as long as the store did not say so: a platform's store is late with departures, at times never tells them, and is away.

Cause: the statement was not read. Change: an answer that carries it counts as the store's notice, for 60 s or until the entry is gone: no new work, no repeats, no resumed runs beyond the drain time, and copies of the runs there. It is applied to the view of the fleet, through which each way to a target goes already, within 200 ms, and again with each read of the store, whose entry may return. Other daemons are told.

Not built: a new start under the same id ends the statement only by the 60 s.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -219,6 +219,8 @@
         }
         let has_changes = update.is_whole || !update.changes.is_empty();
         if has_changes {
+            let leaving = self.statements.table().leaving(now);
+            self.fleet.set_said_leaving(&leaving);
             self.shared.publish(self.fleet.clone());
         }
         has_changes
@@ -498,10 +500,14 @@
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
-        if self.statements.is_in_force() {
+        if self.statements.has_any() {
             let listed: HashSet<_> = targets.values().map(|entry| entry.key).collect();
             self.statements.table().retain(|key| listed.contains(&key));
         }
+        let leaving = self.statements.table().leaving(now);
+        if self.fleet.set_said_leaving(&leaving) {
+            self.shared.publish(self.fleet.clone());
+        }
     }
 }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,11 +5,15 @@
 //! fleet, so their targets stay in use until shortly after the store is back, and
 //! are removed only then.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{
     model::{Change, Config, Fleet, KnownTarget, Target, TargetId, Topic},
-    peer_wire::target_key,
+    peer_wire::{TargetKey, target_key},
 };
 use crate::{clock::BootTime, platform::Revision};
 
@@ -164,6 +168,7 @@
     fn put_target(&mut self, target: &Target, now: BootTime) {
         let known = self.targets.get(&target.id);
         let was_leaving = known.and_then(|k| k.leaving_since);
+        let said_leaving_at = known.and_then(|k| k.said_leaving_at);
         if known.is_none_or(|k| *k.target != *target) {
             log::info!(
                 "event=target id={} service={} address={} zone={} draining={} cold_ms={}",
@@ -180,11 +185,42 @@
             target: Arc::new(target.clone()),
             cold_until: now + target.cold_for,
             removal_due_at: None,
-            leaving_since: target.is_draining.then(|| was_leaving.unwrap_or(now)),
+            leaving_since: if target.is_draining {
+                Some(was_leaving.unwrap_or(now))
+            } else {
+                said_leaving_at
+            },
+            said_leaving_at,
         };
         self.targets.insert(target.id.clone(), known);
     }
 
+    /// Records which targets have said in their answers that they leave, and when. Returns
+    /// whether this changes anything.
+    pub fn set_said_leaving(&mut self, leaving: &HashMap<TargetKey, BootTime>) -> bool {
+        let mut is_changed = false;
+        for (id, known) in &mut self.targets {
+            let said_at = leaving.get(&known.key).copied();
+            if known.said_leaving_at.is_some() == said_at.is_some() {
+                continue;
+            }
+            is_changed = true;
+            known.said_leaving_at = said_at;
+            match said_at {
+                Some(at) => {
+                    log::info!("event=target_says_leaving id={id}");
+                    known.leaving_since = Some(known.leaving_since.unwrap_or(at));
+                }
+                None if !known.target.is_draining => {
+                    log::info!("event=target_back id={id}");
+                    known.leaving_since = None;
+                }
+                None => {}
+            }
+        }
+        is_changed
+    }
+
     /// Removes a target. During the grace period after a store outage, only marks it for
     /// removal at the end of that period, unless the target was leaving.
     fn remove(&mut self, id: &TargetId, feed: &FeedState, now: BootTime) {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -47,6 +47,8 @@
     /// Set by a target that takes no more than this number of requests per second from all
     /// daemons together, for as long as its answers say so.
     pub limit: HeaderName,
+    /// Set to 1 by a target that leaves and is to get no new work.
+    pub leaving: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by
     /// a comma.
     pub token_count: HeaderName,
@@ -132,6 +134,15 @@
         echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes())
     }
 
+    /// Returns whether a target states in an answer that it leaves.
+    #[must_use]
+    pub fn states_leaving(&self, headers: &HeaderMap) -> bool {
+        let values = headers.get_all(&self.leaving);
+        values
+            .iter()
+            .any(|value| value.as_bytes().trim_ascii() == b"1")
+    }
+
     /// Returns the limit that a target states in an answer, in requests per second: the
     /// lowest one if there are several.
     ///
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -254,4 +254,7 @@
     /// Time at which this daemon learned that the target is leaving; `None` if it is
     /// not leaving.
     pub leaving_since: Option<BootTime>,
+    /// Time of the first answer in which the target said so; `None` if it has not, or if
+    /// that was long ago.
+    pub said_leaving_at: Option<BootTime>,
 }
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -58,7 +58,7 @@
     Suspects(Vec<SuspectReport>),
     /// Subjects of plain requests on which targets crashed.
     PlainSuspects(Vec<SuspectReport>),
-    /// Limits that targets have stated.
+    /// What targets have stated of themselves.
     Statements(Vec<StatementReport>),
 }
 
@@ -118,7 +118,7 @@
     pub asked_age_ms: u32,
 }
 
-/// What a target has stated of the requests that it takes.
+/// What a target has stated of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatementReport {
     /// Hash of the target's id.
@@ -127,6 +127,8 @@
     pub per_second: Option<f32>,
     /// Age of the newest answer that says so, in milliseconds at the time of the send.
     pub age_ms: u32,
+    /// Age of the first answer that says that the target leaves; `None` if there is none.
+    pub leaving_age_ms: Option<u32>,
 }
 
 /// The answer to a [`Query`].
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -110,6 +110,10 @@
             return;
         }
         let id = &target.id;
+        if self.names.states_leaving(headers) {
+            let now = clock::now();
+            self.statements.table().record_leaving(target_key(id), now);
+        }
         let limit = match self.names.stated_limit(headers) {
             Ok(limit) => limit,
             Err(value) => {
--- a/src/gateway/target_statements.rs
+++ b/src/gateway/target_statements.rs
@@ -31,12 +31,15 @@
 const ENDED_KEPT_FOR: Duration = Duration::from_secs(5);
 /// Number of reports that carry a change at once; datagrams may be lost.
 const CHANGE_REPORTS: u8 = 3;
-/// Interval at which the leader of a zone reports all limits, for daemons that have started
+/// How long a target that has said that it leaves gets no work, if the store still lists it
+/// afterwards: targets that leave are gone by then.
+const LEAVING_KEPT_FOR: Duration = Duration::from_secs(60);
+/// Interval at which the leader of a zone reports all statements, for daemons that have started
 /// or were cut off.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of limits in one report; as many fit a datagram.
-const MAX_REPORTED: usize = 64;
-/// Maximum number of targets with limits, far above the targets of a fleet.
+/// Maximum number of statements in one report; as many fit a datagram.
+const MAX_REPORTED: usize = 48;
+/// Maximum number of targets with statements, far above the targets of a fleet.
 const MAX_STATEMENTS: usize = 4_096;
 
 /// What a target has stated, as far as this daemon knows.
@@ -48,11 +51,20 @@
     at: BootTime,
     /// Time from which `per_second` is what it is.
     since: BootTime,
+    /// Time of the first answer that says that the target leaves; `None` if there is none.
+    leaving_at: Option<BootTime>,
     /// Number of reports since the last change, at most [`CHANGE_REPORTS`].
     reports: u8,
     reported_at: BootTime,
 }
 
+impl Statement {
+    fn is_leaving(&self, now: BootTime) -> bool {
+        self.leaving_at
+            .is_some_and(|at| now.saturating_sub(at) < LEAVING_KEPT_FOR)
+    }
+}
+
 /// A limit that has begun, changed or ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
@@ -62,7 +74,7 @@
     Ended,
 }
 
-/// The limits that targets have stated.
+/// What targets have stated.
 #[derive(Clone, Debug, Default)]
 pub struct StatementTable {
     /// At most [`MAX_STATEMENTS`].
@@ -90,6 +102,37 @@
         self.replace(target, limit, now, now, 0)
     }
 
+    /// Records an answer that says that its target leaves. Returns whether this is news.
+    pub fn record_leaving(&mut self, target: TargetKey, now: BootTime) -> bool {
+        let is_full = self.statements.len() >= MAX_STATEMENTS;
+        if is_full && !self.statements.contains_key(&target) {
+            return false;
+        }
+        let statement = self.statements.entry(target).or_insert(Statement {
+            per_second: None,
+            at: now,
+            since: now,
+            leaving_at: None,
+            reports: 0,
+            reported_at: BootTime::ZERO,
+        });
+        let is_news = !statement.is_leaving(now);
+        if is_news {
+            statement.leaving_at = Some(now);
+            statement.reports = 0;
+        }
+        is_news
+    }
+
+    /// Returns the targets that have said that they leave, and when.
+    #[must_use]
+    pub fn leaving(&self, now: BootTime) -> HashMap<TargetKey, BootTime> {
+        let leaving = self.statements.iter().filter(|(_, s)| s.is_leaving(now));
+        leaving
+            .filter_map(|(key, s)| Some((*key, s.leaving_at?)))
+            .collect()
+    }
+
     /// Adds the reports of another daemon. A daemon that `forwards` them reports what
     /// changed.
     pub fn merge(&mut self, reports: &[StatementReport], forwards: bool, now: BootTime) {
@@ -105,6 +148,16 @@
                 let limit = report.per_second.map(f64::from);
                 self.replace(report.target, limit, at, now, reports_made);
             }
+            let leaving_age = report
+                .leaving_age_ms
+                .map(|ms| Duration::from_millis(ms.into()));
+            if leaving_age.is_some_and(|age| age < LEAVING_KEPT_FOR)
+                && self.record_leaving(report.target, now)
+                && let Some(statement) = self.statements.get_mut(&report.target)
+            {
+                statement.leaving_at = leaving_age.map(|age| now.saturating_sub(age));
+                statement.reports = reports_made;
+            }
         }
     }
 
@@ -130,6 +183,7 @@
             per_second: limit,
             at,
             since: unchanged.map_or(now, |known| known.since),
+            leaving_at: known.and_then(|known| known.leaving_at),
             reports: unchanged.map_or(reports, |known| known.reports),
             reported_at: known.map_or(BootTime::ZERO, |known| known.reported_at),
         };
@@ -141,8 +195,11 @@
     /// Returns the report to send to other daemons now; empty if none is due. `leads` says
     /// whether this daemon leads its zone.
     pub fn report(&mut self, leads: bool, now: BootTime) -> Vec<StatementReport> {
-        self.statements
-            .retain(|_, s| s.per_second.is_some() || now.saturating_sub(s.since) < ENDED_KEPT_FOR);
+        self.statements.retain(|_, s| {
+            s.per_second.is_some()
+                || s.is_leaving(now)
+                || now.saturating_sub(s.since) < ENDED_KEPT_FOR
+        });
         let is_due = leads && now.saturating_sub(self.reported_at) >= REPORT_INTERVAL;
         if is_due {
             self.reported_at = now;
@@ -157,7 +214,9 @@
         let report = |(target, statement): (&TargetKey, &mut Statement)| {
             statement.reports = (statement.reports + 1).min(CHANGE_REPORTS);
             statement.reported_at = now;
-            let age = clock::millis(now.saturating_sub(statement.at));
+            let age = |at: BootTime| {
+                u32::try_from(clock::millis(now.saturating_sub(at))).unwrap_or(u32::MAX)
+            };
             #[expect(
                 clippy::cast_possible_truncation,
                 reason = "the precision of f32 is enough for a rate"
@@ -166,7 +225,8 @@
             StatementReport {
                 target: *target,
                 per_second,
-                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+                age_ms: age(statement.at),
+                leaving_age_ms: statement.leaving_at.map(age),
             }
         };
         reported.into_iter().map(report).collect()
@@ -178,9 +238,11 @@
         self.statements.get(&target)?.per_second
     }
 
-    /// Removes the statements of targets that are not listed.
+    /// Removes the statements of targets that are not listed. The entry of one that leaves
+    /// may return, so that statement stays.
     pub fn retain(&mut self, is_listed: impl Fn(TargetKey) -> bool) {
-        self.statements.retain(|target, _| is_listed(*target));
+        self.statements
+            .retain(|target, s| s.leaving_at.is_some() || is_listed(*target));
     }
 }
 
@@ -198,6 +260,12 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether any target has stated something.
+    #[must_use]
+    pub fn has_any(&self) -> bool {
+        !self.table().statements.is_empty()
+    }
+
     /// Returns whether any target has a limit.
     #[must_use]
     pub fn is_in_force(&self) -> bool {
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_statements.rs
@@ -1,5 +1,5 @@
-//! Tests how daemons divide the limits that targets state, at one daemon and in a simulated
-//! fleet whose daemons report their sends.
+//! Tests what daemons keep of the statements of targets, and how they divide limits, at one
+//! daemon and in a simulated fleet whose daemons report their sends.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -92,8 +92,9 @@
     let mut table = StatementTable::default();
     for target in 0..10_000 {
         table.record_answer(target, Some(1.0), at(0), at(10));
+        table.record_leaving(target, at(10));
     }
-    let report = table.report(true, at(100));
+    let report = table.report(true, at(59_000));
     assert!(report.len() <= 64, "{}", report.len());
     // A datagram has 1,200 bytes, of which 100 are for its sender and its check sum.
     let bytes = postcard::to_allocvec(&report).expect("encode the report");
@@ -282,3 +283,20 @@
         assert_eq!(fleet.refused, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn other_daemons_hear_that_a_target_leaves_until_that_is_long_ago() {
+    let (mut leader, mut other) = (StatementTable::default(), StatementTable::default());
+    assert!(other.record_leaving(TARGET, at(0)));
+    assert!(!other.record_leaving(TARGET, at(50)));
+    // Its entry may return.
+    other.retain(|_| false);
+    for ms in (200..59_000).step_by(200) {
+        exchange(&mut leader, &mut other, ms);
+        assert!(leader.leaving(at(ms)).contains_key(&TARGET), "{ms}");
+    }
+    for ms in (61_000..70_000).step_by(200) {
+        exchange(&mut leader, &mut other, ms);
+        assert!(leader.leaving(at(ms)).is_empty() && other.leaving(at(ms)).is_empty());
+    }
+}
