Send nothing to a target for as long as it asks a daemon to wait

A target that declines a request with 503 and Retry-After wants nothing of that daemon for so long. It was sent requests as soon as its failure cost less than the load of the others: with 24 callers and two targets 8 in the last 7.5 of 8 s, allowed 2. With all targets waiting, callers were told to come back in 0.36 s where the targets had asked for 2.5 s.

Cause: the statement was not read. Change: it is kept for the daemon that was told, 300 s at most, and asked for on the same ways as limits: where a target is chosen, where a copy is placed, and before a run is resumed. If all targets of a service wait, requests are refused at once with the time until the first one takes some, and up to half a second more. Values that are no number of seconds are logged and change nothing.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -1,6 +1,8 @@
 //! Names of the headers that are exchanged with callers and targets, and the
 //! values read from a request's headers.
 
+use std::time::Duration;
+
 use hyper::{
     HeaderMap,
     header::{self, HeaderName, HeaderValue},
@@ -143,21 +145,27 @@
             .any(|value| value.as_bytes().trim_ascii() == b"1")
     }
 
+    /// Returns for how long a target that declines a request wants no further ones.
+    ///
+    /// # Errors
+    /// Returns the first value if no value is a number of seconds.
+    pub fn stated_wait<'a>(
+        &self,
+        headers: &'a HeaderMap,
+    ) -> Result<Option<Duration>, &'a HeaderValue> {
+        let seconds = numbers(headers, &header::RETRY_AFTER)?;
+        let longest = seconds.into_iter().max_by(f64::total_cmp);
+        Ok(longest.map(|s| Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX)))
+    }
+
     /// Returns the limit that a target states in an answer, in requests per second: the
     /// lowest one if there are several.
     ///
     /// # Errors
     /// Returns the first value if no value is a rate.
     pub fn stated_limit<'a>(&self, headers: &'a HeaderMap) -> Result<Option<f64>, &'a HeaderValue> {
-        let values = headers.get_all(&self.limit);
-        let Some(first) = values.iter().next() else {
-            return Ok(None);
-        };
-        let rates = values.iter().filter_map(|value| {
-            let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
-            (rate.is_finite() && rate >= 0.0).then_some(rate)
-        });
-        rates.min_by(f64::total_cmp).map(Some).ok_or(first)
+        let rates = numbers(headers, &self.limit)?;
+        Ok(rates.into_iter().min_by(f64::total_cmp))
     }
 
     /// Returns the headers of a request that are forwarded to a target, without
@@ -175,6 +183,24 @@
     }
 }
 
+/// Returns the values of a header that are numbers and not negative. Fails with the first
+/// value if none is.
+fn numbers<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Vec<f64>, &'a HeaderValue> {
+    let values = headers.get_all(name);
+    let Some(first) = values.iter().next() else {
+        return Ok(Vec::new());
+    };
+    let numbers = values.iter().filter_map(|value| {
+        let number: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        (number.is_finite() && number >= 0.0).then_some(number)
+    });
+    let numbers: Vec<_> = numbers.collect();
+    if numbers.is_empty() {
+        return Err(first);
+    }
+    Ok(numbers)
+}
+
 /// Parses the parts of a prompt and returns the keys of all but the last one. Entries
 /// that lack an id are skipped, so that one malformed entry does not hide the others.
 fn shared_parts(text: &str) -> Box<[SubjectKey]> {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -188,7 +188,7 @@
                     .allows_region(admitted.customer.as_deref(), region)
         });
         let available: Vec<_> = available.collect();
-        let closed = self.closed_by_limits(&job.service, &available, now);
+        let closed = self.closed_targets(&job.service, &available, now);
         let eligible = available
             .into_iter()
             .filter(|entry| !closed.contains(&entry.key))
@@ -263,7 +263,7 @@
         let candidates = fleet
             .available_targets(&target.service)
             .filter(|entry| entry.target.zone == target.zone && !tried.contains(&entry.target.id))
-            .filter(|entry| self.has_room_in_limit(&target.service, entry.key, now));
+            .filter(|entry| self.may_be_sent_to(&target.service, entry.key, now));
         let costs = candidates.map(|entry| {
             let (mut work, failures) = self.loads.get(&entry.target.id, now);
             work.add(peer_load.work.get(&entry.key));
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -428,8 +428,8 @@
         if !fleet.accepts_resumed_runs(target, drain_time, now) {
             return Err("the copy's target takes no work".into());
         }
-        if !self.has_room_in_limit(&job.service, target_key(&target.id), now) {
-            return Err("the limit of the copy's target".into());
+        if !self.may_be_sent_to(&job.service, target_key(&target.id), now) {
+            return Err("the copy's target wants no requests".into());
         }
         if !self.try_record_send(job, Some(RepeatReason::BrokenRun), now) {
             return Err("budget".into());
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -35,6 +35,9 @@
     NoTarget,
     /// Each target that could take it has stated a limit that is used up; it has not run.
     Limited,
+    /// Each target that could take it wants no requests for this time at least; it has not
+    /// run.
+    Waiting(Duration),
     /// Every target that was tried was unreachable or declined; the request has not
     /// run.
     Declined,
@@ -56,6 +59,8 @@
 /// Minimum `Retry-After` when the limits of targets are used up: a part of the window over
 /// which they are counted.
 const RETRY_LIMITED: Duration = Duration::from_millis(500);
+/// Span over which callers return to targets that wanted no requests.
+const RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Minimum `Retry-After` when targets crash on the request.
 const RETRY_SUSPECT: Duration = Duration::from_secs(2);
 
@@ -67,6 +72,7 @@
             | Self::Stopping
             | Self::NoTarget
             | Self::Limited
+            | Self::Waiting(_)
             | Self::Declined
             | Self::Suspect
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -88,6 +94,7 @@
                 Some(RETRY_OTHER_DAEMON.mul_f64(1.0 + jitter))
             }
             Self::Limited => Some(RETRY_LIMITED.mul_f64(1.0 + jitter)),
+            Self::Waiting(left) => Some(left + RETRY_SPREAD.mul_f64(jitter)),
             Self::Suspect => Some(RETRY_SUSPECT.mul_f64(1.0 + jitter)),
             _ => None,
         }
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -18,20 +18,25 @@
 use crate::clock::{self, BootTime};
 
 impl Gateway {
-    /// Returns the targets with limits to which one request of a service may not be sent.
-    pub(super) fn closed_by_limits(
+    /// Returns the targets to which one request of a service may not be sent, because of what
+    /// they have stated.
+    pub(super) fn closed_targets(
         &self,
         service: &str,
         available: &[&KnownTarget],
         now: BootTime,
     ) -> Vec<TargetKey> {
-        let limits: Vec<_> = {
+        let (mut closed, limits): (Vec<_>, Vec<_>) = {
             let table = self.statements.table();
-            let limit = |entry: &&KnownTarget| Some((entry.key, table.limit(entry.key)?));
-            available.iter().filter_map(limit).collect()
+            let keys = available.iter().map(|entry| entry.key);
+            let waiting = keys
+                .clone()
+                .filter(|key| table.waits_until(*key, now).is_some());
+            let limit = |key| Some((key, table.limit(key)?));
+            (waiting.collect(), keys.filter_map(limit).collect())
         };
         if limits.is_empty() {
-            return Vec::new();
+            return closed;
         }
         let per_second =
             |counts: SendCounts, window: Duration| f64::from(counts.firsts) / window.as_secs_f64();
@@ -42,20 +47,26 @@
         let requests = self.count_of_all(&requests, target_key(&demand_name(service)));
         let demand = per_second(sends, window).max(per_second(requests, LIMIT_WINDOW));
         let drawn = drawn_targets(&limits, demand, rand::random());
-        let keys = limits.iter().map(|(key, _)| *key);
-        keys.filter(|key| !drawn.contains(key) || !self.has_room_in_limit(service, *key, now))
-            .collect()
+        let limited = limits.iter().map(|(key, _)| *key);
+        let limited =
+            limited.filter(|key| !drawn.contains(key) || !self.may_be_sent_to(service, *key, now));
+        closed.extend(limited);
+        closed
     }
 
-    /// Returns whether one more request to a target keeps to the limit that it has stated.
-    pub(crate) fn has_room_in_limit(
-        &self,
-        service: &str,
-        target: TargetKey,
-        now: BootTime,
-    ) -> bool {
-        let Some(limit) = self.statements.table().limit(target) else {
-            return true;
+    /// Returns whether a target wants requests of this daemon now, and one more keeps to the
+    /// limit that it has stated. A new request also has to draw a number in the target's range;
+    /// see [`Self::closed_targets`].
+    pub(crate) fn may_be_sent_to(&self, service: &str, target: TargetKey, now: BootTime) -> bool {
+        let (is_waiting, limit) = {
+            let table = self.statements.table();
+            (
+                table.waits_until(target, now).is_some(),
+                table.limit(target),
+            )
+        };
+        let Some(limit) = limit.filter(|_| !is_waiting) else {
+            return !is_waiting;
         };
         let zone_sends = &self.shared.peer_load().zone_sends;
         let to_target = self.statements.counts(now);
@@ -84,7 +95,17 @@
         job: &Job,
         last: Refusal,
     ) -> Refusal {
+        if !matches!(last, Refusal::NoTarget | Refusal::Declined) {
+            return last;
+        }
+        let now = clock::now();
         let table = self.statements.table();
+        let available = fleet.available_targets(&job.service);
+        let waits = available.map(|entry| table.waits_until(entry.key, now));
+        let all_wait: Option<Vec<_>> = waits.collect();
+        if let Some(earliest) = all_wait.and_then(|ends| ends.into_iter().min()) {
+            return Refusal::Waiting(earliest.saturating_sub(now));
+        }
         let mut available = fleet.available_targets(&job.service);
         let is_limited = available.any(|entry| table.limit(entry.key).is_some());
         if last == Refusal::NoTarget && is_limited {
@@ -114,6 +135,24 @@
             let now = clock::now();
             self.statements.table().record_leaving(target_key(id), now);
         }
+        if res.status() == StatusCode::SERVICE_UNAVAILABLE {
+            match self.names.stated_wait(headers) {
+                Ok(None) => {}
+                Ok(Some(wait)) => {
+                    let now = clock::now();
+                    let kept = self
+                        .statements
+                        .table()
+                        .record_wait(target_key(id), wait, now);
+                    log::info!(
+                        "event=wait target={id} ms={} shortened={}",
+                        clock::millis(kept.unwrap_or(wait)),
+                        kept.is_some()
+                    );
+                }
+                Err(value) => log::warn!("event=wait_unreadable target={id} value={value:?}"),
+            }
+        }
         let limit = match self.names.stated_limit(headers) {
             Ok(limit) => limit,
             Err(value) => {
--- a/src/gateway/target_statements.rs
+++ b/src/gateway/target_statements.rs
@@ -1,10 +1,11 @@
 //! Holds what targets state of themselves in their answers: how many requests they take,
-//! and that they leave.
+//! that they leave, and for how long they want none.
 //!
 //! Load pattern: a target's answers go to whichever daemon had a request for it, and each
 //! daemon of hundreds gets few of them, while the store says nothing of limits and is late
-//! with departures, or away. Who hears a statement tells the others. A statement holds from
-//! the answer on, until an answer, the store or time ends it.
+//! with departures, or away. Who hears a statement tells the others, except of waits, which
+//! are meant for the daemon alone that was told. A statement holds from the answer on, until
+//! an answer, the store or time ends it.
 
 use std::{
     collections::HashMap,
@@ -37,6 +38,9 @@
 /// Interval at which the leader of a zone reports all statements, for daemons that have started
 /// or were cut off.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which a target is sent nothing because it asked for that; longer ones
+/// are shortened.
+const MAX_WAIT: Duration = Duration::from_secs(300);
 /// Maximum number of statements in one report; as many fit a datagram.
 const MAX_REPORTED: usize = 48;
 /// Maximum number of targets with statements, far above the targets of a fleet.
@@ -79,6 +83,9 @@
 pub struct StatementTable {
     /// At most [`MAX_STATEMENTS`].
     statements: HashMap<TargetKey, Statement>,
+    /// Times until which targets want no requests of this daemon; at most
+    /// [`MAX_STATEMENTS`].
+    waits: HashMap<TargetKey, BootTime>,
     reported_at: BootTime,
 }
 
@@ -133,6 +140,32 @@
             .collect()
     }
 
+    /// Records that a target wants no requests of this daemon for some time. Returns the time
+    /// that is kept if that is shorter.
+    pub fn record_wait(
+        &mut self,
+        target: TargetKey,
+        wait: Duration,
+        now: BootTime,
+    ) -> Option<Duration> {
+        self.waits.retain(|_, until| *until > now);
+        if self.waits.len() < MAX_STATEMENTS || self.waits.contains_key(&target) {
+            let until = self.waits.entry(target).or_default();
+            *until = (*until).max(now + wait.min(MAX_WAIT));
+        }
+        (wait > MAX_WAIT).then_some(MAX_WAIT)
+    }
+
+    /// Returns the time until which a target wants no requests of this daemon; `None` if it
+    /// takes some now.
+    #[must_use]
+    pub fn waits_until(&self, target: TargetKey, now: BootTime) -> Option<BootTime> {
+        self.waits
+            .get(&target)
+            .copied()
+            .filter(|until| *until > now)
+    }
+
     /// Adds the reports of another daemon. A daemon that `forwards` them reports what
     /// changed.
     pub fn merge(&mut self, reports: &[StatementReport], forwards: bool, now: BootTime) {
--- a/tests/gateway_statements.rs
+++ b/tests/gateway_statements.rs
@@ -300,3 +300,18 @@
         assert!(leader.leaving(at(ms)).is_empty() && other.leaving(at(ms)).is_empty());
     }
 }
+
+#[test]
+fn waits_are_bounded_and_the_longest_one_holds() {
+    let mut table = StatementTable::default();
+    let seconds = Duration::from_secs;
+    assert_eq!(table.record_wait(TARGET, seconds(10), at(0)), None);
+    assert_eq!(table.record_wait(TARGET, seconds(1), at(100)), None);
+    assert_eq!(table.waits_until(TARGET, at(9_900)), Some(at(10_000)));
+    assert_eq!(table.waits_until(TARGET, at(10_000)), None);
+    for wait in [seconds(86_400), Duration::MAX] {
+        let kept = table.record_wait(TARGET, wait, at(20_000));
+        assert_eq!(kept, Some(seconds(300)));
+    }
+    assert_eq!(table.waits_until(TARGET, at(320_000)), None);
+}
