--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -72,6 +72,8 @@
     pub work: Work,
     /// Cost of the target, the lowest of all candidates; see `placement`.
     pub cost: f64,
+    /// Number of targets that were passed by because of what they have stated.
+    pub closed: usize,
 }
 
 /// Values of the headers that only some sends have.
@@ -152,14 +154,15 @@
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
-             unread={}",
+             unread={} closed={}",
             job.info.request_id,
             placement.target.id,
             self.distance(&placement.target.zone),
             placement.cost,
             work.requests,
             work.tokens,
-            work.pending_prompt_tokens
+            work.pending_prompt_tokens,
+            placement.closed
         );
         self.record_placement(fleet, &placement.target, now);
         Some(placement)
@@ -223,6 +226,7 @@
             service,
             work,
             cost,
+            closed: closed.len(),
         })
     }
 
