--- a/tests/gateway_statements.rs
+++ b/tests/gateway_statements.rs
@@ -322,3 +322,21 @@
     }
     assert_eq!(table.waits_until(TARGET, at(320_000)), None);
 }
+
+#[test]
+fn daemons_follow_limits_that_fall_rise_and_end() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(seed, 82, vec![(1, 10.0), (2, 50.0)]);
+        fleet.run(30.0, 0, 20_000);
+        for (limit, from_ms) in [(2.0, 20_000), (0.25, 60_000), (8.0, 100_000)] {
+            fleet.limits[0].1 = limit;
+            fleet.sends.clear();
+            fleet.run(30.0, from_ms, from_ms + 40_000);
+            // What was sent in the contact time may follow the limit before.
+            fleet
+                .sends
+                .retain(|(at_ms, ..)| *at_ms >= at(from_ms + 4_000));
+            fleet.assert_within_limits(seed);
+        }
+    }
+}
