--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -57,9 +57,9 @@
     /// the time of the first one.
     events_of_run: u64,
     run_first_at: Option<BootTime>,
-    /// Whether the current run may not be recorded as begun: it was, or it goes on from a
-    /// copy of another run, which says nothing about the request.
-    is_begun_recorded: bool,
+    /// Whether the current run may still clear its request of crashes. It may not if it has,
+    /// or if it goes on from a copy of another run, which says nothing about the request.
+    may_clear: bool,
 }
 
 impl Delivered {
@@ -119,7 +119,10 @@
         mut run: Run,
         tx: mpsc::Sender<Result<Chunk, StreamError>>,
     ) {
-        let mut delivered = Delivered::default();
+        let mut delivered = Delivered {
+            may_clear: true,
+            ..Delivered::default()
+        };
         loop {
             let time_left = job.time_left(clock::now());
             let mut copy = None;
@@ -151,7 +154,7 @@
             match resumed {
                 Ok(next) => {
                     run = next;
-                    delivered.is_begun_recorded |= delivered.events > 0;
+                    delivered.may_clear &= delivered.events == 0;
                 }
                 Err(reason) => {
                     let (id, events) = (&job.info.request_id, delivered.events);
@@ -189,7 +192,7 @@
             }
         }
         match run_end {
-            RunEnd::Whole if delivered.events_of_run > 0 && !delivered.is_begun_recorded => {
+            RunEnd::Whole if delivered.events_of_run > 0 && delivered.may_clear => {
                 job.record_begun();
             }
             RunEnd::Disconnected(_) if delivered.is_run_young(clock::now()) => {
@@ -307,8 +310,8 @@
             delivered.events_of_run += 1;
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
-            if !delivered.is_run_young(now) && !delivered.is_begun_recorded {
-                delivered.is_begun_recorded = true;
+            if !delivered.is_run_young(now) && delivered.may_clear {
+                delivered.may_clear = false;
                 job.record_begun();
             }
             if event.id.is_some() && event.id <= delivered.last_id {
