Show that a request that crashes targets within its answer is sent on without end

Cause: a plain answer that breaks off in its body is no crash to the account of suspects, which counts only connections lost before the head.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/bluebelldrift-entry target/review/standin; do
   [ -x "$program" ] || { echo "$program is missing: build first"; exit 2; }
 done
-exec target/review/standin bodies review/3/record.txt
+exec target/review/standin deadly review/3/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //! it held, 2 if the case could not run.
 
 mod bodies;
+mod deadly;
 mod early;
 mod endless;
 mod http;
@@ -37,6 +38,7 @@
     }));
     match case.as_str() {
         "bodies" => bodies::run(&record, has_trouble),
+        "deadly" => deadly::run(&record, has_trouble),
         "early" => early::run(&record, has_trouble),
         "endless" => endless::run(&record, has_trouble),
         "twice" => twice::run(&record, has_trouble),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -72,6 +72,20 @@
         text
     }
 
+    pub fn remove(&self, kind: &str, name: &str) {
+        let (objects, changed) = &*self.objects;
+        let mut objects = objects.lock().expect("lock the objects");
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some((_, text)) = objects.live.remove(&key) {
+            objects.revision += 1;
+            let revision = objects.revision;
+            objects
+                .history
+                .push((revision, kind.to_owned(), text, true));
+            changed.notify_all();
+        }
+    }
+
     fn serve(&self, mut conn: Conn) {
         let idle = Duration::from_secs(60);
         while let Ok(head) = conn.read_head(Instant::now() + idle) {
