--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin.rs
--- a/review/standin/deadly.rs
+++ b/review/deadly.rs
@@ -12,7 +12,7 @@
 use crate::{
     http::{Conn, Head},
     store::Store,
-    world::{Client, Daemon, End, Record, Stop, configure, finish, temporary_folder},
+    world::{Client, Daemon, End, Record, Stop, configure, finish, free_port, temporary_folder},
 };
 
 const SERVERS: usize = 4;
@@ -175,7 +175,7 @@
     configure(&store);
     let deadly: Arc<Mutex<Deadly>> = Arc::default();
     for number in 0..SERVERS {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind a server");
+        let listener = TcpListener::bind(("127.0.0.1", free_port())).expect("bind a server");
         let host = Arc::new(Host {
             number,
             address: listener.local_addr().expect("address of a server"),
--- a/review/standin/world.rs
+++ b/review/world.rs
@@ -64,7 +64,10 @@
     {
         end(&child);
     }
-    if let Some(folder) = FOLDER.lock().unwrap_or_else(PoisonError::into_inner).take() {
+    // What a script that could not run has logged is kept.
+    if code != 2
+        && let Some(folder) = FOLDER.lock().unwrap_or_else(PoisonError::into_inner).take()
+    {
         let _ = fs::remove_dir_all(folder);
     }
     std::process::exit(code)
@@ -77,11 +80,16 @@
     let _ = child.wait();
 }
 
-fn free_port() -> u16 {
+/// Returns a port that is free for TCP and UDP, below those that the system gives to outgoing
+/// connections, so that it stays free while a process is down.
+pub fn free_port() -> u16 {
+    static TRIES: AtomicU64 = AtomicU64::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
-        let port = tcp.local_addr().expect("address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let number = u64::from(std::process::id()) * 131 + TRIES.fetch_add(1, Ordering::Relaxed);
+        let port = 15_000 + u16::try_from(number % 15_000).unwrap_or(0);
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
             return port;
         }
     }
