Keep the doses of three cases inside single entries

Cause: cases 1, 2 and 5 took share, x and length from different entries of the site file, or lasted longer than theirs (garble by 0.5 s, answer_lost by 0.5 to 1.5 s, burst by 1 s).

--- a/review/bodies.rs
+++ b/review/bodies.rs
@@ -25,7 +25,7 @@
     Duration::from_secs(22),
     Duration::from_secs(34),
 ];
-const BURST_FOR: Duration = Duration::from_secs(4);
+const BURST_FOR: Duration = Duration::from_secs(3);
 const END_AT: Duration = Duration::from_secs(45);
 /// Size of a body: `max-body-bytes` of the configuration.
 const BODY: usize = 4_194_304;
--- a/review/endless.rs
+++ b/review/endless.rs
@@ -21,7 +21,7 @@
 const TROUBLE_AT: Duration = Duration::from_secs(4);
 const END_AT: Duration = Duration::from_secs(60);
 /// Length of each time with trouble, and of the pause after it.
-const TROUBLE: (Duration, Duration) = (Duration::from_millis(5500), Duration::from_secs(3));
+const TROUBLE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(3));
 /// Bytes a second on one channel: 240 Mbit/s; the link of a machine has 1,000 Mbit/s.
 const PER_SECOND: usize = 30_000_000;
 /// Of the requests of the two engines in trouble, one in so many is answered with such bytes.
--- a/review/twice.rs
+++ b/review/twice.rs
@@ -18,11 +18,11 @@
 /// Clients, each with one report at a time.
 const CLIENTS: usize = 8;
 /// Of the requests of half of the engines, one in so many loses its answer.
-const ONE_IN: u64 = 20;
+const ONE_IN: u64 = 34;
 /// Length of each time with trouble, and of the pause after it.
-const TROUBLE: (Duration, Duration) = (Duration::from_millis(5500), Duration::from_secs(3));
+const TROUBLE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(1));
 /// Time from the start of traffic to its end.
-const END_AT: Duration = Duration::from_secs(60);
+const END_AT: Duration = Duration::from_secs(75);
 /// Time for which the rule lets the engine before go on.
 const ALLOWED: Duration = Duration::from_millis(400);
 
