Bound the memory that requests and answers take together

Cause: memory_mb was read and used nowhere. An unfinished event had no bound and was searched from its start for each part that arrived; bodies and plain answers had one each, but not together; 64 events of any size waited for a caller. Change: the module memory divides memory_mb into pools; bytes beyond 8 KiB are read only once their memory has been taken. Requests without are refused at once (503, not run, Retry-After) before the body is read, answers of declared length wait, an event over 4 MiB is a failure of its target.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use super::in_flight::InFlightGuard;
+use super::{in_flight::InFlightGuard, memory::MemoryGrant};
 
 /// Error of a stream that cannot be resumed. The caller's connection is closed
 /// without the end of the body, so that the response does not look complete.
@@ -40,6 +40,8 @@
     /// Counts the request as running until the body is dropped; `None` until
     /// [`Self::attach_running`] is called.
     running: Option<InFlightGuard>,
+    /// Memory taken for the request until the body is dropped.
+    memory: MemoryGrant,
 }
 
 #[derive(Debug)]
@@ -58,6 +60,7 @@
         Self {
             content: Content::Full(bytes),
             running: None,
+            memory: MemoryGrant::default(),
         }
     }
 
@@ -67,6 +70,7 @@
         Self {
             content: Content::Streamed(chunks),
             running: None,
+            memory: MemoryGrant::default(),
         }
     }
 
@@ -75,6 +79,12 @@
     pub fn attach_running(&mut self, running: InFlightGuard) {
         self.running = Some(running);
     }
+
+    /// Keeps the memory taken for the request until the body has been sent or the caller
+    /// has disconnected.
+    pub fn attach_memory(&mut self, memory: MemoryGrant) {
+        self.memory = memory;
+    }
 }
 
 impl Body for ResponseBody {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,13 +7,18 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle};
 
+use super::{
+    memory::MemoryPool,
+    whole_body::{BodyError, read_answer_body},
+};
+
 /// Time limit for establishing a connection: four round trips between regions,
 /// and some time for a target that is slow to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -23,6 +28,8 @@
 /// Time limit for the acknowledgement of sent bytes: several retransmissions
 /// between regions.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of a response head, and of the bytes of a body that are read at once.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Error of a request for which no response head arrived.
 #[derive(Debug, Snafu)]
@@ -94,7 +101,10 @@
         peer: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Self, ExchangeError> {
-        let handshake = http1::handshake(TokioIo::new(tcp)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(tcp))
+            .await;
         let (mut sender, connection) = handshake.context(LostSnafu {
             step: "handshake",
             peer,
@@ -124,16 +134,19 @@
             || headers.contains_key(header::TRANSFER_ENCODING)
     }
 
-    /// Reads the whole body, up to `max_bytes`.
+    /// Reads the whole body, up to `max_bytes`, with memory from `pool`.
     ///
     /// # Errors
-    /// Fails if the body ends early or is larger than `max_bytes`.
-    pub async fn collect(self, max_bytes: usize) -> Result<Response<Bytes>, Box<str>> {
+    /// Fails if the body ends early, is larger than `max_bytes` or finds no memory.
+    pub(crate) async fn collect(
+        self,
+        max_bytes: usize,
+        pool: &MemoryPool,
+    ) -> Result<Response<Bytes>, BodyError> {
         let (head, body) = self.response.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
+        let body = read_answer_body(body, max_bytes, pool).await;
         drop(self.connection);
-        let body = body.map_err(|e| -> Box<str> { e.to_string().into() })?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(Response::from_parts(head, body?))
     }
 }
 
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -60,7 +60,9 @@
         let starting = tokio::time::timeout(time_left, self.start(&job, admitted));
         let run = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
         if !run.exchange.response.status().is_success() {
-            let reading = run.exchange.collect(MAX_RESPONSE_BYTES);
+            let reading = run
+                .exchange
+                .collect(MAX_RESPONSE_BYTES, &self.memory.answers);
             let read = tokio::time::timeout(job.time_left(clock::now()), reading).await;
             return match read {
                 Ok(Ok(res)) => Ok(caller_response(res)),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod job;
 mod listener;
 mod load;
+mod memory;
 mod model;
 mod peer_port;
 mod peer_wire;
@@ -44,6 +45,7 @@
 mod suspects;
 mod target_limits;
 mod target_statements;
+mod whole_body;
 
 use std::{
     cell::RefCell,
@@ -54,7 +56,6 @@
 };
 
 use arc_swap::ArcSwap;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use strum::IntoEnumIterator;
 use tokio::{
@@ -69,11 +70,12 @@
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls},
-    events::{Event, EventId, EventSplitter},
+    events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
     fleet::FeedState,
     headers::{HeaderNames, RequestInfo, end_to_end},
     load::{LoadTracker, Work},
+    memory::{MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES},
     model::{
         Batch, CallerLimits, Change, Config, Customer, EngineLimits, Fleet, KnownTarget, Read,
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
@@ -102,9 +104,11 @@
     crashes::request_key,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
+    memory::REQUEST_BYTES,
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
     stop::{IDLE_CLOSE_FRACTION, READ_FRACTION},
+    whole_body::{BodyError, read_request_body},
 };
 use crate::{
     clock, http,
@@ -146,6 +150,7 @@
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
+    memory: MemoryPools,
     /// Open connections of callers.
     connections: InFlightCounter,
     /// Cancelled when requests that have no response yet are to be answered, because
@@ -181,6 +186,7 @@
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
         let trackers = Trackers::default();
+        let memory = MemoryPools::new(settings.memory_mb);
         let control_started = spawn_control(
             store,
             &settings,
@@ -202,6 +208,7 @@
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
+            memory,
             connections: InFlightCounter::default(),
             final_answers: CancellationToken::new(),
             stop_requested_at: Mutex::default(),
@@ -218,6 +225,7 @@
             return;
         }
         log::info!("event=settings_changed instance={}", settings.name);
+        self.gateway.memory.resize(settings.memory_mb);
         self.gateway.settings.store(Arc::new(settings));
     }
 
@@ -459,12 +467,26 @@
         }
     }
 
-    /// Admits a request, reads its body and forwards it to a target.
+    /// Takes the memory for a request and serves it.
     async fn serve(
         self: &Arc<Self>,
         head: Parts,
         body: &mut Incoming,
         progress: &Progress,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let memory = self.memory.requests.try_take(REQUEST_BYTES);
+        let memory = memory.ok_or(Refusal::NoMemory)?;
+        let mut res = self.forward(head, body, progress).await?;
+        res.body_mut().attach_memory(memory);
+        Ok(res)
+    }
+
+    /// Admits a request, reads its body and forwards it to a target.
+    async fn forward(
+        self: &Arc<Self>,
+        head: Parts,
+        body: &mut Incoming,
+        progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
         let fleet = self.shared.fleet();
@@ -486,13 +508,11 @@
         let deadline = arrived + caller_timeout.min(admitted.route.timeout);
         self.check_ends_before_exit(deadline)?;
         let limits = self.limits();
-        let body = Limited::new(body, limits.max_body_bytes);
-        let body = body.collect().await.map_err(|e| {
-            if e.is::<http_body_util::LengthLimitError>() {
-                Refusal::TooLarge
-            } else {
-                Refusal::BodyCut
-            }
+        let body = read_request_body(body, limits.max_body_bytes, &self.memory.bodies);
+        let body = body.await.map_err(|e| match e {
+            BodyError::TooLarge { .. } => Refusal::TooLarge,
+            BodyError::NoMemory => Refusal::NoMemory,
+            BodyError::Broken { .. } => Refusal::BodyCut,
         })?;
         let fleet = self.shared.fleet();
         let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
@@ -500,7 +520,6 @@
         // The process may have been asked to stop while the body was read.
         self.check_ends_before_exit(deadline)?;
         let service = admitted.route.pick_service(rand::random());
-        let body = body.to_bytes();
         let customer = admitted.customer.as_ref();
         let request = request_key(&head.method, &host, &head.uri, customer, &body);
         let is_stream = admitted.route.repeat_policy == RepeatPolicy::Stream;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -162,9 +162,12 @@
         if let Some(outcome) = outcome {
             return outcome;
         }
-        match exchange.collect(MAX_RESPONSE_BYTES).await {
+        match exchange
+            .collect(MAX_RESPONSE_BYTES, &self.memory.answers)
+            .await
+        {
             Ok(res) => SendOutcome::Answered(res),
-            Err(reason) => SendOutcome::Unknown(reason),
+            Err(e) => SendOutcome::Unknown(e.to_string().into()),
         }
     }
 
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -10,17 +10,21 @@
 
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
-use tokio::{net::TcpStream, sync::mpsc};
+use tokio::{
+    net::TcpStream,
+    sync::{Semaphore, mpsc},
+};
 
 use super::{
     Gateway,
     body::{Chunk, StreamError},
     engines::CopyRequest,
-    events::{EventId, EventSplitter},
+    events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     exchange::connect,
     generation::Run,
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
+    memory::{EVENT_QUEUE_BYTES, MemoryGrant, MemoryPool, SMALL_BYTES, attach},
     model::{Fleet, Target},
     peer_wire::target_key,
     send_budget::RepeatReason,
@@ -37,6 +41,9 @@
 /// Maximum number of times that a copy is prepared for one run on one engine.
 /// More than one, since the destination of a copy may be reclaimed as well.
 const MAX_COPY_ATTEMPTS: usize = 3;
+/// Longest wait for memory for an incomplete event. Events that wait for each other end it
+/// one by one.
+const EVENT_MEMORY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Event of a run from which its request is not what crashes its engine: an engine may
 /// write some events before it crashes on a request.
 const EVENTS_BEGUN: u64 = 8;
@@ -82,6 +89,67 @@
     }
 }
 
+/// Events of one run that have not been forwarded, and the memory that they take.
+#[derive(Default)]
+struct EventBuffer {
+    splitter: EventSplitter,
+    memory: MemoryGrant,
+}
+
+impl EventBuffer {
+    /// Removes and returns the next complete event, with the memory taken for a large one.
+    fn next_event(&mut self) -> Option<(Event, MemoryGrant)> {
+        let event = self.splitter.next_event()?;
+        let is_large = event.raw.len() > SMALL_BYTES;
+        let memory = is_large.then(|| std::mem::take(&mut self.memory));
+        Some((event, memory.unwrap_or_default()))
+    }
+
+    /// Takes memory for what is left of an incomplete event. Fails if the event is larger
+    /// than [`MAX_EVENT_BYTES`], or if other answers take the memory for long.
+    async fn take_memory(&mut self, pool: &MemoryPool) -> Result<(), Box<str>> {
+        let len = self.splitter.len();
+        if len > MAX_EVENT_BYTES {
+            return Err(format!("an event is larger than {MAX_EVENT_BYTES} bytes").into());
+        }
+        let capacity = self.splitter.capacity();
+        let needed = if capacity > SMALL_BYTES { capacity } else { 0 };
+        let taking = self.memory.resize(pool, needed);
+        let taken = tokio::time::timeout(EVENT_MEMORY_TIMEOUT, taking).await;
+        match taken {
+            Ok(true) => Ok(()),
+            Ok(false) | Err(_) => Err(format!("no memory for an event of {len} bytes").into()),
+        }
+    }
+}
+
+/// Sends the events of a stream to the task that writes them to the caller. Bounds the bytes
+/// that wait there.
+struct EventSender {
+    chunks: mpsc::Sender<Result<Chunk, StreamError>>,
+    room: Arc<Semaphore>,
+}
+
+impl EventSender {
+    fn new(chunks: mpsc::Sender<Result<Chunk, StreamError>>) -> Self {
+        Self {
+            chunks,
+            room: Arc::new(Semaphore::new(EVENT_QUEUE_BYTES)),
+        }
+    }
+
+    /// Waits until there is room for an event and queues it. Fails once the caller has
+    /// disconnected.
+    async fn send(&self, event: Event, memory: MemoryGrant) -> Result<(), ()> {
+        let len = event.raw.len().min(EVENT_QUEUE_BYTES);
+        let permits = u32::try_from(len).map_err(|_| ())?;
+        let room = self.room.clone().acquire_many_owned(permits);
+        let room = room.await.map_err(|_| ())?;
+        let chunk = Chunk::Data(attach(event.raw, (room, memory)));
+        self.chunks.send(Ok(chunk)).await.map_err(|_| ())
+    }
+}
+
 /// How reading the events of a run ended.
 #[derive(strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -119,6 +187,7 @@
         mut run: Run,
         tx: mpsc::Sender<Result<Chunk, StreamError>>,
     ) {
+        let tx = EventSender::new(tx);
         let mut delivered = Delivered {
             may_clear: true,
             ..Delivered::default()
@@ -133,7 +202,7 @@
             let copy = match run_end {
                 RunEnd::Whole => {
                     // Fails if the caller has disconnected in the meantime.
-                    let _ = tx.send(Ok(Chunk::End)).await;
+                    let _ = tx.chunks.send(Ok(Chunk::End)).await;
                     return;
                 }
                 RunEnd::CallerLeft => return,
@@ -162,7 +231,7 @@
                         "event=stream_given_up request={id} events={events} reason={reason:?}"
                     );
                     // Fails if the caller has disconnected in the meantime.
-                    let _ = tx.send(Err(StreamError { reason })).await;
+                    let _ = tx.chunks.send(Err(StreamError { reason })).await;
                     return;
                 }
             }
@@ -220,10 +289,10 @@
         job: &Job,
         run: &mut Run,
         delivered: &mut Delivered,
-        tx: &mpsc::Sender<Result<Chunk, StreamError>>,
+        tx: &EventSender,
         ready: &mut Option<RunCopy>,
     ) -> RunEnd {
-        let mut splitter = EventSplitter::default();
+        let mut events = EventBuffer::default();
         let mut preparing: Option<CopyFuture> = None;
         let mut attempts = 0;
         delivered.events_of_run = 0;
@@ -246,7 +315,7 @@
             }
             let frame = tokio::select! {
                 frame = run.exchange.response.body_mut().frame() => frame,
-                () = tx.closed() => return RunEnd::CallerLeft,
+                () = tx.chunks.closed() => return RunEnd::CallerLeft,
                 () = changed, if attempts < MAX_COPY_ATTEMPTS => continue,
                 prepared = wait_for_copy(&mut preparing) => {
                     preparing = None;
@@ -258,7 +327,9 @@
                 }
             };
             let break_reason: Box<str> = match frame {
-                None if splitter.has_incomplete_event() => "stream ended within an event".into(),
+                None if events.splitter.has_incomplete_event() => {
+                    "stream ended within an event".into()
+                }
                 None if delivered.events == 0 && !run.exchange.has_framed_body() => {
                     "stream ended before its first event".into()
                 }
@@ -266,16 +337,20 @@
                 Some(Err(e)) => e.to_string().into(),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        splitter.push(&data);
+                        events.splitter.push(&data);
                     }
-                    if self
-                        .forward_events(job, run, &mut splitter, delivered, tx)
-                        .await
-                        .is_err()
-                    {
+                    let forwarding = self.forward_events(job, run, &mut events, delivered, tx);
+                    if forwarding.await.is_err() {
                         return RunEnd::CallerLeft;
                     }
-                    continue;
+                    let taken = tokio::select! {
+                        taken = events.take_memory(&self.memory.answers) => taken,
+                        () = tx.chunks.closed() => return RunEnd::CallerLeft,
+                    };
+                    match taken {
+                        Ok(()) => continue,
+                        Err(reason) => return RunEnd::Broken(reason),
+                    }
                 }
             };
             // A copy in progress may still complete.
@@ -302,11 +377,11 @@
         &self,
         job: &Job,
         run: &mut Run,
-        splitter: &mut EventSplitter,
+        events: &mut EventBuffer,
         delivered: &mut Delivered,
-        tx: &mpsc::Sender<Result<Chunk, StreamError>>,
+        tx: &EventSender,
     ) -> Result<(), ()> {
-        while let Some(event) = splitter.next_event() {
+        while let Some((event, memory)) = events.next_event() {
             delivered.events_of_run += 1;
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
@@ -325,7 +400,7 @@
                     .record(waited.as_secs_f64());
             }
             delivered.record(event.id, now);
-            tx.send(Ok(Chunk::Data(event.raw))).await.map_err(|_| ())?;
+            tx.send(event, memory).await?;
         }
         Ok(())
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -32,6 +32,22 @@
     }
 }
 
+impl Gateway {
+    fn set_memory_gauges(&self) {
+        let pools = &self.memory;
+        for (name, pool) in [
+            ("requests", &pools.requests),
+            ("bodies", &pools.bodies),
+            ("answers", &pools.answers),
+        ] {
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+            let [taken, size] = [pool.taken(), pool.size()].map(|bytes| bytes as f64);
+            metrics::gauge!("bluebell_gateway_memory_taken_bytes", "pool" => name).set(taken);
+            metrics::gauge!("bluebell_gateway_memory_pool_bytes", "pool" => name).set(size);
+        }
+    }
+}
+
 /// Answers readiness checks on any path; never returns.
 pub(crate) async fn serve_readiness(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
     serve_text(listener, move || {
@@ -50,6 +66,7 @@
         let age = gateway.shared.config_age(clock::now());
         metrics::gauge!("bluebell_gateway_config_age_seconds")
             .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
+        gateway.set_memory_gauges();
         (StatusCode::OK, crate::metrics::render())
     })
     .await;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The body could not be read to its end.
     BodyCut,
+    /// Other requests take the memory of this daemon; it has not run.
+    NoMemory,
     /// The process is stopping and may exit before the request's deadline; the request
     /// has not run.
     Stopping,
@@ -61,6 +63,9 @@
 const RETRY_LIMITED: Duration = Duration::from_millis(500);
 /// Span over which callers return to targets that wanted no requests.
 const RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Minimum `Retry-After` when other requests take the memory of this daemon: about the time
+/// in which a large body is sent and answered.
+const RETRY_NO_MEMORY: Duration = Duration::from_secs(1);
 /// Minimum `Retry-After` when targets crash on the request.
 const RETRY_SUSPECT: Duration = Duration::from_secs(2);
 
@@ -75,6 +80,7 @@
             | Self::Waiting(_)
             | Self::Declined
             | Self::Suspect
+            | Self::NoMemory
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoId | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
@@ -95,6 +101,7 @@
             }
             Self::Limited => Some(RETRY_LIMITED.mul_f64(1.0 + jitter)),
             Self::Waiting(left) => Some(left + RETRY_SPREAD.mul_f64(jitter)),
+            Self::NoMemory => Some(RETRY_NO_MEMORY.mul_f64(1.0 + jitter)),
             Self::Suspect => Some(RETRY_SUSPECT.mul_f64(1.0 + jitter)),
             _ => None,
         }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -176,6 +176,9 @@
         if self.ip.parse::<std::net::IpAddr>().is_err() {
             faults.push(fault("/ip", "must be an IP address"));
         }
+        if self.memory_mb == 0 {
+            faults.push(fault("/memory_mb", "must be above zero"));
+        }
         if bounds.key_removal_ms == 0 {
             faults.push(fault("/bounds/key_removal_ms", "must be above zero"));
         }
--- /dev/null
+++ b/src/gateway/whole_body.rs
@@ -0,0 +1,118 @@
+//! Reads bodies whole, within a limit on their size and on the memory of all bodies.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+use super::memory::{MemoryGrant, MemoryPool, SMALL_BYTES};
+
+/// Why a body was not read to its end.
+#[derive(Debug, snafu::Snafu)]
+pub(crate) enum BodyError {
+    /// The body is larger than the limit.
+    #[snafu(display("the body is larger than {max_bytes} bytes"))]
+    TooLarge {
+        /// Largest body accepted, in bytes.
+        max_bytes: usize,
+    },
+    /// Other bodies take the memory.
+    #[snafu(display("no memory for the body"))]
+    NoMemory,
+    /// The connection failed before the end of the body, or its framing is invalid.
+    #[snafu(display("{reason}"))]
+    Broken {
+        /// Error of the connection.
+        reason: Box<str>,
+    },
+}
+
+/// Reads a request's body. Fails at once if there is no memory for the length that it
+/// declares.
+pub(crate) async fn read_request_body<B>(
+    body: B,
+    max_bytes: usize,
+    pool: &MemoryPool,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let length = declared_length(&body, max_bytes)?;
+    let grant = match own_bytes(length) {
+        0 => Some(MemoryGrant::default()),
+        bytes => pool.try_take(bytes),
+    };
+    read(body, length, max_bytes, grant, pool).await
+}
+
+/// Reads an answer's body. Waits for the memory for the length that it declares, since the
+/// target has run the request already.
+pub(crate) async fn read_answer_body<B>(
+    body: B,
+    max_bytes: usize,
+    pool: &MemoryPool,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let length = declared_length(&body, max_bytes)?;
+    let grant = match own_bytes(length) {
+        0 => Some(MemoryGrant::default()),
+        bytes => pool.take(bytes).await,
+    };
+    read(body, length, max_bytes, grant, pool).await
+}
+
+/// Returns the declared length, or 0 without one.
+fn declared_length(body: &impl Body, max_bytes: usize) -> Result<usize, BodyError> {
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if length > max_bytes {
+        return Err(BodyError::TooLarge { max_bytes });
+    }
+    Ok(length)
+}
+
+/// Returns how much memory of its own a body needs, given its size.
+fn own_bytes(len: usize) -> usize {
+    if len <= SMALL_BYTES { 0 } else { len }
+}
+
+async fn read<B>(
+    mut body: B,
+    length: usize,
+    max_bytes: usize,
+    grant: Option<MemoryGrant>,
+    pool: &MemoryPool,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let mut grant = grant.ok_or(BodyError::NoMemory)?;
+    let mut buf = BytesMut::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| BodyError::Broken {
+            reason: e.to_string().into(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let len = buf.len() + data.len();
+        if len > max_bytes {
+            return Err(BodyError::TooLarge { max_bytes });
+        }
+        if len > buf.capacity() {
+            let capacity = (2 * buf.capacity()).clamp(len, max_bytes);
+            if !grant.try_resize(pool, own_bytes(capacity)) {
+                return Err(BodyError::NoMemory);
+            }
+            buf.reserve(capacity - buf.len());
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(match grant.bytes() {
+        0 => buf.freeze(),
+        _ => grant.attach(buf.freeze()),
+    })
+}
--- /dev/null
+++ b/tests/gateway_memory.rs
@@ -0,0 +1,120 @@
+//! Tests of the account of the memory that requests and answers take.
+
+use std::time::Duration;
+
+use bluebelldrift::gateway::{
+    EventSplitter, MAX_EVENT_BYTES, MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES,
+};
+use bytes::Bytes;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn grants_exceed_their_pool(steps in proptest::collection::vec((0_usize..8, 0_usize..400), 1..200)) {
+        let pool = MemoryPool::new(1_000);
+        let mut grants: Vec<MemoryGrant> = (0..8).map(|_| MemoryGrant::default()).collect();
+        for (i, bytes) in steps {
+            let (before, others) = (grants[i].bytes(), pool.taken() - grants[i].bytes());
+            let has_room = bytes <= before || others + bytes <= pool.size();
+            prop_assert_eq!(grants[i].try_resize(&pool, bytes), has_room);
+            prop_assert_eq!(grants[i].bytes(), if has_room { bytes } else { before });
+            prop_assert_eq!(pool.taken(), grants.iter().map(MemoryGrant::bytes).sum::<usize>());
+        }
+        drop(grants);
+        prop_assert_eq!(pool.taken(), 0);
+    }
+
+    #[test]
+    fn a_splitter_keeps_memory_of_events_that_it_has_split_off(
+        sizes in proptest::collection::vec(1_usize..60_000, 1..20),
+        frame in 1_usize..70_000,
+    ) {
+        let events = sizes.iter().map(|len| format!("data: {}\n\n", "x".repeat(*len)));
+        let text = events.collect::<Vec<_>>().concat();
+        let mut splitter = EventSplitter::default();
+        let mut whole = Vec::new();
+        for bytes in text.as_bytes().chunks(frame) {
+            splitter.push(bytes);
+            while let Some(event) = splitter.next_event() {
+                whole.extend_from_slice(&event.raw);
+            }
+            let bound = (2 * splitter.len() + frame).max(SMALL_BYTES);
+            prop_assert!(splitter.capacity() <= bound, "{} bytes for {}", splitter.capacity(), splitter.len());
+        }
+        prop_assert_eq!(whole, text.into_bytes());
+        prop_assert!(splitter.is_empty());
+    }
+}
+
+#[test]
+fn an_event_of_the_maximum_size_takes_twice_its_size() {
+    let mut splitter = EventSplitter::default();
+    let part = vec![b'x'; 64 * 1024];
+    while splitter.len() < MAX_EVENT_BYTES {
+        splitter.push(&part);
+        assert_eq!(splitter.next_event(), None);
+    }
+    assert!(splitter.capacity() <= MAX_EVENT_BYTES + part.len());
+    splitter.push(b"\n\nid: 2\n\n");
+    let event = splitter.next_event().expect("a complete event");
+    assert_eq!(event.raw.len(), MAX_EVENT_BYTES + 2);
+    assert_eq!(splitter.next_event().and_then(|e| e.id), Some(2));
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.capacity() <= SMALL_BYTES);
+}
+
+#[tokio::test]
+async fn memory_that_is_attached_to_bytes_is_returned_before_the_last_copy_is_gone() {
+    let pool = MemoryPool::new(100);
+    let grant = pool.try_take(60).expect("take memory");
+    let bytes = grant.attach(Bytes::from_static(b"bytes"));
+    let part = bytes.slice(1..2);
+    drop(bytes);
+    assert_eq!(pool.taken(), 60);
+    assert!(pool.try_take(41).is_none());
+    assert!(pool.take(101).await.is_none());
+    drop(part);
+    assert_eq!(pool.taken(), 0);
+}
+
+/// Waits are served in order, so that a large answer is not passed by for ever.
+#[tokio::test]
+async fn a_large_answer_waits_while_smaller_ones_come() {
+    let pool = MemoryPool::new(100);
+    let first = pool.try_take(70).expect("take memory");
+    let large = tokio::spawn({
+        let pool = pool.clone();
+        async move { pool.take(90).await }
+    });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert!(pool.try_take(30).is_none());
+    drop(first);
+    let large = large.await.expect("join the wait");
+    assert_eq!(large.map(|grant| grant.bytes()), Some(90));
+}
+
+#[tokio::test]
+async fn changed_settings_leave_the_memory_of_requests_as_it_was() {
+    let pools = MemoryPools::new(100);
+    let (size, half) = (pools.bodies.size(), pools.bodies.size() / 2);
+    let held = pools.bodies.try_take(size).expect("take memory");
+    pools.resize(50);
+    assert_eq!(pools.bodies.size(), half);
+    assert!(pools.bodies.try_take(1).is_none());
+    drop(held);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert!(pools.bodies.try_take(half + 1).is_none());
+    assert!(pools.bodies.try_take(half).is_some());
+    pools.resize(200);
+    assert!(pools.bodies.try_take(2 * size).is_some());
+}
+
+#[test]
+fn the_pools_of_a_process_exceed_its_memory() {
+    for memory_mb in [1, 64, 110, 512, 100_000] {
+        let pools = MemoryPools::new(memory_mb);
+        let sizes = [&pools.requests, &pools.bodies, &pools.answers].map(MemoryPool::size);
+        let bound = usize::try_from(memory_mb).expect("fits") * 1_000_000 * 2 / 3;
+        assert!(sizes.iter().sum::<usize>() <= bound, "{sizes:?}");
+    }
+}
