Let a run go on at another engine only once it has ended at its own

Cause: the end of a connection was taken for the end of the run. An engine that loses an answer, or whose connection is reset, may work on. Change: all ways on which a run goes on (lost answer, break, a run that the daemon breaks off, a move at a reclaim) first stop it at its engine with a last copy; a 404, a stop without room, a refused connection, an engine that is not reached twice, and its report a second later tell the same. Otherwise it is asked again until callers have left, and given up. The decision is the pure module takeover.

--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -1,7 +1,7 @@
-//! Calls to engines other than forwarded requests: copying a run's memory from
-//! one engine to another.
+//! Calls to engines other than forwarded requests: copying a run's memory from one engine to
+//! another, and stopping runs.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 
@@ -24,6 +24,24 @@
     pub destination: SocketAddr,
 }
 
+/// What an engine answered to a request to stop a run and to copy its memory, or what its
+/// report says of the run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StopAnswer {
+    /// The run has stopped, and its copy is complete.
+    Copied(CopyHandle),
+    /// The run has stopped, and there is no new copy; the engine keeps its memory.
+    Stopped,
+    /// The engine has no such run.
+    NoSuchRun,
+    /// No process listens at the engine's address.
+    Gone,
+    /// No connection was established in time.
+    Unreachable,
+    /// The run may go on, for the reason given.
+    Unknown(Box<str>),
+}
+
 /// Identifier of a copy, assigned by the engine that made it.
 pub type CopyHandle = Box<str>;
 
@@ -37,6 +55,13 @@
             + Send
             + Sync,
     >,
+    /// Stops a run and copies what its engine has of it. The timeout bounds the whole call.
+    pub stop_run:
+        Arc<dyn Fn(CopyRequest, Duration) -> BoxFuture<'static, StopAnswer> + Send + Sync>,
+    /// Looks a request id up in the runs that an engine reports: [`StopAnswer::NoSuchRun`] if
+    /// it is not there. Reports are some hundred milliseconds old.
+    pub find_run:
+        Arc<dyn Fn(SocketAddr, Box<str>, Duration) -> BoxFuture<'static, StopAnswer> + Send + Sync>,
     /// Formats the reference by which a request names the copy it resumes from:
     /// the address of the engine that made or keeps the copy, and the copy's
     /// handle or the run's request id.
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -135,7 +135,8 @@
                         self.record_crash(job, &placement.target);
                     }
                     let backup = backup.ok_or(Refusal::Lost)?;
-                    return self.resume_unanswered(job, backup).await.map_err(|reason| {
+                    let resuming = self.resume_unanswered(job, placement.target.clone(), backup);
+                    return resuming.await.map_err(|reason| {
                         log::warn!("event=stream_given_up request={id} events=0 reason={reason:?}");
                         Refusal::Lost
                     });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod stop;
 mod suspect_entry;
 mod suspects;
+mod takeover;
 mod target_limits;
 mod target_statements;
 mod whole_body;
@@ -69,7 +70,7 @@
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
-    engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls},
+    engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
     fleet::FeedState,
@@ -96,6 +97,7 @@
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
+    takeover::{Step, Takeover},
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_statements::{LimitChange, StatementTable, StatementTracker},
 };
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -6,7 +6,7 @@
 //! its engine is gone. A run without one is copied to another engine as soon as
 //! the notice arrives, while it still runs.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
@@ -18,7 +18,7 @@
 use super::{
     Gateway,
     body::{Chunk, StreamError},
-    engines::CopyRequest,
+    engines::{CopyHandle, CopyRequest},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     exchange::connect,
     generation::Run,
@@ -29,6 +29,7 @@
     peer_wire::target_key,
     send_budget::RepeatReason,
     sent::SendOutcome,
+    takeover::{Step, Takeover},
 };
 use crate::clock::{self, BootTime};
 
@@ -160,6 +161,9 @@
     CallerLeft,
     /// The connection to the engine failed for the given reason; the run may be resumed.
     Disconnected(Box<str>),
+    /// The connection to the engine failed because the engine was silent; the run may be
+    /// resumed.
+    Silent(Box<str>),
     /// The stream failed for another reason and may be resumed.
     Broken(Box<str>),
 }
@@ -176,6 +180,18 @@
     reservation: Option<Reservation>,
 }
 
+/// A run that broke off.
+struct BrokenRun {
+    /// Engine on which it ran.
+    target: Arc<Target>,
+    /// Last event that the caller has.
+    last_id: Option<EventId>,
+    /// Time of that event, or of the request's arrival.
+    last_at: BootTime,
+    /// Whether the connection to the engine ended because the engine was silent.
+    is_silent: bool,
+}
+
 type CopyFuture = BoxFuture<'static, Result<RunCopy, Box<str>>>;
 
 impl Gateway {
@@ -199,6 +215,7 @@
             let run_end = tokio::time::timeout(time_left, reading).await;
             let run_end = run_end.unwrap_or(RunEnd::Broken("deadline".into()));
             self.record_run_end(&job, &run, &delivered, &run_end);
+            let is_silent = matches!(run_end, RunEnd::Silent(_));
             let copy = match run_end {
                 RunEnd::Whole => {
                     // Fails if the caller has disconnected in the meantime.
@@ -206,19 +223,32 @@
                     return;
                 }
                 RunEnd::CallerLeft => return,
-                RunEnd::Disconnected(_) | RunEnd::Broken(_) => {
+                RunEnd::Disconnected(_) | RunEnd::Silent(_) | RunEnd::Broken(_) => {
                     copy.or_else(|| self.backup_copy(&job, &run))
                 }
             };
+            let source = run.target.clone();
             // Closes the connection to the old engine before the run is resumed
             // on the new one.
             drop(run);
-            let resumed = match copy {
-                _ if delivered.is_run_young(clock::now()) && !job.may_repeat() => {
-                    Err(SUSPECT.into())
+            let resuming = async {
+                if delivered.is_run_young(clock::now()) && !job.may_repeat() {
+                    return Err(SUSPECT.into());
                 }
-                Some(copy) => self.resume(&job, copy, delivered.last_id).await,
-                None => Err("no copy".into()),
+                let copy = copy.ok_or("no copy")?;
+                let broken = BrokenRun {
+                    target: source,
+                    last_id: delivered.last_id,
+                    last_at: delivered
+                        .first_at
+                        .map_or(job.arrived, |_| delivered.last_at),
+                    is_silent,
+                };
+                self.take_over(&job, broken, copy).await
+            };
+            let resumed = tokio::select! {
+                resumed = resuming => resumed,
+                () = tx.chunks.closed() => return,
             };
             match resumed {
                 Ok(next) => {
@@ -253,7 +283,7 @@
             RunEnd::CallerLeft => {
                 log::info!("event=caller_left request={id} target={target} events={events}");
             }
-            RunEnd::Disconnected(reason) | RunEnd::Broken(reason) => {
+            RunEnd::Disconnected(reason) | RunEnd::Silent(reason) | RunEnd::Broken(reason) => {
                 log::warn!(
                     "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
                 );
@@ -264,7 +294,7 @@
             RunEnd::Whole if delivered.events_of_run > 0 && delivered.may_clear => {
                 job.record_begun();
             }
-            RunEnd::Disconnected(_) if delivered.is_run_young(clock::now()) => {
+            RunEnd::Disconnected(_) | RunEnd::Silent(_) if delivered.is_run_young(clock::now()) => {
                 self.record_crash(job, &run.target);
             }
             _ => {}
@@ -326,15 +356,16 @@
                     continue;
                 }
             };
-            let break_reason: Box<str> = match frame {
+            let run_end = match frame {
                 None if events.splitter.has_incomplete_event() => {
-                    "stream ended within an event".into()
+                    RunEnd::Disconnected("stream ended within an event".into())
                 }
                 None if delivered.events == 0 && !run.exchange.has_framed_body() => {
-                    "stream ended before its first event".into()
+                    RunEnd::Disconnected("stream ended before its first event".into())
                 }
                 None => return RunEnd::Whole,
-                Some(Err(e)) => e.to_string().into(),
+                Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
+                Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         events.splitter.push(&data);
@@ -354,20 +385,14 @@
                 }
             };
             // A copy in progress may still complete.
-            let Some(preparing) = preparing else {
-                return RunEnd::Disconnected(break_reason);
-            };
-            return match tokio::time::timeout(LAST_COPY_TIMEOUT, preparing).await {
-                Ok(Ok(copy)) => {
-                    *ready = Some(copy);
-                    RunEnd::Disconnected(break_reason)
+            if let Some(preparing) = preparing {
+                let prepared = tokio::time::timeout(LAST_COPY_TIMEOUT, preparing).await;
+                match prepared.unwrap_or(Err("the copy was not complete in time".into())) {
+                    Ok(copy) => *ready = Some(copy),
+                    Err(reason) => log_copy_failure(job, run, &reason),
                 }
-                Ok(Err(reason)) => {
-                    log_copy_failure(job, run, &reason);
-                    RunEnd::Disconnected(break_reason)
-                }
-                Err(_) => RunEnd::Disconnected("the copy was not complete in time".into()),
-            };
+            }
+            return run_end;
         }
     }
 
@@ -488,6 +513,70 @@
         admitted.map_err(|e| e.to_string().into())
     }
 
+    /// Resumes a run from a copy once it has ended at its engine.
+    async fn take_over(
+        &self,
+        job: &Job,
+        broken: BrokenRun,
+        mut copy: RunCopy,
+    ) -> Result<Run, Box<str>> {
+        let newer = self.end_run(job, &broken, &copy.target).await?;
+        if let Some(handle) = newer {
+            copy.name = (self.engines.copy_reference)(broken.target.address, &handle);
+        }
+        self.resume(job, copy, broken.last_id).await
+    }
+
+    /// Makes sure that a run has ended at its engine: stops it, with a copy of what it has to
+    /// `destination`, or waits for its end. Returns the handle of the copy if there is one.
+    async fn end_run(
+        &self,
+        job: &Job,
+        broken: &BrokenRun,
+        destination: &Target,
+    ) -> Result<Option<CopyHandle>, Box<str>> {
+        let fleet = self.shared.fleet();
+        let admitted = self.readmit(&fleet, job)?;
+        let config = fleet.config.as_ref();
+        let service = config.and_then(|c| c.services.get(&job.service));
+        let has_moves = service.is_some_and(|s| s.engine.as_ref().is_some_and(|e| e.has_moves));
+        let (last_at, objective) = (broken.last_at, admitted.route.objective);
+        let mut takeover = Takeover::new(last_at, objective, broken.is_silent, clock::now());
+        let source = &broken.target;
+        let (id, target) = (&job.info.request_id, &source.id);
+        loop {
+            let now = clock::now();
+            if job.time_left(now).is_zero() {
+                return Err("deadline".into());
+            }
+            let timeout = takeover.call_timeout(now);
+            let mut step = Step::ReadReport;
+            if has_moves {
+                let request = CopyRequest {
+                    source: source.address,
+                    request_id: id.clone(),
+                    destination: destination.address,
+                };
+                let answer = (self.engines.stop_run)(request, timeout).await;
+                log::info!("event=stop_run request={id} target={target} answer={answer:?}");
+                step = takeover.after_stop(answer, clock::now());
+            }
+            if step == Step::ReadReport {
+                let asked_at = clock::now();
+                let answer = (self.engines.find_run)(source.address, id.clone(), timeout).await;
+                log::info!("event=find_run request={id} target={target} answer={answer:?}");
+                step = takeover.after_report(&answer, asked_at, clock::now());
+            }
+            match step {
+                Step::Resume(handle) => return Ok(handle),
+                Step::Retry(pause) => tokio::time::sleep(pause).await,
+                Step::GiveUp | Step::ReadReport => {
+                    return Err("the run may go on at its engine".into());
+                }
+            }
+        }
+    }
+
     /// Resumes a run from a copy, after the last event that the caller has.
     async fn resume(
         &self,
@@ -556,10 +645,11 @@
         }
     }
 
-    /// Resumes a run from its backup after its first send got no response.
+    /// Resumes a run from its backup after its first send, to `target`, got no response.
     pub(super) async fn resume_unanswered(
         &self,
         job: &Job,
+        target: Arc<Target>,
         backup: Arc<Target>,
     ) -> Result<Run, Box<str>> {
         if !job.may_repeat() {
@@ -571,7 +661,13 @@
             tcp: None,
             reservation: None,
         };
-        self.resume(job, copy, None).await
+        let broken = BrokenRun {
+            target,
+            last_id: None,
+            last_at: job.arrived,
+            is_silent: false,
+        };
+        self.take_over(job, broken, copy).await
     }
 }
 
@@ -595,6 +691,12 @@
     }
 }
 
+/// Returns whether the operating system gave a connection up because its peer was silent.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let io_error = error.source().and_then(|e| e.downcast_ref::<io::Error>());
+    io_error.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
+}
+
 fn log_copy_failure(job: &Job, run: &Run, reason: &str) {
     let (id, target) = (&job.info.request_id, &run.target.id);
     log::warn!("event=copy_failed request={id} target={target} reason={reason:?}");
