Count a crash within an answer as a crash of its request

Cause: a connection lost before the head of a plain answer counted as a crash, one lost within the body did not, since faulty targets cut sound answers as well. Evidence: answer_lost for each try and no crash in the log. Change: after an answer that breaks off, the target's port is tried, at once and 50 ms later. A process that has crashed refuses the connection, one that cut its answer does not; only the first counts.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Gateway,
+    exchange::is_closed,
     in_flight::{Progress, Stage},
     job::Job,
     model::{Customer, Target},
@@ -101,6 +102,14 @@
         higher.count()
     }
 
+    /// Returns whether a target whose answer was cut off has crashed: a faulty target may cut
+    /// answers and work on.
+    pub(super) async fn is_down(&self, target: &Target) -> bool {
+        let is_down = is_closed(target.address).await;
+        log::info!("event=cut_off_check target={} down={is_down}", target.id);
+        is_down
+    }
+
     /// Records that the connection to a target failed before the answer had gone on for long
     /// enough to say that the request did not crash it, unless the target was known to be
     /// leaving.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 //! late response to an earlier request may be buffered on it, and neither can be
 //! detected before the connection is used.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,6 +22,9 @@
 /// Time limit for establishing a connection: four round trips between regions,
 /// and some time for a target that is slow to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time from the loss of a connection to a process that crashes until its port is
+/// closed.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 /// A target that vanished is detected within three of these.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -167,6 +170,20 @@
     Ok(tcp)
 }
 
+/// Returns whether no process listens at a target's address any more. A target that has just
+/// crashed may still accept a connection, so that it is tried twice.
+pub(crate) async fn is_closed(peer: SocketAddr) -> bool {
+    for pause in [Duration::ZERO, CLOSE_DELAY] {
+        tokio::time::sleep(pause).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        let error = connecting.ok().and_then(Result::err);
+        if error.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Sets the socket options by which the operating system detects a peer that has
 /// vanished, and disables Nagle's algorithm. Bytes that the peer has not acknowledged, or
 /// has no room for, for `unacknowledged_timeout` end the connection.
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -130,7 +130,7 @@
                     );
                     return Ok(run);
                 }
-                SendOutcome::Disconnected(_) | SendOutcome::Unknown(_) => {
+                SendOutcome::Disconnected(_) | SendOutcome::CutOff(_) | SendOutcome::Unknown(_) => {
                     if matches!(outcome, SendOutcome::Disconnected(_)) {
                         self.record_crash(job, &placement.target);
                     }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -17,6 +17,7 @@
     refusal::Refusal,
     send_budget::RepeatReason,
     sent::SendOutcome,
+    whole_body::BodyError,
 };
 use crate::clock;
 
@@ -119,6 +120,16 @@
                         break;
                     }
                 }
+                SendOutcome::CutOff(_) => {
+                    possible_runs += 1;
+                    last_refusal = Refusal::Lost;
+                    if self.is_down(&placement.target).await {
+                        self.record_crash(job, &placement.target);
+                    }
+                    if !job.may_repeat() {
+                        break;
+                    }
+                }
                 SendOutcome::Unknown(_) => {
                     possible_runs += 1;
                     last_refusal = Refusal::Lost;
@@ -167,6 +178,7 @@
             .await
         {
             Ok(res) => SendOutcome::Answered(res),
+            Err(BodyError::Broken { reason }) => SendOutcome::CutOff(reason),
             Err(e) => SendOutcome::Unknown(e.to_string().into()),
         }
     }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -633,6 +633,7 @@
             Ok(
                 SendOutcome::Unsent(reason)
                 | SendOutcome::NotRun(reason)
+                | SendOutcome::CutOff(reason)
                 | SendOutcome::Unknown(reason),
             ) => Err(reason),
             Ok(SendOutcome::Disconnected(reason)) => {
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -19,6 +19,9 @@
     NotRun(Box<str>),
     /// The connection failed before the response head arrived; the request may have run.
     Disconnected(Box<str>),
+    /// The response broke off within its body; the request may have run. The target may have
+    /// crashed, or it may have cut the response and work on.
+    CutOff(Box<str>),
     /// The request may have run, and there is no response to forward for another reason.
     Unknown(Box<str>),
 }
@@ -50,7 +53,9 @@
                 );
                 self.loads.record_failure(target, clock::now());
             }
-            SendOutcome::Disconnected(reason) | SendOutcome::Unknown(reason) => {
+            SendOutcome::Disconnected(reason)
+            | SendOutcome::CutOff(reason)
+            | SendOutcome::Unknown(reason) => {
                 log::warn!(
                     "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
                 );
