Check whether a target has crashed after an answer without a length

Cause: the end of a connection ends such an answer, also where its target crashed within it; it counted as a whole answer and cleared the request, so that the request was sent on without end. Change: after the answer has been passed on, the target's port is tried; a refused connection counts as a crash, anything else clears the request.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -110,6 +110,19 @@
         is_down
     }
 
+    /// Records, some time later, what an answer says whose end nothing states: the end of its
+    /// connection is that of its target if this has crashed.
+    pub(super) fn check_end(self: &Arc<Self>, job: &Arc<Job>, target: &Arc<Target>) {
+        let (gateway, job, target) = (self.clone(), job.clone(), target.clone());
+        tokio::spawn(async move {
+            if gateway.is_down(&target).await {
+                gateway.record_crash(&job, &target);
+            } else {
+                job.record_begun();
+            }
+        });
+    }
+
     /// Records that the connection to a target failed before the answer had gone on for long
     /// enough to say that the request did not crash it, unless the target was known to be
     /// leaving.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1, header};
+use hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -132,9 +132,7 @@
     /// Returns whether the response states where its body ends, by a length or by chunks.
     /// Without, the end of the connection ends the body, also if the target failed.
     pub(crate) fn has_framed_body(&self) -> bool {
-        let headers = self.response.headers();
-        headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
+        has_framed_body(self.response.headers())
     }
 
     /// Reads the whole body, up to `max_bytes`, with memory from `pool`.
@@ -153,6 +151,11 @@
     }
 }
 
+/// Does the same as [`Exchange::has_framed_body`] for the headers of a response.
+pub(crate) fn has_framed_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Opens a TCP connection to a target.
 pub(crate) async fn connect(peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
     let connect_error = |reason: String| ExchangeError::Connect {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -544,7 +544,7 @@
         if is_stream {
             self.serve_stream(job, admitted).await
         } else {
-            self.serve_plain(&job, admitted).await
+            self.serve_plain(&Arc::new(job), admitted).await
         }
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,13 +2,15 @@
 //! whole before it is forwarded, so that an idempotent request whose response
 //! breaks off can be sent to another target.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 
 use super::{
     Gateway,
     body::ResponseBody,
-    exchange::{Exchange, ExchangeError},
+    exchange::{Exchange, ExchangeError, has_framed_body},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -28,8 +30,8 @@
 impl Gateway {
     /// Serves a plain request within its deadline.
     pub(crate) async fn serve_plain(
-        &self,
-        job: &Job,
+        self: &Arc<Self>,
+        job: &Arc<Job>,
         admitted: Admitted,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let time_left = job.time_left(clock::now());
@@ -44,8 +46,8 @@
     /// Sends the request to targets in turn until one responds without a server
     /// error or no further send is allowed.
     async fn try_targets(
-        &self,
-        job: &Job,
+        self: &Arc<Self>,
+        job: &Arc<Job>,
         mut admitted: Admitted,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let mut tried = Vec::new();
@@ -105,7 +107,11 @@
                         took.as_millis()
                     );
                     possible_runs += 1;
-                    job.record_begun();
+                    if has_framed_body(res.headers()) {
+                        job.record_begun();
+                    } else {
+                        self.check_end(job, &placement.target);
+                    }
                     if !res.status().is_server_error() {
                         return Ok(caller_response(res));
                     }
