Do not cut streams whose engine reads a long body late

Cause: TCP_USER_TIMEOUT of 2 s also ends a connection whose peer acknowledges each probe but has no room. Change: bodies over 16 KiB are sent without it; the request's deadline bounds the wait.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1, header};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Body, Incoming},
+    client::conn::http1,
+    header,
+};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -31,6 +36,9 @@
 /// Time limit for the acknowledgement of sent bytes: several retransmissions
 /// between regions.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size up to which a body fits into the buffer of a target that does not read, in bytes. The
+/// operating system cannot tell a target that reads the rest later from one that has vanished.
+const MAX_UNREAD_BODY_BYTES: u64 = 16 * 1024;
 /// Maximum size of a response head, and of the bytes of a body that are read at once.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -104,6 +112,10 @@
         peer: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Self, ExchangeError> {
+        if req.body().size_hint().lower() > MAX_UNREAD_BODY_BYTES {
+            // The request's deadline bounds the wait instead.
+            log_socket_error(peer, SockRef::from(&tcp).set_tcp_user_timeout(None));
+        }
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(tcp))
@@ -167,10 +179,18 @@
         Ok(connected) => connected.map_err(|e| connect_error(e.to_string()))?,
         Err(_) => return Err(connect_error("timeout".to_owned())),
     };
-    if let Err(e) = enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT) {
+    log_socket_error(
+        peer,
+        enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT),
+    );
+    Ok(tcp)
+}
+
+/// Logs an error of a socket option, without which the connection still works.
+pub(crate) fn log_socket_error(peer: SocketAddr, result: io::Result<()>) {
+    if let Err(e) = result {
         log::debug!("event=socket_option_failed peer={peer} error={e:?}");
     }
-    Ok(tcp)
 }
 
 /// Returns whether no process listens at a target's address any more. A target that has just
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -15,7 +15,7 @@
 use super::{
     Gateway,
     body::ResponseBody,
-    exchange::enable_dead_peer_detection,
+    exchange::{enable_dead_peer_detection, log_socket_error},
     in_flight::{InFlightCounter, Stage},
 };
 
@@ -47,9 +47,10 @@
 /// Serves one connection until it ends. While the process stops, closes the
 /// connection once idle connections are to be closed and it is idle.
 async fn serve(tcp: TcpStream, peer: SocketAddr, gateway: Arc<Gateway>) {
-    if let Err(e) = enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT) {
-        log::debug!("event=socket_option_failed peer={peer} error={e:?}");
-    }
+    log_socket_error(
+        peer,
+        enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT),
+    );
     let _open = gateway.connections.start();
     let in_flight = InFlightCounter::default();
     let limits = gateway.limits();
