Give the queue of events a file of its own, and read bodies in one function

Why: pump.rs had grown by the bounds on events, and bodies of requests and answers were read by two functions that differ in what a shortage of memory does. A log line of a request lacked its id. Change: event_queue.rs, moved as it stands; whole_body::read_whole with a parameter; cut_off_check names its request. No change of behaviour.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -104,18 +104,19 @@
 
     /// Returns whether a target whose answer was cut off has crashed: a faulty target may cut
     /// answers and work on.
-    pub(super) async fn is_down(&self, target: &Target) -> bool {
+    pub(super) async fn is_down(&self, job: &Job, target: &Target) -> bool {
         let is_down = is_closed(target.address).await;
-        log::info!("event=cut_off_check target={} down={is_down}", target.id);
+        let (id, target) = (&job.info.request_id, &target.id);
+        log::info!("event=cut_off_check request={id} target={target} down={is_down}");
         is_down
     }
 
-    /// Records, some time later, what an answer says whose end nothing states: the end of its
-    /// connection is that of its target if this has crashed.
+    /// Finds out in the background whether an answer without a length was whole, and records
+    /// it as begun or as a crash: such an answer also ends if its target crashes.
     pub(super) fn check_end(self: &Arc<Self>, job: &Arc<Job>, target: &Arc<Target>) {
         let (gateway, job, target) = (self.clone(), job.clone(), target.clone());
         tokio::spawn(async move {
-            if gateway.is_down(&target).await {
+            if gateway.is_down(&job, &target).await {
                 gateway.record_crash(&job, &target);
             } else {
                 job.record_begun();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
 
 use super::{
     memory::MemoryPool,
-    whole_body::{BodyError, read_answer_body},
+    whole_body::{BodyError, Shortage, read_whole},
 };
 
 /// Time limit for establishing a connection: four round trips between regions,
@@ -157,7 +157,7 @@
         pool: &MemoryPool,
     ) -> Result<Response<Bytes>, BodyError> {
         let (head, body) = self.response.into_parts();
-        let body = read_answer_body(body, max_bytes, pool).await;
+        let body = read_whole(body, max_bytes, pool, Shortage::Wait).await;
         drop(self.connection);
         Ok(Response::from_parts(head, body?))
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod control;
 mod crashes;
 mod engines;
+mod event_queue;
 mod events;
 mod exchange;
 mod feed;
@@ -110,7 +111,7 @@
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
     stop::{IDLE_CLOSE_FRACTION, READ_FRACTION},
-    whole_body::{BodyError, read_request_body},
+    whole_body::{BodyError, Shortage, read_whole},
 };
 use crate::{
     clock, http,
@@ -511,7 +512,8 @@
         let deadline = arrived + caller_timeout.min(admitted.route.timeout);
         self.check_ends_before_exit(deadline)?;
         let limits = self.limits();
-        let body = read_request_body(body, limits.max_body_bytes, &self.memory.bodies);
+        let (max_bytes, pool) = (limits.max_body_bytes, &self.memory.bodies);
+        let body = read_whole(body, max_bytes, pool, Shortage::Fail);
         let body = body.await.map_err(|e| match e {
             BodyError::TooLarge { .. } => Refusal::TooLarge,
             BodyError::NoMemory => Refusal::NoMemory,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -129,7 +129,7 @@
                 SendOutcome::CutOff(_) => {
                     possible_runs += 1;
                     last_refusal = Refusal::Lost;
-                    if self.is_down(&placement.target).await {
+                    if self.is_down(job, &placement.target).await {
                         self.record_crash(job, &placement.target);
                     }
                     if !job.may_repeat() {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -10,21 +10,18 @@
 
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
-use tokio::{
-    net::TcpStream,
-    sync::{Semaphore, mpsc},
-};
+use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{
     Gateway,
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest},
-    events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
+    event_queue::{EventBuffer, EventSender},
+    events::EventId,
     exchange::connect,
     generation::Run,
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
-    memory::{EVENT_QUEUE_BYTES, MemoryGrant, MemoryPool, SMALL_BYTES, attach},
     model::{Fleet, Target},
     peer_wire::target_key,
     send_budget::RepeatReason,
@@ -42,9 +39,6 @@
 /// Maximum number of times that a copy is prepared for one run on one engine.
 /// More than one, since the destination of a copy may be reclaimed as well.
 const MAX_COPY_ATTEMPTS: usize = 3;
-/// Longest wait for memory for an incomplete event. Events that wait for each other end it
-/// one by one.
-const EVENT_MEMORY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Event of a run from which its request is not what crashes its engine: an engine may
 /// write some events before it crashes on a request.
 const EVENTS_BEGUN: u64 = 8;
@@ -90,67 +84,6 @@
     }
 }
 
-/// Events of one run that have not been forwarded, and the memory that they take.
-#[derive(Default)]
-struct EventBuffer {
-    splitter: EventSplitter,
-    memory: MemoryGrant,
-}
-
-impl EventBuffer {
-    /// Removes and returns the next complete event, with the memory taken for a large one.
-    fn next_event(&mut self) -> Option<(Event, MemoryGrant)> {
-        let event = self.splitter.next_event()?;
-        let is_large = event.raw.len() > SMALL_BYTES;
-        let memory = is_large.then(|| std::mem::take(&mut self.memory));
-        Some((event, memory.unwrap_or_default()))
-    }
-
-    /// Takes memory for what is left of an incomplete event. Fails if the event is larger
-    /// than [`MAX_EVENT_BYTES`], or if other answers take the memory for long.
-    async fn take_memory(&mut self, pool: &MemoryPool) -> Result<(), Box<str>> {
-        let len = self.splitter.len();
-        if len > MAX_EVENT_BYTES {
-            return Err(format!("an event is larger than {MAX_EVENT_BYTES} bytes").into());
-        }
-        let capacity = self.splitter.capacity();
-        let needed = if capacity > SMALL_BYTES { capacity } else { 0 };
-        let taking = self.memory.resize(pool, needed);
-        let taken = tokio::time::timeout(EVENT_MEMORY_TIMEOUT, taking).await;
-        match taken {
-            Ok(true) => Ok(()),
-            Ok(false) | Err(_) => Err(format!("no memory for an event of {len} bytes").into()),
-        }
-    }
-}
-
-/// Sends the events of a stream to the task that writes them to the caller. Bounds the bytes
-/// that wait there.
-struct EventSender {
-    chunks: mpsc::Sender<Result<Chunk, StreamError>>,
-    room: Arc<Semaphore>,
-}
-
-impl EventSender {
-    fn new(chunks: mpsc::Sender<Result<Chunk, StreamError>>) -> Self {
-        Self {
-            chunks,
-            room: Arc::new(Semaphore::new(EVENT_QUEUE_BYTES)),
-        }
-    }
-
-    /// Waits until there is room for an event and queues it. Fails once the caller has
-    /// disconnected.
-    async fn send(&self, event: Event, memory: MemoryGrant) -> Result<(), ()> {
-        let len = event.raw.len().min(EVENT_QUEUE_BYTES);
-        let permits = u32::try_from(len).map_err(|_| ())?;
-        let room = self.room.clone().acquire_many_owned(permits);
-        let room = room.await.map_err(|_| ())?;
-        let chunk = Chunk::Data(attach(event.raw, (room, memory)));
-        self.chunks.send(Ok(chunk)).await.map_err(|_| ())
-    }
-}
-
 /// How reading the events of a run ended.
 #[derive(strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/src/gateway/whole_body.rs
+++ b/src/gateway/whole_body.rs
@@ -26,31 +26,22 @@
     },
 }
 
-/// Reads a request's body. Fails at once if there is no memory for the length that it
-/// declares.
-pub(crate) async fn read_request_body<B>(
-    body: B,
-    max_bytes: usize,
-    pool: &MemoryPool,
-) -> Result<Bytes, BodyError>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: std::fmt::Display,
-{
-    let length = declared_length(&body, max_bytes)?;
-    let grant = match own_bytes(length) {
-        0 => Some(MemoryGrant::default()),
-        bytes => pool.try_take(bytes),
-    };
-    read(body, length, max_bytes, grant, pool).await
+/// What to do if other bodies take the memory for the length that a body declares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shortage {
+    /// Fail at once: a request has not run yet, and its caller may come back.
+    Fail,
+    /// Wait: the target has run the request already.
+    Wait,
 }
 
-/// Reads an answer's body. Waits for the memory for the length that it declares, since the
-/// target has run the request already.
-pub(crate) async fn read_answer_body<B>(
-    body: B,
+/// Reads a body of at most `max_bytes`, with memory from `pool`. Without a declared length,
+/// memory is taken as the body grows, and a shortage always fails.
+pub(crate) async fn read_whole<B>(
+    mut body: B,
     max_bytes: usize,
     pool: &MemoryPool,
+    shortage: Shortage,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -59,36 +50,9 @@
     let length = declared_length(&body, max_bytes)?;
     let grant = match own_bytes(length) {
         0 => Some(MemoryGrant::default()),
-        bytes => pool.take(bytes).await,
+        bytes if shortage == Shortage::Wait => pool.take(bytes).await,
+        bytes => pool.try_take(bytes),
     };
-    read(body, length, max_bytes, grant, pool).await
-}
-
-/// Returns the declared length, or 0 without one.
-fn declared_length(body: &impl Body, max_bytes: usize) -> Result<usize, BodyError> {
-    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if length > max_bytes {
-        return Err(BodyError::TooLarge { max_bytes });
-    }
-    Ok(length)
-}
-
-/// Returns how much memory of its own a body needs, given its size.
-fn own_bytes(len: usize) -> usize {
-    if len <= SMALL_BYTES { 0 } else { len }
-}
-
-async fn read<B>(
-    mut body: B,
-    length: usize,
-    max_bytes: usize,
-    grant: Option<MemoryGrant>,
-    pool: &MemoryPool,
-) -> Result<Bytes, BodyError>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: std::fmt::Display,
-{
     let mut grant = grant.ok_or(BodyError::NoMemory)?;
     let mut buf = BytesMut::with_capacity(length);
     while let Some(frame) = body.frame().await {
@@ -116,3 +80,17 @@
         _ => grant.attach(buf.freeze()),
     })
 }
+
+/// Returns the declared length, or 0 without one.
+fn declared_length(body: &impl Body, max_bytes: usize) -> Result<usize, BodyError> {
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if length > max_bytes {
+        return Err(BodyError::TooLarge { max_bytes });
+    }
+    Ok(length)
+}
+
+/// Returns how much memory of its own a body needs, given its size.
+fn own_bytes(len: usize) -> usize {
+    if len <= SMALL_BYTES { 0 } else { len }
+}
