Do not clear a request of crashes by an error response

Cause: a whole answer cleared its request, also a 5xx, which may come from a target that has not begun to run it; each one set the account of a request that crashes other targets back to nothing. The log shows a 500 after each two or three crashes, and the hold only after 15 crashes. Change: only answers other than 5xx clear a request.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -107,12 +107,13 @@
                         took.as_millis()
                     );
                     possible_runs += 1;
-                    if has_framed_body(res.headers()) {
-                        job.record_begun();
-                    } else {
-                        self.check_end(job, &placement.target);
-                    }
+                    // An error may come from a target that has not begun to run the request.
                     if !res.status().is_server_error() {
+                        if has_framed_body(res.headers()) {
+                            job.record_begun();
+                        } else {
+                            self.check_end(job, &placement.target);
+                        }
                         return Ok(caller_response(res));
                     }
                     self.loads.record_failure(target, clock::now());
