--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -36,8 +36,8 @@
 /// Time limit for the acknowledgement of sent bytes: several retransmissions
 /// between regions.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
-/// Size up to which a body fits into the buffer of a target that does not read, in bytes. The
-/// operating system cannot tell a target that reads the rest later from one that has vanished.
+/// Size up to which a body fits into the receive buffer of a target that does not read, in
+/// bytes. `TCP_USER_TIMEOUT` also ends connections whose peer responds but has no room.
 const MAX_UNREAD_BODY_BYTES: u64 = 16 * 1024;
 /// Maximum size of a response head, and of the bytes of a body that are read at once.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -10,8 +10,7 @@
 use super::engines::{CopyHandle, StopAnswer};
 use crate::clock::BootTime;
 
-/// Longest pause in a stream that callers bear in any case; a multiple of the objective may
-/// be longer.
+/// Minimum gap between events after which callers disconnect.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
 /// Multiple of a route's objective for which callers wait for the next event.
 const PATIENCE_OBJECTIVES: u32 = 4;
--- a/tests/gateway_takeover.rs
+++ b/tests/gateway_takeover.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 
 const OBJECTIVE: Duration = Duration::from_millis(1_800);
-/// Longest pause that callers bear: four times the objective.
+/// Gap between events after which callers disconnect: four times the objective.
 const PATIENCE: Duration = Duration::from_millis(7_200);
 
 fn at(ms: u64) -> Duration {
