Hold a request that crashes its engines at any point of its answer

Cause: a crash counted against its request only within the first eight events or second of the answer, measured until the connection ended. A request that crashes its engine later, or whose engine hangs before it crashes, was never counted, and its progress cleared earlier crashes.

Why it works: crashes are counted by whole request until a whole answer, by target instead of by time, at all daemons. A request is held only if chance does not explain that it met so many of the known crashes, so long runs that meet unrelated crashes go on.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -64,6 +64,9 @@
     pub(super) fn check_subjects(&self, job: &Job) -> Result<Option<Trial>, Refusal> {
         let subjects = &job.subjects;
         let now = clock::now();
+        if self.is_held(job, now) {
+            return Err(Refusal::Suspect);
+        }
         let rank_of = |subject| self.rank_for(subject);
         let verdict = job
             .suspects
@@ -87,6 +90,25 @@
         }
     }
 
+    /// Returns whether the targets that ran a request crashed more often than chance explains.
+    pub(super) fn is_held(&self, job: &Job, now: BootTime) -> bool {
+        let fleet = self.shared.fleet();
+        let listed = fleet.targets.values();
+        let targets = listed.filter(|known| known.target.service == job.service);
+        let held = job
+            .suspects
+            .history
+            .lock()
+            .held(job.request, targets.count(), now);
+        if let Some((crashes, known)) = held {
+            let (id, subject) = (&job.info.request_id, job.request);
+            log::info!(
+                "event=suspect_hold request={id} subject={subject:08x} crashes={crashes} known={known}"
+            );
+        }
+        held.is_some()
+    }
+
     /// Returns the number of listed daemons that rank above this one for a subject; a daemon
     /// that does not know the list ranks last.
     fn rank_for(&self, subject: SubjectKey) -> usize {
@@ -113,36 +135,62 @@
 
     /// Finds out in the background whether an answer without a length was whole, and records
     /// it as begun or as a crash: such an answer also ends if its target crashes.
-    pub(super) fn check_end(self: &Arc<Self>, job: &Arc<Job>, target: &Arc<Target>) {
+    pub(super) fn check_end(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        target: &Arc<Target>,
+        sent_at: BootTime,
+    ) {
         let (gateway, job, target) = (self.clone(), job.clone(), target.clone());
         tokio::spawn(async move {
             if gateway.is_down(&job, &target).await {
-                gateway.record_crash(&job, &target);
+                gateway.record_crash(&job, &target, sent_at, true);
             } else {
                 job.record_begun();
+                job.record_whole();
             }
         });
     }
 
-    /// Records that the connection to a target failed before the answer had gone on for long
-    /// enough to say that the request did not crash it, unless the target was known to be
-    /// leaving.
-    pub(super) fn record_crash(&self, job: &Job, target: &Target) {
+    /// Records that the connection to a target failed before the end of the answer, unless the
+    /// target was known to be leaving. If it failed early, before the answer had gone on for
+    /// long enough to say that the parts of the prompt did not crash the target, the crash
+    /// counts against these too.
+    pub(super) fn record_crash(
+        &self,
+        job: &Job,
+        target: &Target,
+        sent_at: BootTime,
+        is_early: bool,
+    ) {
         if self.shared.fleet().is_leaving(target) {
             return;
         }
-        let (id, target, subjects) = (&job.info.request_id, &target.id, &job.subjects);
+        let (id, subjects) = (&job.info.request_id, &job.subjects);
         log::info!(
-            "event=crash request={id} target={target} subjects={}",
+            "event=crash request={id} target={} early={is_early} subjects={}",
+            target.id,
             subjects.len()
         );
         let now = clock::now();
-        job.suspects
-            .with(now, |table| table.record_crash(subjects, now));
+        let key = target_key(&target.id);
+        let mut history = job.suspects.history.lock();
+        history.record_crash(job.request, key, sent_at, now);
+        drop(history);
+        if is_early {
+            job.suspects
+                .with(now, |table| table.record_crash(subjects, now));
+        }
     }
 }
 
 impl Job {
+    /// Records that the answer has ended whole.
+    pub(super) fn record_whole(&self) {
+        let now = clock::now();
+        self.suspects.history.lock().record_whole(self.request, now);
+    }
+
     /// Records that the answer has gone on for long enough, or has ended whole.
     pub(super) fn record_begun(&self) {
         let now = clock::now();
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -31,6 +31,8 @@
     pub exchange: Exchange,
     pub target: Arc<Target>,
     pub backup: Option<Backup>,
+    /// Time at which the request was sent.
+    pub sent_at: BootTime,
     /// Work counted at the target until the run ends.
     pub reservation: Reservation,
     /// Prompt tokens that the engine has to process before the first event,
@@ -132,7 +134,7 @@
                 }
                 SendOutcome::Disconnected(_) | SendOutcome::CutOff(_) | SendOutcome::Unknown(_) => {
                     if matches!(outcome, SendOutcome::Disconnected(_)) {
-                        self.record_crash(job, &placement.target);
+                        self.record_crash(job, &placement.target, now, true);
                     }
                     let backup = backup.ok_or(Refusal::Lost)?;
                     let resuming = self.resume_unanswered(job, placement.target.clone(), backup);
@@ -233,6 +235,7 @@
             exchange,
             target: target.clone(),
             backup: None,
+            sent_at: now,
             reservation,
             pending_prompt: None,
         })
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -57,6 +57,8 @@
     /// What a crash of its target may be due to: the shared parts of its prompt, and the
     /// request as a whole.
     pub subjects: Box<[SubjectKey]>,
+    /// The request as a whole, the last of the subjects.
+    pub request: SubjectKey,
     /// Crashes by subject, of requests of this kind.
     pub suspects: SuspectTracker,
     pub progress: Progress,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod cold_limit;
 mod config_patch;
 mod control;
+mod crash_history;
 mod crashes;
 mod engines;
 mod event_queue;
@@ -71,6 +72,7 @@
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
+    crash_history::{CrashHistory, CrashHistoryHandle},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
@@ -83,8 +85,8 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        ServiceSendCounts, StatementReport, SubjectKey, SuspectReport, TargetKey, TargetWork,
-        Update, WorkReport, ZoneLoad, target_key,
+        RequestCrash, RequestCrashReport, ServiceSendCounts, StatementReport, SubjectKey,
+        SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -530,6 +532,7 @@
         let is_stream = admitted.route.repeat_policy == RepeatPolicy::Stream;
         let job = Job {
             subjects: info.parts.iter().copied().chain([request]).collect(),
+            request,
             suspects: self.suspects.of_kind(is_stream).clone(),
             deadline,
             service: service.unwrap_or_default().into(),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -270,13 +270,23 @@
     /// Reports the subjects on which targets crashed to this daemon's zone, and to other
     /// zones if this daemon leads its zone.
     async fn report_suspects(&self, now: BootTime) {
-        let (streamed, plain) = {
+        let (streamed, plain, streamed_crashes, plain_crashes) = {
             let suspects = &self.control.borrow().suspects;
             (
                 suspects.streamed.with(now, |table| table.report(now)),
                 suspects.plain.with(now, |table| table.report(now)),
+                suspects.streamed.history.lock().report(now),
+                suspects.plain.history.lock().report(now),
             )
         };
+        if !streamed_crashes.is_empty() {
+            self.send_to_zones(&Message::RequestCrashes(streamed_crashes), now)
+                .await;
+        }
+        if !plain_crashes.is_empty() {
+            self.send_to_zones(&Message::PlainRequestCrashes(plain_crashes), now)
+                .await;
+        }
         if !streamed.is_empty() {
             self.send_to_zones(&Message::Suspects(streamed), now).await;
         }
@@ -434,7 +444,11 @@
                     .borrow_mut()
                     .record_other_zones(&packet.from, load);
             }
-            Message::Suspects(_) | Message::PlainSuspects(_) | Message::Statements(_)
+            Message::Suspects(_)
+            | Message::PlainSuspects(_)
+            | Message::Statements(_)
+            | Message::RequestCrashes(_)
+            | Message::PlainRequestCrashes(_)
                 if self.is_after_pause(now) =>
             {
                 log::debug!("event=report_ignored peer={from}");
@@ -447,6 +461,18 @@
                 let suspects = &self.control.borrow().suspects.plain;
                 suspects.with(now, |table| table.merge(&reports, now));
             }
+            Message::RequestCrashes(reports) => {
+                let control = self.control.borrow();
+                let forwards = control.peers.is_zone_leader(now);
+                let mut history = control.suspects.streamed.history.lock();
+                history.merge(&reports, forwards, now);
+            }
+            Message::PlainRequestCrashes(reports) => {
+                let control = self.control.borrow();
+                let forwards = control.peers.is_zone_leader(now);
+                let mut history = control.suspects.plain.history.lock();
+                history.merge(&reports, forwards, now);
+            }
             Message::Statements(reports) => {
                 let control = self.control.borrow();
                 let forwards = control.peers.is_zone_leader(now);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -60,6 +60,10 @@
     PlainSuspects(Vec<SuspectReport>),
     /// What targets have stated of themselves.
     Statements(Vec<StatementReport>),
+    /// Crashes of targets by the streamed requests that they ran.
+    RequestCrashes(Vec<RequestCrashReport>),
+    /// Crashes of targets by the plain requests that they ran.
+    PlainRequestCrashes(Vec<RequestCrashReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -118,6 +122,29 @@
     pub asked_age_ms: u32,
 }
 
+/// Crashes of the targets that ran one request. Ages are in milliseconds at the time of the
+/// send.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCrashReport {
+    /// The whole request.
+    pub request: SubjectKey,
+    /// Crashes after its last whole answer.
+    pub crashes: Vec<RequestCrash>,
+    /// Age of the last whole answer; `None` if there was none since the first crash.
+    pub whole_age_ms: Option<u32>,
+}
+
+/// Crash of a target while it ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCrash {
+    /// Hash of the target's id.
+    pub target: TargetKey,
+    /// Age of the crash.
+    pub age_ms: u32,
+    /// Age of the send of the request to the target.
+    pub sent_age_ms: u32,
+}
+
 /// What a target has stated of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatementReport {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -111,8 +111,9 @@
                     if !res.status().is_server_error() {
                         if has_framed_body(res.headers()) {
                             job.record_begun();
+                            job.record_whole();
                         } else {
-                            self.check_end(job, &placement.target);
+                            self.check_end(job, &placement.target, now);
                         }
                         return Ok(caller_response(res));
                     }
@@ -122,8 +123,8 @@
                 SendOutcome::Disconnected(_) => {
                     possible_runs += 1;
                     last_refusal = Refusal::Lost;
-                    self.record_crash(job, &placement.target);
-                    if !job.may_repeat() {
+                    self.record_crash(job, &placement.target, now, true);
+                    if !job.may_repeat() || self.is_held(job, clock::now()) {
                         break;
                     }
                 }
@@ -131,9 +132,9 @@
                     possible_runs += 1;
                     last_refusal = Refusal::Lost;
                     if self.is_down(job, &placement.target).await {
-                        self.record_crash(job, &placement.target);
+                        self.record_crash(job, &placement.target, now, true);
                     }
-                    if !job.may_repeat() {
+                    if !job.may_repeat() || self.is_held(job, clock::now()) {
                         break;
                     }
                 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -56,9 +56,10 @@
     last_at: BootTime,
     longest_gap: Duration,
     /// Events that the current run has sent, also those that the caller already had, and
-    /// the time of the first one.
+    /// the times of the first and the last one.
     events_of_run: u64,
     run_first_at: Option<BootTime>,
+    run_last_at: BootTime,
     /// Whether the current run may still clear its request of crashes. It may not if it has,
     /// or if it goes on from a copy of another run, which says nothing about the request.
     may_clear: bool,
@@ -76,12 +77,18 @@
         self.last_at = now;
     }
 
-    /// Returns whether the current run is too young to say that its request does not crash
-    /// engines.
-    fn is_run_young(&self, now: BootTime) -> bool {
-        let age = self.run_first_at.map(|at| now.saturating_sub(at));
+    /// Returns whether the current run had gone on for too short a time at `at` to say that the
+    /// parts of its prompt do not crash engines.
+    fn is_run_young(&self, at: BootTime) -> bool {
+        let age = self.run_first_at.map(|first| at.saturating_sub(first));
         self.events_of_run < EVENTS_BEGUN && age.is_none_or(|age| age < TIME_BEGUN)
     }
+
+    /// Returns whether the current run was that young at its last event. An engine may hang
+    /// before it crashes, so the time of the crash says nothing.
+    fn ended_early(&self) -> bool {
+        self.is_run_young(self.run_last_at)
+    }
 }
 
 /// How reading the events of a run ended.
@@ -165,7 +172,9 @@
             // on the new one.
             drop(run);
             let resuming = async {
-                if delivered.is_run_young(clock::now()) && !job.may_repeat() {
+                let now = clock::now();
+                let is_young = delivered.is_run_young(now);
+                if self.is_held(&job, now) || (is_young && !job.may_repeat()) {
                     return Err(SUSPECT.into());
                 }
                 let copy = copy.ok_or("no copy")?;
@@ -224,13 +233,16 @@
             }
         }
         match run_end {
-            RunEnd::Whole if delivered.events_of_run > 0 && delivered.may_clear => {
-                job.record_begun();
+            RunEnd::Whole => {
+                if delivered.events_of_run > 0 && delivered.may_clear {
+                    job.record_begun();
+                }
+                job.record_whole();
             }
-            RunEnd::Disconnected(_) | RunEnd::Silent(_) if delivered.is_run_young(clock::now()) => {
-                self.record_crash(job, &run.target);
+            RunEnd::Disconnected(_) | RunEnd::Silent(_) => {
+                self.record_crash(job, &run.target, run.sent_at, delivered.ended_early());
             }
-            _ => {}
+            RunEnd::CallerLeft | RunEnd::Broken(_) => {}
         }
     }
 
@@ -343,6 +355,7 @@
             delivered.events_of_run += 1;
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
+            delivered.run_last_at = now;
             if !delivered.is_run_young(now) && delivered.may_clear {
                 delivered.may_clear = false;
                 job.record_begun();
@@ -570,9 +583,7 @@
                 | SendOutcome::Unknown(reason),
             ) => Err(reason),
             Ok(SendOutcome::Disconnected(reason)) => {
-                if last_id.is_none() {
-                    self.record_crash(job, &copy.target);
-                }
+                self.record_crash(job, &copy.target, now, last_id.is_none());
                 Err(reason)
             }
             Err(_) => Err("deadline".into()),
@@ -586,7 +597,7 @@
         target: Arc<Target>,
         backup: Arc<Target>,
     ) -> Result<Run, Box<str>> {
-        if !job.may_repeat() {
+        if !job.may_repeat() || self.is_held(job, clock::now()) {
             return Err(SUSPECT.into());
         }
         let copy = RunCopy {
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    crash_history::CrashHistoryHandle,
     peer_wire::{SubjectKey, SuspectReport},
     suspect_entry::{CHANGE_REPORTS, Crash, Entry, FORGET_AFTER, MAX_CRASHES, later},
 };
@@ -338,8 +339,9 @@
     }
 }
 
-/// The [`SuspectTable`]s of this daemon, apart for streamed and plain requests: answers of
-/// plain services say nothing about whether engines are down. Clones share them.
+/// The [`SuspectTable`]s and crash histories of this daemon, apart for streamed and plain
+/// requests: answers of plain services say nothing about whether engines are down. Clones share
+/// them.
 #[derive(Clone, Debug)]
 pub struct Suspects {
     /// Subjects of streamed requests.
@@ -369,10 +371,13 @@
     }
 }
 
-/// One [`SuspectTable`] of this daemon. Clones share it.
+/// One [`SuspectTable`] of this daemon, and the history of crashes by whole request. Clones
+/// share them.
 #[derive(Clone, Debug)]
 pub struct SuspectTracker {
     table: Arc<Mutex<SuspectTable>>,
+    /// Crashes by whole request, at any point of its answer.
+    pub history: CrashHistoryHandle,
     /// Kind of requests, for logs and metrics.
     requests: &'static str,
 }
@@ -381,6 +386,7 @@
     fn new(requests: &'static str) -> Self {
         Self {
             table: Arc::default(),
+            history: CrashHistoryHandle::default(),
             requests,
         }
     }
