Treat a stream without a length as broken if its engine has crashed

Cause: the kernel closes the connection of a crashed process as a finished answer does. Only an end within an event was taken for a break.

At the end of such a stream the engine's port is tried, as after plain answers. A refused connection makes the end a break, which counts as a crash.

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -308,6 +308,14 @@
                 None if delivered.events == 0 && !run.exchange.has_framed_body() => {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
+                // Without a length, the stream of an engine that crashed between two events
+                // looks whole.
+                None if !run.exchange.has_framed_body()
+                    && !fleet.is_leaving(&run.target)
+                    && self.is_down(job, &run.target).await =>
+                {
+                    RunEnd::Disconnected("engine crashed at the end of the stream".into())
+                }
                 None => return RunEnd::Whole,
                 Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
                 Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
