Support resumable streams

Cause: the flag `resumable` of a route was not decoded, and the caller's Last-Event-Id was dropped as a reserved header. A caller that came back after its connection broke got a stream from event 1, and so events twice. A run that broke off without a copy ended its stream, although such a route allows another run.

Change: a streaming route with the flag has the repeat policy `ResumableStream`, appended to the enum so that configurations without the flag are encoded as before. The caller's value goes to the engine with the first send, with repeats after 421 and 503, with a backup and with new starts. `resumption` decides, without I/O, how a stream goes on after a break and which events its caller gets; `new_start` starts a run anew, within `max-attempts` and the shared budget for repeats, unless the request is held or engines crashed on it. A value that is no number gets 400; a whole run that ends before the caller's last event does not end the stream as complete.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -9,12 +9,14 @@
 use super::{
     Gateway,
     body::ResponseBody,
+    events::EventId,
     exchange::{Exchange, ExchangeError},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, Placement, SendHeaders},
     load::{Reservation, Work},
     model::{Target, Tokens},
+    new_start::Attempts,
     plain::{MAX_RESPONSE_BYTES, caller_response},
     refusal::Refusal,
     send_budget::RepeatReason,
@@ -60,7 +62,7 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let time_left = job.time_left(clock::now());
         let starting = tokio::time::timeout(time_left, self.start(&job, admitted));
-        let run = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
+        let (run, attempts) = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
         if !run.exchange.response.status().is_success() {
             let reading = run
                 .exchange
@@ -77,15 +79,15 @@
         *head.headers_mut() = end_to_end(run.exchange.response.headers());
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
         let gateway = self.clone();
-        tokio::spawn(async move { gateway.forward_stream(job, run, tx).await });
+        tokio::spawn(async move { gateway.forward_stream(job, run, attempts, tx).await });
         let (head, ()) = head.into_parts();
         Ok(Response::from_parts(head, ResponseBody::streamed(rx)))
     }
 
     /// Starts the run on an engine. Tries another engine as long as the request has
-    /// certainly not run, and resumes from the backup if it may have run.
-    async fn start(&self, job: &Job, mut admitted: Admitted) -> Result<Run, Refusal> {
-        let mut tried = Vec::new();
+    /// certainly not run; if it may have run, resumes from the backup or starts anew.
+    async fn start(&self, job: &Job, mut admitted: Admitted) -> Result<(Run, Attempts), Refusal> {
+        let mut attempts = Attempts::default();
         let mut last_refusal = Refusal::NoTarget;
         let mut was_sent = false;
         // Returned on each way out before the request has run.
@@ -93,7 +95,7 @@
         loop {
             let now = clock::now();
             let fleet = self.shared.fleet();
-            if !tried.is_empty() {
+            if !attempts.tried.is_empty() {
                 admitted =
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
@@ -101,19 +103,19 @@
                 trial = self.check_subjects(job)?;
             }
             let placement = self
-                .place(&fleet, job, &admitted, &tried)
+                .place(&fleet, job, &admitted, &attempts.tried)
                 .ok_or_else(|| self.refusal_without_target(&fleet, job, last_refusal))?;
             let repeat = was_sent.then_some(RepeatReason::OtherTarget);
             if !self.try_record_send(job, repeat, now) {
                 return Err(last_refusal);
             }
-            tried.push(placement.target.id.clone());
+            attempts.tried.push(placement.target.id.clone());
             // From here on the deadline may interrupt the send at any point.
             job.progress.set(Stage::Sent);
             let backup =
                 self.choose_backup(&fleet, &placement, &job.demand(admitted.route.objective));
             let outcome = self
-                .send_stream(job, &admitted, &placement, backup.clone())
+                .send_stream(job, &admitted, &placement, backup.clone(), job.last_event)
                 .await;
             let (id, target) = (&job.info.request_id, &placement.target.id);
             let took = clock::now().saturating_sub(now);
@@ -125,39 +127,47 @@
                     last_refusal = Refusal::Declined;
                 }
                 SendOutcome::Answered(run) => {
+                    attempts.starts += 1;
                     let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
                         "event=stream request={id} target={target} backup={backup} took_ms={}",
                         took.as_millis()
                     );
-                    return Ok(run);
+                    return Ok((run, attempts));
                 }
                 SendOutcome::Disconnected(_) | SendOutcome::CutOff(_) | SendOutcome::Unknown(_) => {
                     if matches!(outcome, SendOutcome::Disconnected(_)) {
                         self.record_crash(job, &placement.target, now, true);
                     }
-                    let backup = backup.ok_or(Refusal::Lost)?;
-                    let resuming = self.resume_unanswered(job, placement.target.clone(), backup);
-                    return resuming.await.map_err(|reason| {
+                    attempts.starts += 1;
+                    if backup.is_none() && !admitted.route.repeat_policy.is_resumable() {
+                        return Err(Refusal::Lost);
+                    }
+                    let target = placement.target.clone();
+                    let resumed = self.resume_unanswered(job, target, backup, &mut attempts);
+                    let run = resumed.await.map_err(|reason| {
                         log::warn!("event=stream_given_up request={id} events=0 reason={reason:?}");
                         Refusal::Lost
-                    });
+                    })?;
+                    return Ok((run, attempts));
                 }
             }
         }
     }
 
     /// Sends the request to the chosen engine, with the address of the backup's
-    /// engine if there is one.
-    async fn send_stream(
+    /// engine if there is one, for a caller that has the events up to `last_event`.
+    pub(super) async fn send_stream(
         &self,
         job: &Job,
         admitted: &Admitted,
         placement: &Placement,
         backup: Option<Arc<Target>>,
+        last_event: Option<EventId>,
     ) -> SendOutcome<Run> {
         let send_headers = SendHeaders {
             backup: backup.as_ref().map(|t| t.address.to_string().into()),
+            last_event,
             ..SendHeaders::default()
         };
         let work = Work {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -9,8 +9,10 @@
 };
 
 use super::{
+    events::EventId,
     model::Tokens,
     peer_wire::{SubjectKey, target_key},
+    resumption::{InvalidEventId, parse_event_id},
 };
 
 /// Maximum number of parts of a prompt that are read.
@@ -62,7 +64,8 @@
     pub backup: HeaderName,
     /// Name of the copy from which a run is resumed.
     pub copy_from: HeaderName,
-    /// Id of the last event that the caller has received.
+    /// Id of the last event that the caller has received; read from callers of resumable
+    /// streams only.
     pub last_event: HeaderName,
     /// Headers that only the gateway may set; a caller's values are dropped.
     pub reserved: Vec<HeaderName>,
@@ -129,6 +132,15 @@
         })
     }
 
+    /// Returns the last event that a caller states to have; `None` if it states none.
+    ///
+    /// # Errors
+    /// Fails if the caller's value is not one number.
+    pub fn last_event_id(&self, headers: &HeaderMap) -> Result<Option<EventId>, InvalidEventId> {
+        let values = headers.get_all(&self.last_event);
+        parse_event_id(values.iter().map(HeaderValue::as_bytes))
+    }
+
     /// Returns whether an answer carries the id of another request than `id`.
     #[must_use]
     pub fn is_of_other_request(&self, headers: &HeaderMap, id: &str) -> bool {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Gateway,
+    events::EventId,
     headers::RequestInfo,
     in_flight::Progress,
     load::Work,
@@ -54,6 +55,11 @@
     pub deadline: BootTime,
     /// Service chosen at random by the route's weights.
     pub service: Box<str>,
+    /// Whether the route was resumable when the request was admitted.
+    pub is_resumable: bool,
+    /// Last event that the caller has from an earlier response; `None` if it has none, or if
+    /// its stream is not resumable.
+    pub last_event: Option<EventId>,
     /// What a crash of its target may be due to: the shared parts of its prompt, and the
     /// request as a whole.
     pub subjects: Box<[SubjectKey]>,
@@ -86,8 +92,8 @@
     pub backup: Option<Box<str>>,
     /// Name of the copy from which the run is resumed; `None` for a new run.
     pub copy_from: Option<Box<str>>,
-    /// Id of the last event that the caller has received, 0 if there is none; `None`
-    /// for a new run.
+    /// Id of the last event that the caller has received, 0 if there is none and the run is
+    /// resumed from a copy; `None` for a new run from the first event.
     pub last_event: Option<u64>,
 }
 
@@ -408,6 +414,18 @@
     /// Returns whether a request that may have run may be sent again.
     #[must_use]
     pub fn is_idempotent(self) -> bool {
-        self == Self::Idempotent
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Returns whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+
+    /// Returns whether a stream may be started anew after the last event that its caller has.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        self == Self::ResumableStream
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod load;
 mod memory;
 mod model;
+mod new_start;
 mod peer_port;
 mod peer_wire;
 mod peers;
@@ -35,6 +36,7 @@
 mod pump;
 mod readiness;
 mod refusal;
+mod resumption;
 mod routing;
 mod send_budget;
 mod sent;
@@ -93,6 +95,10 @@
         Candidate, Distance, GenerationDemand, PrefillRate, engine_cost, has_room_for_backup,
         plain_cost, sample_other_zones,
     },
+    resumption::{
+        AfterBreak, BrokenStream, GiveUpReason, InvalidEventId, StreamPosition, after_break,
+        parse_event_id,
+    },
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
@@ -529,10 +535,19 @@
         let service = admitted.route.pick_service(rand::random());
         let customer = admitted.customer.as_ref();
         let request = request_key(&head.method, &host, &head.uri, customer, &body);
-        let is_stream = admitted.route.repeat_policy == RepeatPolicy::Stream;
+        let policy = admitted.route.repeat_policy;
+        let is_stream = policy.is_stream();
+        let last_event = if policy.is_resumable() {
+            let stated = self.names.last_event_id(&head.headers);
+            stated.map_err(|InvalidEventId| Refusal::BadEventId)?
+        } else {
+            None
+        };
         let job = Job {
             subjects: info.parts.iter().copied().chain([request]).collect(),
             request,
+            is_resumable: policy.is_resumable(),
+            last_event,
             suspects: self.suspects.of_kind(is_stream).clone(),
             deadline,
             service: service.unwrap_or_default().into(),
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -29,6 +29,10 @@
     AtMostOnce,
     /// The request must run at most once; its answer is a stream of events.
     Stream,
+    /// The request may run more than once; its answer is a stream of events, which a further
+    /// run continues after the last event that the caller has. The last variant, so that
+    /// configurations without it are the same for older daemons.
+    ResumableStream,
 }
 
 /// One route of the configuration.
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -23,7 +23,9 @@
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
     model::{Fleet, Target},
+    new_start::Attempts,
     peer_wire::target_key,
+    resumption::StreamPosition,
     send_budget::RepeatReason,
     sent::SendOutcome,
     takeover::{Step, Takeover},
@@ -44,13 +46,11 @@
 const EVENTS_BEGUN: u64 = 8;
 /// Time after the first event of a run that says the same of slower runs.
 const TIME_BEGUN: Duration = Duration::from_secs(1);
-/// Reason for which a run that broke early is not repeated.
-const SUSPECT: &str = "suspect request";
 
 /// Events of a stream that were sent to the caller, and their timing.
 #[derive(Debug, Default)]
 struct Delivered {
-    last_id: Option<EventId>,
+    position: StreamPosition,
     events: u64,
     first_at: Option<BootTime>,
     last_at: BootTime,
@@ -66,8 +66,7 @@
 }
 
 impl Delivered {
-    fn record(&mut self, id: Option<EventId>, now: BootTime) {
-        self.last_id = id.or(self.last_id);
+    fn record(&mut self, now: BootTime) {
         self.events += 1;
         if self.first_at.is_some() {
             let gap = now.saturating_sub(self.last_at);
@@ -97,6 +96,8 @@
 enum RunEnd {
     /// The stream ended and left no incomplete event.
     Whole,
+    /// The stream ended before the last event that the caller states or is known to have.
+    Short,
     /// The caller disconnected.
     CallerLeft,
     /// The connection to the engine failed for the given reason; the run may be resumed.
@@ -109,8 +110,8 @@
 }
 
 /// A copy of a run from which the run can be resumed.
-struct RunCopy {
-    target: Arc<Target>,
+pub(super) struct RunCopy {
+    pub target: Arc<Target>,
     /// Name of the copy in the headers of a request that resumes from it.
     name: Box<str>,
     /// Connection to the engine of the copy, if one is already open.
@@ -121,30 +122,37 @@
 }
 
 /// A run that broke off.
-struct BrokenRun {
+#[derive(Clone)]
+pub(super) struct BrokenRun {
     /// Engine on which it ran.
-    target: Arc<Target>,
+    pub target: Arc<Target>,
     /// Last event that the caller has.
-    last_id: Option<EventId>,
-    /// Time of that event, or of the request's arrival.
-    last_at: BootTime,
+    pub last_id: Option<EventId>,
+    /// Number of events that the caller has got in this response.
+    pub events: u64,
+    /// Time of the last one, or of the request's arrival.
+    pub last_at: BootTime,
     /// Whether the connection to the engine ended because the engine was silent.
-    is_silent: bool,
+    pub is_silent: bool,
+    /// Whether the run broke within its first events.
+    pub is_young: bool,
 }
 
 type CopyFuture = BoxFuture<'static, Result<RunCopy, Box<str>>>;
 
 impl Gateway {
     /// Forwards the events of a run to its caller until the end of the stream.
-    /// Resumes the run from a copy each time that it breaks.
+    /// Each time that the run breaks, resumes it from a copy or starts it anew.
     pub(super) async fn forward_stream(
         self: Arc<Self>,
         job: Job,
         mut run: Run,
+        mut attempts: Attempts,
         tx: mpsc::Sender<Result<Chunk, StreamError>>,
     ) {
         let tx = EventSender::new(tx);
         let mut delivered = Delivered {
+            position: StreamPosition::new(job.is_resumable, job.last_event),
             may_clear: true,
             ..Delivered::default()
         };
@@ -163,6 +171,10 @@
                     return;
                 }
                 RunEnd::CallerLeft => return,
+                RunEnd::Short => {
+                    give_up(&job, &tx, delivered.events, "event id beyond the end").await;
+                    return;
+                }
                 RunEnd::Disconnected(_) | RunEnd::Silent(_) | RunEnd::Broken(_) => {
                     copy.or_else(|| self.backup_copy(&job, &run))
                 }
@@ -171,39 +183,30 @@
             // Closes the connection to the old engine before the run is resumed
             // on the new one.
             drop(run);
-            let resuming = async {
-                let now = clock::now();
-                let is_young = delivered.is_run_young(now);
-                if self.is_held(&job, now) || (is_young && !job.may_repeat()) {
-                    return Err(SUSPECT.into());
-                }
-                let copy = copy.ok_or("no copy")?;
-                let broken = BrokenRun {
-                    target: source,
-                    last_id: delivered.last_id,
-                    last_at: delivered
-                        .first_at
-                        .map_or(job.arrived, |_| delivered.last_at),
-                    is_silent,
-                };
-                self.take_over(&job, broken, copy).await
+            let broken = BrokenRun {
+                target: source,
+                last_id: delivered.position.last_id(),
+                events: delivered.events,
+                last_at: delivered
+                    .first_at
+                    .map_or(job.arrived, |_| delivered.last_at),
+                is_silent,
+                is_young: delivered.is_run_young(clock::now()),
             };
+            let resuming = self.next_run(&job, broken, copy, &mut attempts);
             let resumed = tokio::select! {
                 resumed = resuming => resumed,
                 () = tx.chunks.closed() => return,
             };
             match resumed {
                 Ok(next) => {
-                    run = next;
-                    delivered.may_clear &= delivered.events == 0;
+                    run = next.run;
+                    // A new start reads the prompt again, so that its events speak for it.
+                    delivered.may_clear =
+                        next.is_new_start || (delivered.may_clear && delivered.events == 0);
                 }
                 Err(reason) => {
-                    let (id, events) = (&job.info.request_id, delivered.events);
-                    log::warn!(
-                        "event=stream_given_up request={id} events={events} reason={reason:?}"
-                    );
-                    // Fails if the caller has disconnected in the meantime.
-                    let _ = tx.chunks.send(Err(StreamError { reason })).await;
+                    give_up(&job, &tx, delivered.events, &reason).await;
                     return;
                 }
             }
@@ -222,6 +225,9 @@
                     clock::millis(delivered.longest_gap)
                 );
             }
+            RunEnd::Short => {
+                log::info!("event=stream_short request={id} target={target} events={events}");
+            }
             RunEnd::CallerLeft => {
                 log::info!("event=caller_left request={id} target={target} events={events}");
             }
@@ -233,7 +239,7 @@
             }
         }
         match run_end {
-            RunEnd::Whole => {
+            RunEnd::Whole | RunEnd::Short => {
                 if delivered.events_of_run > 0 && delivered.may_clear {
                     job.record_begun();
                 }
@@ -272,6 +278,7 @@
         let mut attempts = 0;
         delivered.events_of_run = 0;
         delivered.run_first_at = None;
+        delivered.position.begin_run();
         loop {
             let changed = self.shared.changed();
             let fleet = self.shared.fleet();
@@ -305,7 +312,11 @@
                 None if events.splitter.has_incomplete_event() => {
                     RunEnd::Disconnected("stream ended within an event".into())
                 }
-                None if delivered.events == 0 && !run.exchange.has_framed_body() => {
+                // A caller that has all events gets none.
+                None if delivered.events == 0
+                    && delivered.position.last_id().is_none()
+                    && !run.exchange.has_framed_body() =>
+                {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
                 // Without a length, the stream of an engine that crashed between two events
@@ -316,6 +327,7 @@
                 {
                     RunEnd::Disconnected("engine crashed at the end of the stream".into())
                 }
+                None if delivered.position.ends_short() => return RunEnd::Short,
                 None => return RunEnd::Whole,
                 Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
                 Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
@@ -368,17 +380,20 @@
                 delivered.may_clear = false;
                 job.record_begun();
             }
-            if event.id.is_some() && event.id <= delivered.last_id {
-                continue;
-            }
             if let Some((tokens, sent)) = run.pending_prompt.take() {
                 run.reservation.record_prefilled();
                 let waited = now.saturating_sub(sent);
-                self.prefill_rate.record(tokens, waited);
-                metrics::histogram!("bluebell_gateway_first_event_seconds")
-                    .record(waited.as_secs_f64());
+                // An engine may first generate the events again that the caller has.
+                if delivered.position.last_id().is_none() {
+                    self.prefill_rate.record(tokens, waited);
+                    metrics::histogram!("bluebell_gateway_first_event_seconds")
+                        .record(waited.as_secs_f64());
+                }
             }
-            delivered.record(event.id, now);
+            if !delivered.position.advance(event.id) {
+                continue;
+            }
+            delivered.record(now);
             tx.send(event, memory).await?;
         }
         Ok(())
@@ -461,20 +476,20 @@
     }
 
     /// Checks the job's request against the newest configuration again.
-    fn readmit(&self, fleet: &Fleet, job: &Job) -> Result<Admitted, Box<str>> {
+    pub(super) fn readmit(&self, fleet: &Fleet, job: &Job) -> Result<Admitted, Box<str>> {
         let now = clock::now();
         let admitted = self.admit(fleet, &job.host, job.uri.path(), job.key.as_deref(), now);
         admitted.map_err(|e| e.to_string().into())
     }
 
     /// Resumes a run from a copy once it has ended at its engine.
-    async fn take_over(
+    pub(super) async fn take_over(
         &self,
         job: &Job,
-        broken: BrokenRun,
+        broken: &BrokenRun,
         mut copy: RunCopy,
     ) -> Result<Run, Box<str>> {
-        let newer = self.end_run(job, &broken, &copy.target).await?;
+        let newer = self.end_run(job, broken, &copy.target).await?;
         if let Some(handle) = newer {
             copy.name = (self.engines.copy_reference)(broken.target.address, &handle);
         }
@@ -591,39 +606,50 @@
                 | SendOutcome::Unknown(reason),
             ) => Err(reason),
             Ok(SendOutcome::Disconnected(reason)) => {
-                self.record_crash(job, &copy.target, now, last_id.is_none());
+                self.record_crash(job, &copy.target, now, last_id == job.last_event);
                 Err(reason)
             }
             Err(_) => Err("deadline".into()),
         }
     }
 
-    /// Resumes a run from its backup after its first send, to `target`, got no response.
+    /// Resumes a run from its backup, or starts it anew, after its first send, to `target`, got
+    /// no response.
     pub(super) async fn resume_unanswered(
         &self,
         job: &Job,
         target: Arc<Target>,
-        backup: Arc<Target>,
+        backup: Option<Arc<Target>>,
+        attempts: &mut Attempts,
     ) -> Result<Run, Box<str>> {
-        if !job.may_repeat() || self.is_held(job, clock::now()) {
-            return Err(SUSPECT.into());
-        }
-        let copy = RunCopy {
+        let copy = backup.map(|backup| RunCopy {
             name: (self.engines.copy_reference)(backup.address, &job.info.request_id),
             target: backup,
             tcp: None,
             reservation: None,
-        };
+        });
         let broken = BrokenRun {
             target,
-            last_id: None,
+            last_id: job.last_event,
+            events: 0,
             last_at: job.arrived,
             is_silent: false,
+            is_young: true,
         };
-        self.take_over(job, broken, copy).await
+        let next = self.next_run(job, broken, copy, attempts).await?;
+        Ok(next.run)
     }
 }
 
+/// Ends a stream without its end.
+async fn give_up(job: &Job, tx: &EventSender, events: u64, reason: &str) {
+    let id = &job.info.request_id;
+    log::warn!("event=stream_given_up request={id} events={events} reason={reason:?}");
+    let reason = reason.into();
+    // Fails if the caller has disconnected in the meantime.
+    let _ = tx.chunks.send(Err(StreamError { reason })).await;
+}
+
 /// Connects to the engine of a copy before the run has to be resumed there.
 async fn preconnect(copy: RunCopy) -> Result<RunCopy, Box<str>> {
     let peer: SocketAddr = copy.target.address;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The body could not be read to its end.
     BodyCut,
+    /// The last event that the caller states to have is not one number.
+    BadEventId,
     /// Other requests take the memory of this daemon; it has not run.
     NoMemory,
     /// The process is stopping and may exit before the request's deadline; the request
@@ -82,7 +84,7 @@
             | Self::Suspect
             | Self::NoMemory
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoId | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::NoId | Self::BodyCut | Self::BadEventId => StatusCode::BAD_REQUEST,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
             Self::Denied(Denied::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
