--- a/src/gateway/new_start.rs
+++ b/src/gateway/new_start.rs
@@ -53,7 +53,7 @@
                 is_held: self.is_held(job, now),
                 is_young: broken.is_young,
                 may_repeat: job.may_repeat(),
-                is_position_known: broken.last_id.is_some() || broken.events == 0,
+                is_position_known: broken.is_position_known,
                 starts: attempts.starts,
                 max_attempts: route.map_or(0, |r| r.max_attempts),
                 is_late: job.time_left(now).is_zero(),
@@ -93,6 +93,9 @@
                     // The new run broke before its first event.
                     broken.is_young = true;
                 }
+                (AfterBreak::GiveUp(_), _, Err(refusal)) if job.is_resumable => {
+                    return Err(failure.unwrap_or(refusal));
+                }
                 (AfterBreak::GiveUp(reason), ..) => {
                     return Err(failure.unwrap_or_else(|| <&str>::from(reason).into()));
                 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -128,8 +128,8 @@
     pub target: Arc<Target>,
     /// Last event that the caller has.
     pub last_id: Option<EventId>,
-    /// Number of events that the caller has got in this response.
-    pub events: u64,
+    /// Whether that is all that the caller has, so that a new run can go on after it.
+    pub is_position_known: bool,
     /// Time of the last one, or of the request's arrival.
     pub last_at: BootTime,
     /// Whether the connection to the engine ended because the engine was silent.
@@ -186,7 +186,7 @@
             let broken = BrokenRun {
                 target: source,
                 last_id: delivered.position.last_id(),
-                events: delivered.events,
+                is_position_known: delivered.position.is_known(),
                 last_at: delivered
                     .first_at
                     .map_or(job.arrived, |_| delivered.last_at),
@@ -631,7 +631,7 @@
         let broken = BrokenRun {
             target,
             last_id: job.last_event,
-            events: 0,
+            is_position_known: true,
             last_at: job.arrived,
             is_silent: false,
             is_young: true,
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -46,6 +46,10 @@
     last_id: Option<EventId>,
     /// Newest event with an id that the current run has sent.
     run_last_id: Option<EventId>,
+    /// Whether the caller has got events without an id, and none with an id, in this response.
+    lacks_id: bool,
+    /// Whether the caller has got an event with an id in this response.
+    has_id: bool,
 }
 
 impl StreamPosition {
@@ -55,7 +59,7 @@
         Self {
             is_resumable,
             last_id,
-            run_last_id: None,
+            ..Self::default()
         }
     }
 
@@ -65,6 +69,13 @@
         self.last_id
     }
 
+    /// Returns whether a new run can go on after what the caller has: not if it has got events
+    /// that cannot be told from those of the new run.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        !self.lacks_id
+    }
+
     /// Begins to read another run.
     pub fn begin_run(&mut self) {
         self.run_last_id = None;
@@ -75,12 +86,16 @@
     pub fn advance(&mut self, id: Option<EventId>) -> bool {
         let Some(id) = id else {
             let repeats = self.run_last_id.is_some() && self.run_last_id < self.last_id;
-            return !(self.is_resumable && repeats);
+            let is_new = !(self.is_resumable && repeats);
+            self.lacks_id |= is_new && !self.has_id;
+            return is_new;
         };
         self.run_last_id = self.run_last_id.max(Some(id));
         let is_new = Some(id) > self.last_id;
         if is_new {
             self.last_id = Some(id);
+            self.has_id = true;
+            self.lacks_id = false;
         }
         is_new
     }
