Start a resumable stream anew after a server error

Cause: requests of resumable routes count as idempotent, but a server error before the stream was passed on at once, while idempotent plain requests try another target. New starts before the first event were taken from the budget as broken runs, which may use more of the shared part, also in an outage in which all engines answer with errors.

Change: a server error counts as a break; if no other engine sends a stream, the first error is passed on. Starts before a new event count as repeats at another target.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -133,6 +133,16 @@
                         "event=stream request={id} target={target} backup={backup} took_ms={}",
                         took.as_millis()
                     );
+                    let status = run.exchange.response.status();
+                    if status.is_server_error() && admitted.route.repeat_policy.is_resumable() {
+                        self.loads.record_failure(target, clock::now());
+                        let target = placement.target.clone();
+                        let started = self.resume_unanswered(job, target, None, &mut attempts);
+                        // The error is forwarded if no other engine takes the request.
+                        if let Ok(next) = started.await {
+                            return Ok((next, attempts));
+                        }
+                    }
                     return Ok((run, attempts));
                 }
                 SendOutcome::Disconnected(_) | SendOutcome::CutOff(_) | SendOutcome::Unknown(_) => {
--- a/src/gateway/new_start.rs
+++ b/src/gateway/new_start.rs
@@ -138,7 +138,13 @@
         let placement = self
             .place(&fleet, job, admitted, &attempts.tried)
             .ok_or_else(|| Failed::Final("no target".into()))?;
-        if !self.try_record_send(job, Some(RepeatReason::BrokenRun), now) {
+        // Without a new event the caller loses little if the budget keeps it from another start.
+        let reason = if broken.last_id == job.last_event {
+            RepeatReason::OtherTarget
+        } else {
+            RepeatReason::BrokenRun
+        };
+        if !self.try_record_send(job, Some(reason), now) {
             return Err(Failed::Final("budget".into()));
         }
         attempts.tried.push(placement.target.id.clone());
@@ -168,6 +174,9 @@
             }
             SendOutcome::Answered(run) => {
                 let status = run.exchange.response.status();
+                if status.is_server_error() {
+                    self.loads.record_failure(&target.id, clock::now());
+                }
                 Err(Failed::AtTarget(
                     format!("status={}", status.as_u16()).into(),
                 ))
