Order what is learnt from the store by era and revision

Cause: a store restored from an older copy gives lower revisions, and gives lost ones out again. Lists at a lower revision were ignored as old, watches went on after revisions that meant other writes, and daemons that started afterwards served with the older configuration.

Change: revisions hold the era of Store-Era in their upper bits; positions still compare as numbers, and era 0 is encoded as before. Configurations are compared by ConfigStamp: one that a restored store lists replaces that of an earlier era only with a newer version, one that a watch returns always. An answer of a higher era starts a new list, one of an ended era counts as a failed read. Missing targets and evacuations get the grace of an outage, leaving targets stay leaving until they write. Daemons register again, also if a later list lacks them. A daemon whose configuration may be older states it to others (ConfigStatement, appended) and fetches a newer one.

--- a/src/gateway/change_log.rs
+++ b/src/gateway/change_log.rs
@@ -13,7 +13,8 @@
 /// The changes of one topic up to a revision.
 ///
 /// Invariant: entries are contiguous; each covers the revisions after that of
-/// the previous entry up to its own.
+/// the previous entry up to its own. All entries belong to the era of `revision`, since
+/// a new era begins with a complete read.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     /// Revision after which the log holds all changes.
--- a/src/gateway/config_patch.rs
+++ b/src/gateway/config_patch.rs
@@ -9,7 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::{CallerLimits, Change, Config, Customer, Route, Service};
+use super::{
+    model::{CallerLimits, Change, Config, Customer, Route, Service},
+    store_era::ConfigStamp,
+};
 use crate::platform::Revision;
 
 /// The differences between a configuration and a newer one.
@@ -111,7 +114,7 @@
 ) -> Vec<Change> {
     let (mut revision, mut config) = known;
     let mut to_patch = |change: &Change| match change {
-        Change::Config(newer, new) if *newer > revision => {
+        Change::Config(newer, new) if is_newer(*newer, new, revision, config.as_deref()) => {
             let old = config.replace(new.clone());
             let base = std::mem::replace(&mut revision, *newer);
             let patch = ConfigPatch::between((base, &*old?), (*newer, new));
@@ -125,6 +128,16 @@
         .collect()
 }
 
+/// Returns whether a configuration replaces the known one, if there is any.
+fn is_newer(newer: Revision, new: &Config, revision: Revision, known: Option<&Config>) -> bool {
+    let stamp = |revision, config: &Config| ConfigStamp {
+        revision,
+        version: config.version,
+    };
+    let known = known.map_or_else(ConfigStamp::default, |known| stamp(revision, known));
+    stamp(newer, new).replaces(known)
+}
+
 /// Indexes routes by host and path prefix; returns `None` if two routes share both.
 fn index_routes(config: &Config) -> Option<HashMap<(&str, &str), &Arc<Route>>> {
     let index = config
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,6 +3,7 @@
 //! the newest read, by this or another daemon, that confirmed the configuration.
 
 use std::{
+    borrow::Cow,
     collections::{HashMap, HashSet},
     sync::Arc,
     time::Duration,
@@ -19,12 +20,13 @@
     load::LoadTracker,
     model::{Change, Fleet, Topic},
     peer_wire::{
-        Answer, Fetch, Query, ServiceSendCounts, TargetWork, Update, WorkReport, ZoneLoad,
-        target_key,
+        Answer, ConfigStatement, Fetch, Query, ServiceSendCounts, TargetWork, Update, WorkReport,
+        ZoneLoad, target_key,
     },
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
+    store_era::{ConfigStamp, era_of, is_written_in_era, revision_in_store},
     suspects::Suspects,
     target_statements::StatementTracker,
 };
@@ -54,6 +56,8 @@
     awaited_confirmation: Option<(Revision, BootTime)>,
     /// Notified when this daemon gains its first confirmed configuration.
     config_gained: Arc<Notify>,
+    /// Notified when this daemon learns that the store was restored from an older copy.
+    era_began: Arc<Notify>,
     pub peers: Peers,
     loads: LoadTracker,
     sends: SendTracker,
@@ -70,6 +74,23 @@
     is_store_up: watch::Sender<bool>,
 }
 
+/// What follows from the comparison of two daemons' configurations.
+pub(crate) enum Comparison {
+    /// Both have the same.
+    Same,
+    /// The other daemon has a newer one, which is to be fetched.
+    Fetch,
+    /// This daemon has a newer one, which the other daemon is to be told.
+    Tell(ConfigStatement),
+}
+
+fn statement(stamp: ConfigStamp) -> ConfigStatement {
+    ConfigStatement {
+        revision: stamp.revision,
+        version: stamp.version,
+    }
+}
+
 /// The part of a topic that a daemon does not have.
 enum Missing {
     Nothing,
@@ -94,6 +115,7 @@
             config_confirmed_at: None,
             awaited_confirmation: None,
             config_gained: Arc::default(),
+            era_began: Arc::default(),
             peers,
             loads: trackers.loads,
             sends: trackers.sends,
@@ -193,6 +215,9 @@
     /// changed anything.
     fn apply_update(&mut self, update: &Update, now: BootTime) -> bool {
         let log = self.change_logs.entry(update.topic).or_default();
+        if update.at < log.revision() && update.is_whole && update.topic == Topic::Config {
+            return self.adopt_config(update, now);
+        }
         if update.at < log.revision() || (!update.is_whole && update.from > log.revision()) {
             return false;
         }
@@ -209,8 +234,23 @@
         let feed = self.feeds.entry(update.topic).or_default();
         self.needs_full_config &= update.topic != Topic::Config;
         if update.is_whole {
+            let mut changes = Cow::Borrowed(&update.changes);
+            if log.revision() > 0 && era_of(update.at) > era_of(log.revision()) {
+                log::info!(
+                    "event=store_era topic={} era={} known={} at={}",
+                    update.topic,
+                    era_of(update.at),
+                    revision_in_store(log.revision()),
+                    revision_in_store(update.at)
+                );
+                feed.record_new_era(now);
+                self.era_began.notify_one();
+                self.fleet.keep_leaving(changes.to_mut());
+            }
+            #[expect(clippy::cast_precision_loss, reason = "an era is far below 2^52")]
+            metrics::gauge!("bluebell_gateway_store_era").set(era_of(update.at) as f64);
             log.restart(update.at);
-            self.fleet.replace(update.topic, &update.changes, feed, now);
+            self.fleet.replace(update.topic, &changes, feed, now);
             self.topics_read.insert(update.topic);
             self.fleet.is_complete = Topic::iter().all(|t| self.topics_read.contains(&t));
         } else {
@@ -226,6 +266,51 @@
         has_changes
     }
 
+    /// Applies the configuration of a daemon that is behind in the store, which may still be
+    /// newer than the one that a restored store holds. Returns whether it is.
+    fn adopt_config(&mut self, update: &Update, now: BootTime) -> bool {
+        let before = self.fleet.config_revision;
+        let feed = self.feeds.entry(Topic::Config).or_default();
+        self.fleet.apply(&update.changes, feed, now);
+        let is_adopted = self.fleet.config_revision != before;
+        if is_adopted {
+            self.needs_full_config = false;
+            self.shared.publish(self.fleet.clone());
+        }
+        is_adopted
+    }
+
+    /// Returns which configuration this daemon has, if it is not known whether another
+    /// daemon has a newer one that a restored store has lost.
+    pub fn uncertain_config(&self) -> Option<ConfigStatement> {
+        let stamp = self.fleet.config_stamp();
+        (!is_written_in_era(stamp.revision)).then(|| statement(stamp))
+    }
+
+    /// Compares another daemon's configuration with that of this one.
+    pub fn compare_config(&mut self, other: ConfigStatement) -> Comparison {
+        let own = self.fleet.config_stamp();
+        let other = ConfigStamp {
+            revision: other.revision,
+            version: other.version,
+        };
+        if other.replaces(own) {
+            // The store's position says nothing of a configuration that the store has lost.
+            self.needs_full_config = true;
+            Comparison::Fetch
+        } else if own.replaces(other) {
+            Comparison::Tell(statement(own))
+        } else {
+            Comparison::Same
+        }
+    }
+
+    /// Returns the handle that is notified when this daemon learns that the store was
+    /// restored from an older copy.
+    pub fn era_began(&self) -> Arc<Notify> {
+        self.era_began.clone()
+    }
+
     /// Records that the configuration includes every change made before `sent`.
     fn confirm_config(&mut self, sent: BootTime) {
         if self.config_confirmed_at.is_none() {
@@ -259,7 +344,12 @@
     /// it is about.
     fn confirm_awaited(&mut self) {
         let revision = self.revision(Topic::Config);
-        if let Some((_, sent)) = self.awaited_confirmation.take_if(|(at, _)| *at <= revision) {
+        // A confirmation of an era that has ended says nothing of the present one.
+        let is_confirmed = |at: Revision| at <= revision && era_of(at) == era_of(revision);
+        let confirmed = self
+            .awaited_confirmation
+            .take_if(|(at, _)| is_confirmed(*at));
+        if let Some((_, sent)) = confirmed {
             self.confirm_config(sent);
         }
     }
@@ -283,8 +373,11 @@
             self.awaited_confirmation = Some((answer.config_revision, sent));
             self.confirm_awaited();
         }
+        // A daemon in an earlier era has not heard of the restored store.
+        let is_behind = era_of(answer.config_revision) < era_of(self.revision(Topic::Config));
+        let is_unreliable = answer.is_store_down || is_behind;
         self.peers
-            .record_answer(from, config_age.filter(|_| !answer.is_store_down), now);
+            .record_answer(from, config_age.filter(|_| !is_unreliable), now);
         to_forward
     }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -17,6 +17,7 @@
     model::{Batch, Change, Read, Topic},
     peer_wire::Update,
     peers::{DaemonInfo, DaemonName},
+    store_era::{era_of, mark_written_in_era},
 };
 use crate::{clock, platform::Revision};
 
@@ -90,6 +91,10 @@
             result = read => result,
             _ = is_reader.wait_for(|is_reader| !*is_reader) => continue,
         };
+        let result = result.and_then(|update| {
+            let known = control.borrow().revision(topic);
+            check_era(update, known)
+        });
         match result {
             Ok(update) => {
                 has_history = true;
@@ -126,6 +131,17 @@
     }
 }
 
+/// Rejects an answer of an era that has ended.
+fn check_era(update: Update, known: Revision) -> Result<Update, ReadError> {
+    let (era, known) = (era_of(update.at), era_of(known));
+    if era < known {
+        return Err(ReadError::Failed {
+            reason: format!("step=read: answer of era {era}, after era {known}").into(),
+        });
+    }
+    Ok(update)
+}
+
 /// Reads the changes since `from`, or the complete topic if `from` is `None`.
 async fn read_once(
     topic: Topic,
@@ -137,18 +153,35 @@
         None => list(topic, store).await?,
         Some(from) => {
             let call = (store.read)(topic, Read::Watch { from, wait });
-            with_timeout(call, wait + ANSWER_TIMEOUT).await?
+            let batch = with_timeout(call, wait + ANSWER_TIMEOUT).await?;
+            // The changes follow another history than the one that is known up to `from`.
+            if era_of(batch.at) > era_of(from) {
+                return Err(ReadError::HistoryUnavailable);
+            }
+            batch
         }
     };
+    let changes = match from {
+        None => batch.changes,
+        Some(_) => batch.changes.into_iter().map(mark_written).collect(),
+    };
     Ok(Update {
         topic,
         from: from.unwrap_or(0),
         at: batch.at,
         is_whole: from.is_none(),
-        changes: batch.changes,
+        changes,
     })
 }
 
+/// Records that a change was written in the present era, since a watch returned it.
+fn mark_written(change: Change) -> Change {
+    match change {
+        Change::Config(revision, config) => Change::Config(mark_written_in_era(revision), config),
+        other => other,
+    }
+}
+
 /// Reads all pages of a list.
 async fn list(topic: Topic, store: &Store) -> Result<Batch, ReadError> {
     let page = |after| with_timeout((store.read)(topic, Read::List { after }), ANSWER_TIMEOUT);
@@ -157,6 +190,11 @@
     let mut next = first.next;
     while let Some(after) = next {
         let page = page(Some(after)).await?;
+        if era_of(page.at) != era_of(first.at) {
+            return Err(ReadError::Failed {
+                reason: "step=list: the store was restored between two pages".into(),
+            });
+        }
         all_changes.extend(page.changes);
         next = page.next;
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -12,8 +12,9 @@
 };
 
 use super::{
-    model::{Change, Config, Fleet, KnownTarget, Target, TargetId, Topic},
+    model::{Change, Config, Fleet, KnownTarget, Target, TargetId, Topic, ZoneName},
     peer_wire::{TargetKey, target_key},
+    store_era::{ConfigStamp, era_of},
 };
 use crate::{clock::BootTime, platform::Revision};
 
@@ -37,9 +38,18 @@
     pub outage_since: Option<BootTime>,
     /// Time at which the store answered again after its last outage.
     pub restored_at: Option<BootTime>,
+    /// Time at which this daemon learnt that the store was restored from an older copy.
+    pub era_began_at: Option<BootTime>,
 }
 
 impl FeedState {
+    /// Records that the store was restored from an older copy. Entries that it lacks may have
+    /// been lost, as in an outage.
+    pub fn record_new_era(&mut self, now: BootTime) {
+        self.era_began_at = Some(now);
+        self.restored_at = Some(now);
+    }
+
     /// Records a successful read that was sent at `sent`.
     pub fn record_success(&mut self, sent: BootTime, now: BootTime) {
         self.confirmed_at = self.confirmed_at.max(Some(sent));
@@ -56,11 +66,22 @@
     /// Returns the end of the grace period if entries that are missing now may have
     /// expired because the store was unavailable.
     fn expiry_grace_end(&self, now: BootTime) -> Option<BootTime> {
-        let until = self.restored_at? + EXPIRY_GRACE;
-        (now < until).then_some(until)
+        grace_end(self.restored_at, now)
+    }
+
+    /// Returns the end of the grace period if evacuations that are missing now may have been
+    /// lost.
+    fn evacuation_grace_end(&self, now: BootTime) -> Option<BootTime> {
+        grace_end(self.era_began_at, now)
     }
 }
 
+/// Returns the end of the grace period that began at `began_at`, unless it is over.
+fn grace_end(began_at: Option<BootTime>, now: BootTime) -> Option<BootTime> {
+    let until = began_at? + EXPIRY_GRACE;
+    (now < until).then_some(until)
+}
+
 impl Fleet {
     /// Applies a batch of changes in order, and logs those that alter the view.
     pub fn apply(&mut self, changes: &[Change], feed: &FeedState, now: BootTime) {
@@ -92,10 +113,14 @@
                     _ => None,
                 });
                 let listed: BTreeSet<_> = listed.collect();
-                for zone in self.evacuated_zones.difference(&listed) {
-                    log::info!("event=zone_back zone={zone} source=list");
+                let missing: Vec<ZoneName> =
+                    self.evacuated_zones.difference(&listed).cloned().collect();
+                for zone in missing {
+                    match feed.evacuation_grace_end(now) {
+                        Some(until) => self.lapse_evacuation(zone, until),
+                        None => self.return_zone(&zone, "list"),
+                    }
                 }
-                self.evacuated_zones = listed;
             }
         }
     }
@@ -103,8 +128,19 @@
     fn apply_change(&mut self, change: &Change, feed: &FeedState, now: BootTime) {
         match change {
             Change::Config(revision, config) => {
-                if *revision > self.config_revision {
+                let newer = ConfigStamp {
+                    revision: *revision,
+                    version: config.version,
+                };
+                let known = self.config_stamp();
+                if newer.replaces(known) {
                     self.put_config(*revision, config.clone());
+                } else if era_of(newer.revision) > era_of(known.revision) {
+                    log::info!(
+                        "event=config_kept version={} store_version={}",
+                        known.version,
+                        newer.version
+                    );
                 }
             }
             Change::ConfigPatch(patch) => {
@@ -118,14 +154,13 @@
             Change::Target(target) => self.put_target(target, now),
             Change::TargetGone(id) => self.remove(id, feed, now),
             Change::ZoneOut(zone) => {
+                self.lapsed_evacuations.remove(zone);
                 if self.evacuated_zones.insert(zone.clone()) {
                     log::info!("event=zone_out zone={zone}");
                 }
             }
             Change::ZoneBack(zone) => {
-                if self.evacuated_zones.remove(zone) {
-                    log::info!("event=zone_back zone={zone} source=watch");
-                }
+                self.return_zone(zone, "watch");
             }
             Change::Unreadable { name, reason } => {
                 log::warn!("event=entry_unreadable name={name:?} reason={reason:?}");
@@ -140,20 +175,60 @@
     /// is either known already or based on the revision that precedes it here.
     #[must_use]
     pub fn can_apply(&self, changes: &[Change]) -> bool {
-        let mut revision = self.config_revision;
+        let mut known = self.config_stamp();
         changes.iter().all(|change| {
-            let (base, newer) = match change {
-                Change::Config(newer, _) => (revision, *newer),
-                Change::ConfigPatch(patch) => (patch.base, patch.revision),
+            let (base, revision, version) = match change {
+                Change::Config(revision, config) => (known.revision, *revision, config.version),
+                Change::ConfigPatch(patch) => (patch.base, patch.revision, patch.version),
                 _ => return true,
             };
-            let is_known = newer <= revision;
-            let is_next = base == revision;
-            revision = revision.max(newer);
+            let newer = ConfigStamp { revision, version };
+            let is_known = !newer.replaces(known);
+            let is_next = base == known.revision;
+            if !is_known {
+                known = newer;
+            }
             is_known || is_next
         })
     }
 
+    /// Returns the revision and version of the configuration; zero without one.
+    #[must_use]
+    pub fn config_stamp(&self) -> ConfigStamp {
+        ConfigStamp {
+            revision: self.config_revision,
+            version: self.config.as_ref().map_or(0, |config| config.version),
+        }
+    }
+
+    /// Marks targets of a restored store's list as leaving if they are known to be leaving.
+    /// The entry may be older than what is known, and a target that returned to service
+    /// writes its entry again.
+    pub fn keep_leaving(&self, changes: &mut [Change]) {
+        for change in changes {
+            if let Change::Target(target) = change
+                && let Some(known) = self.targets.get(&target.id)
+                && known.target.address == target.address
+            {
+                target.is_draining |= known.target.is_draining;
+            }
+        }
+    }
+
+    /// Returns a zone to service.
+    fn return_zone(&mut self, zone: &ZoneName, source: &str) {
+        self.lapsed_evacuations.remove(zone);
+        if self.evacuated_zones.remove(zone) {
+            log::info!("event=zone_back zone={zone} source={source}");
+        }
+    }
+
+    /// Marks an evacuation as ending unless its entry returns.
+    fn lapse_evacuation(&mut self, zone: ZoneName, until: BootTime) {
+        log::info!("event=zone_lapsed zone={zone}");
+        self.lapsed_evacuations.entry(zone).or_insert(until);
+    }
+
     fn put_config(&mut self, revision: Revision, config: Arc<Config>) {
         log::info!(
             "event=config version={} revision={revision} routes={} keys={}",
@@ -243,9 +318,17 @@
         }
     }
 
-    /// Removes targets whose expired entries did not return within the grace period;
-    /// returns whether there were any.
+    /// Removes targets and evacuations whose missing entries did not return within the
+    /// grace period; returns whether there were any.
     pub fn expire(&mut self, now: BootTime) -> bool {
+        let lapsed = self.lapsed_evacuations.iter();
+        let lapsed: Vec<ZoneName> = lapsed
+            .filter(|(_, until)| now >= **until)
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        for zone in &lapsed {
+            self.return_zone(zone, "lapsed");
+        }
         let before = self.targets.len();
         self.targets.retain(|id, known| {
             let is_retained = known.removal_due_at.is_none_or(|at| now < at);
@@ -254,7 +337,7 @@
             }
             is_retained
         });
-        self.targets.len() != before
+        self.targets.len() != before || !lapsed.is_empty()
     }
 
     /// Returns the configuration to serve with, or `None` until all topics have been
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod start;
 mod statements;
 mod stop;
+mod store_era;
 mod suspect_entry;
 mod suspects;
 mod takeover;
@@ -99,6 +100,10 @@
     shared_state::{PeerLoad, SharedState},
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
+    store_era::{
+        ConfigStamp, era_of, is_written_in_era, mark_written_in_era, revision_in_era,
+        revision_in_store,
+    },
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
     takeover::{Step, Takeover},
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -181,7 +181,7 @@
     },
     /// Waits for changes after a revision.
     Watch {
-        /// Revision of the last answer.
+        /// Revision of the last answer, with the era; the store has its own number.
         from: Revision,
         /// Maximum time to wait for a change.
         wait: Duration,
@@ -191,7 +191,8 @@
 /// One change, or one entry of a list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Change {
-    /// A configuration, with the revision at which it was written.
+    /// A configuration, with the revision at which it was written. Its order is that of
+    /// [`super::ConfigStamp`].
     Config(Revision, Arc<Config>),
     /// The differences of a newer configuration from the one before it; sent between
     /// daemons only.
@@ -216,7 +217,7 @@
 /// Answer to a [`Read`].
 #[derive(Clone, Debug)]
 pub struct Batch {
-    /// Revision of the store at the time of the answer.
+    /// Revision of the store at the time of the answer, with the era.
     pub at: Revision,
     /// Entries or changes, in order.
     pub changes: Vec<Change>,
@@ -235,6 +236,9 @@
     pub targets: BTreeMap<TargetId, KnownTarget>,
     /// Zones that are out of service and get no new work.
     pub evacuated_zones: std::collections::BTreeSet<ZoneName>,
+    /// Evacuated zones whose entries a restored store does not hold, and the time at which
+    /// they return to service unless the entry does.
+    pub lapsed_evacuations: BTreeMap<ZoneName, BootTime>,
     /// Whether every topic has been read at least once.
     pub is_complete: bool,
 }
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -17,10 +17,10 @@
 };
 
 use super::{
-    control::Control,
+    control::{Comparison, Control},
     feed::{Store, with_timeout},
     model::ZoneName,
-    peer_wire::{Answer, Fetch, Incarnation, Message, Packet, Query, Update},
+    peer_wire::{Answer, ConfigStatement, Fetch, Incarnation, Message, Packet, Query, Update},
     peers::{DaemonInfo, DaemonName, QUERY_INTERVAL, REMOTE_QUERY_INTERVAL, REPORT_PERIOD},
 };
 use crate::{
@@ -70,6 +70,12 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Time after such a pause for which reports of ages are ignored. They are repeated.
 const PAUSE_RECOVERY: Duration = Duration::from_millis(200);
+/// Interval between statements of a configuration that may be older than that of others. Each
+/// goes to one daemon, which answers if it has a newer one.
+const CONFIG_STATEMENT_PERIOD: Duration = Duration::from_millis(500);
+/// Longest time until a daemon registers again after the store was restored from an older
+/// copy. All daemons do so, and the store drops calls beyond those that it can accept at once.
+const MAX_REGISTER_DELAY: Duration = Duration::from_secs(5);
 /// Key of the checksum of messages. It is public, because instances share no
 /// secret.
 const CHECKSUM_KEY: &str = "bluebelldrift gateway peers";
@@ -120,6 +126,8 @@
     fetched_at: Cell<BootTime>,
     /// Permits for fetches that this daemon answers.
     fetch_permits: Semaphore,
+    /// Time of the last statement of the configuration; zero before the first one.
+    config_stated_at: Cell<BootTime>,
 }
 
 /// A query that cannot be answered yet.
@@ -152,6 +160,7 @@
             is_fetching: Cell::new(false),
             fetched_at: Cell::new(BootTime::ZERO),
             fetch_permits: Semaphore::new(MAX_CONCURRENT_FETCHES),
+            config_stated_at: Cell::new(BootTime::ZERO),
         })
     }
 
@@ -346,6 +355,30 @@
                 .borrow_mut()
                 .insert(nonce, clock::now());
             self.send(*peer, Message::Query(query)).await;
+            self.state_config(*peer).await;
+        }
+    }
+
+    /// Tells another daemon from time to time which configuration this one has, if others may
+    /// have a newer one.
+    async fn state_config(&self, to: SocketAddr) {
+        let now = clock::now();
+        let is_due = now.saturating_sub(self.config_stated_at.get()) >= CONFIG_STATEMENT_PERIOD;
+        let statement = self.control.borrow().uncertain_config();
+        if let Some(statement) = statement.filter(|_| is_due) {
+            self.config_stated_at.set(now);
+            self.send(to, Message::ConfigStatement(statement)).await;
+        }
+    }
+
+    /// Fetches the configuration of another daemon if it is newer, or answers that this
+    /// daemon's is.
+    async fn compare_config(self: &Rc<Self>, other: ConfigStatement, from: SocketAddr) {
+        let comparison = self.control.borrow_mut().compare_config(other);
+        match comparison {
+            Comparison::Same => {}
+            Comparison::Fetch => self.start_fetch(from),
+            Comparison::Tell(own) => self.send(from, Message::ConfigStatement(own)).await,
         }
     }
 
@@ -478,6 +511,7 @@
                 let forwards = control.peers.is_zone_leader(now);
                 control.statements.table().merge(&reports, forwards, now);
             }
+            Message::ConfigStatement(other) => self.compare_config(other, from).await,
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
@@ -507,6 +541,7 @@
         }
         let answer = self.control.borrow_mut().build_answer(name, query);
         self.send(to, Message::Answer(answer)).await;
+        self.state_config(to).await;
     }
 
     /// Answers the queries that had to wait: all of them once this daemon has a
@@ -605,7 +640,8 @@
     /// Reads the list of daemons, registers this daemon unless its entry is there from
     /// an earlier run, then reads the list repeatedly; never returns.
     pub async fn maintain_listing(self: Rc<Self>, store: Store) {
-        if !self.refresh_list(&store).await {
+        let mut is_listed = self.refresh_list(&store).await;
+        if is_listed != Some(true) {
             self.register(&store).await;
         }
         // Daemons that start together would otherwise call the store at the same moment,
@@ -616,11 +652,26 @@
             let at = at.mul_f64(jitter);
             tokio::time::sleep(at.saturating_sub(waited)).await;
             waited = at;
-            self.refresh_list(&store).await;
+            is_listed = self.refresh_list(&store).await;
         }
+        let era_began = self.control.borrow().era_began();
         loop {
-            tokio::time::sleep(LIST_PERIOD.mul_f64(jitter)).await;
-            self.refresh_list(&store).await;
+            // Not while the store does not answer, since failed calls are charged too.
+            if is_listed == Some(false) {
+                self.register(&store).await;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(LIST_PERIOD.mul_f64(jitter)) => {
+                    is_listed = self.refresh_list(&store).await;
+                }
+                () = era_began.notified() => {
+                    let delay = rand::random_range(0.0..1.0);
+                    tokio::time::sleep(MAX_REGISTER_DELAY.mul_f64(delay)).await;
+                    // Without asking first, since the list may be older than the new era.
+                    self.register(&store).await;
+                    is_listed = Some(true);
+                }
+            }
         }
     }
 
@@ -639,8 +690,9 @@
         }
     }
 
-    /// Reads the list of daemons. Returns whether it holds this daemon's current entry.
-    async fn refresh_list(&self, store: &Store) -> bool {
+    /// Reads the list of daemons. Returns whether it holds this daemon's current entry;
+    /// `None` if the call failed.
+    async fn refresh_list(&self, store: &Store) -> Option<bool> {
         match with_timeout((store.list_daemons)(), LIST_TIMEOUT).await {
             Ok(daemons) => {
                 let own = &self.identity;
@@ -655,11 +707,11 @@
                 if !had_list {
                     self.list_gained.notify_one();
                 }
-                is_listed
+                Some(is_listed)
             }
             Err(e) => {
                 log::warn!("event=list_daemons_failed error={:?}", e.to_string());
-                false
+                None
             }
         }
     }
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -64,6 +64,8 @@
     RequestCrashes(Vec<RequestCrashReport>),
     /// Crashes of targets by the plain requests that they ran.
     PlainRequestCrashes(Vec<RequestCrashReport>),
+    /// Which configuration the sender has, while the store may hold an older one.
+    ConfigStatement(ConfigStatement),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -90,6 +92,15 @@
     pub daemons: u16,
 }
 
+/// Revision and operator's version of a daemon's configuration.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ConfigStatement {
+    /// Revision, with the era.
+    pub revision: Revision,
+    /// The operator's version number.
+    pub version: u64,
+}
+
 /// A report of a daemon's running work and recent sends.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct WorkReport {
