Take a response without a valid status for no response

Cause: every status that the HTTP library can represent counted as a response. 101 and 600 to 999 of a target reached the caller, on plain, idempotent and streamed requests and through the product's own interface; a 600 that says that it has not run was answered 503. A target that closed the connection after a 1xx counted as crashed by the request.

Change: a final response has a status of 200 to 599. Exchange::open_over and http::send reject others before any header is read: SendOutcome::Unknown, or CallError::NoAnswer. The same holds if an interim response is the last. Stored outcomes with another status are answered with 502.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,7 +4,15 @@
 //! late response to an earlier request may be buffered on it, and neither can be
 //! detected before the connection is used.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,6 +20,7 @@
     HeaderMap, Request, Response,
     body::{Body, Incoming},
     client::conn::http1,
+    ext::on_informational,
     header,
 };
 use hyper_util::rt::TokioIo;
@@ -23,6 +32,7 @@
     memory::MemoryPool,
     whole_body::{BodyError, Shortage, read_whole},
 };
+use crate::http::is_valid_status;
 
 /// Time limit for establishing a connection: four round trips between regions,
 /// and some time for a target that is slow to accept.
@@ -64,6 +74,14 @@
         /// Error of the HTTP connection.
         source: hyper::Error,
     },
+    /// The peer sent bytes that are not a final response; the request may have run.
+    #[snafu(display("step=status peer={peer} status={status}"))]
+    NoResponse {
+        /// Address of the target.
+        peer: SocketAddr,
+        /// Status that it sent.
+        status: u16,
+    },
 }
 
 impl ExchangeError {
@@ -110,8 +128,14 @@
     pub async fn open_over(
         tcp: TcpStream,
         peer: SocketAddr,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Self, ExchangeError> {
+        // Status of the last interim response; 0 if there was none.
+        let interim = Arc::new(AtomicU16::new(0));
+        let interim_seen = interim.clone();
+        on_informational(&mut req, move |res| {
+            interim_seen.store(res.status().as_u16(), Ordering::Relaxed);
+        });
         if req.body().size_hint().lower() > MAX_UNREAD_BODY_BYTES {
             // The request's deadline bounds the wait instead.
             log_socket_error(peer, SockRef::from(&tcp).set_tcp_user_timeout(None));
@@ -134,6 +158,18 @@
         };
         let connection = ConnectionTask(tokio::spawn(driver));
         let response = sender.send_request(req).await;
+        let interim = interim.load(Ordering::Relaxed);
+        let invalid_status = match &response {
+            Ok(response) => {
+                let status = response.status();
+                (!is_valid_status(status)).then_some(status.as_u16())
+            }
+            // The interim response was its last, so this is no crash before an answer.
+            Err(_) => (interim != 0).then_some(interim),
+        };
+        if let Some(status) = invalid_status {
+            return NoResponseSnafu { peer, status }.fail();
+        }
         let response = response.context(LostSnafu { step: "send", peer })?;
         Ok(Self {
             response,
--- a/src/http.rs
+++ b/src/http.rs
@@ -146,29 +146,37 @@
         .unwrap_or_else(|_| Err(no_answer("timeout", format!("no answer in {timeout:?}"))))
 }
 
-/// Sends `req` and returns the answer once its head has arrived.
+/// Returns whether a final response may have this status. Others are bytes that are not a
+/// response, of a peer that fails or speaks another protocol.
+pub(crate) fn is_valid_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Sends `req` and returns the answer once its head has arrived. A response without a valid
+/// status is no answer.
 pub(crate) async fn send(
     client: &HttpClient,
     req: hyper::Request<Full<Bytes>>,
 ) -> Result<hyper::Response<hyper::body::Incoming>, CallError> {
     let peer = authority_of(&req);
-    client.request(req).await.map_err(|e| {
-        let reason = error_chain(&e).into();
-        if e.is_connect() {
-            let is_refused = is_refused(&e);
-            CallError::Connect {
-                peer,
-                reason,
-                is_refused,
-            }
-        } else {
-            CallError::NoAnswer {
-                step: "send",
-                peer,
-                reason,
-            }
-        }
-    })
+    match client.request(req).await {
+        Ok(res) if is_valid_status(res.status()) => Ok(res),
+        Ok(res) => Err(CallError::NoAnswer {
+            step: "status",
+            peer,
+            reason: format!("status={}", res.status().as_u16()).into(),
+        }),
+        Err(e) if e.is_connect() => Err(CallError::Connect {
+            peer,
+            reason: error_chain(&e).into(),
+            is_refused: is_refused(&e),
+        }),
+        Err(e) => Err(CallError::NoAnswer {
+            step: "send",
+            peer,
+            reason: error_chain(&e).into(),
+        }),
+    }
 }
 
 fn authority_of(req: &hyper::Request<Full<Bytes>>) -> Box<str> {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    http,
     platform::{Object, PutResult, Revision, WriteCondition},
     refusal::Ran,
 };
@@ -75,10 +76,12 @@
 }
 
 impl Outcome {
-    /// Returns the status, or 502 if the stored one is not valid.
+    /// Returns the status, or 502 if the stored one is not that of a final response.
     #[must_use]
     pub fn status_code(&self) -> StatusCode {
-        StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY)
+        let status = StatusCode::from_u16(self.status).ok();
+        let valid = status.filter(|status| http::is_valid_status(*status));
+        valid.unwrap_or(StatusCode::BAD_GATEWAY)
     }
 }
 
