Do not refuse an idempotent request as not run after it was sent

Cause: when the only target of a plain service lost the answer, the next try found no target, and its refusal (429, not run) replaced the error.

Change: after a send that may have run, the request ends with 502 and ran unknown if no further target is found.

--- a/src/service.rs
+++ b/src/service.rs
@@ -156,22 +156,33 @@
     plain: &PlainCall,
 ) -> Result<Outcome, Refusal> {
     let mut tried = Vec::new();
+    // Error of the last send after which the request may have run.
+    let mut lost: Option<CallError> = None;
     loop {
-        let chosen = reserve_target(state, context, plain, &tried).await?;
+        let chosen = match (reserve_target(state, context, plain, &tried).await, &lost) {
+            (Ok(chosen), _) => chosen,
+            (Err(_), Some(error)) => return Err(answer_lost(error)),
+            (Err(refusal), None) => return Err(refusal),
+        };
         tried.push(chosen.target.name.clone());
         match send_to(state, plain, &chosen).await {
             Ok(outcome) => return Ok(outcome),
-            Err(_) if tried.len() < MAX_TRIES => {
+            Err(e) if tried.len() < MAX_TRIES => {
                 metrics::counter!("bluebell_retries").increment(1);
+                if !e.is_unsent() {
+                    lost = Some(e);
+                }
             }
-            Err(e) => {
-                let kind = RefusalKind::TargetFailed;
-                return Err(Refusal::new(kind, Ran::Unknown, e.to_string()));
-            }
+            Err(e) => return Err(answer_lost(&e)),
         }
     }
 }
 
+/// Returns the refusal of an idempotent request that may have run without an answer.
+fn answer_lost(error: &CallError) -> Refusal {
+    Refusal::new(RefusalKind::TargetFailed, Ran::Unknown, error.to_string())
+}
+
 /// Reserves capacity at a target, with a permit that is still valid.
 pub(crate) async fn reserve_target(
     state: &ServerState,
