Choose targets by how long work takes on them now

Cause: one prefill rate stood for all engines, although a third of them take 1.3 times as long and each slows down 2.5-fold for some hundred milliseconds, and requests of other systems at a target were not visible.

Change: the header bluebelldrift-instance-load of answers (running, waiting, slots, optionally the present speed) is read where statements are read. target_speed keeps a momentary and a long-lived value for each target, from the header, and from gaps between events and first events where no speed is stated. Costs multiply the expected wait, and the slots in use, by it. Stated requests that no daemon knows of are added to the work.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -25,6 +25,7 @@
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
+    speed_table::SpeedTracker,
     suspects::Suspects,
     target_statements::StatementTracker,
 };
@@ -59,6 +60,7 @@
     sends: SendTracker,
     pub suspects: Suspects,
     pub statements: StatementTracker,
+    pub speeds: SpeedTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -99,6 +101,7 @@
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
+            speeds: trackers.speeds,
             send_window,
             shared,
             // The first tick decides.
@@ -500,9 +503,11 @@
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
-        if self.statements.has_any() {
+        let has_speeds = !self.speeds.table().is_empty();
+        if has_speeds || self.statements.has_any() {
             let listed: HashSet<_> = targets.values().map(|entry| entry.key).collect();
             self.statements.table().retain(|key| listed.contains(&key));
+            self.speeds.table().retain(|key| listed.contains(&key));
         }
         let leaving = self.statements.table().leaving(now);
         if self.fleet.set_said_leaving(&leaving) {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -11,6 +11,7 @@
 use super::{
     model::Tokens,
     peer_wire::{SubjectKey, target_key},
+    target_speed::StatedLoad,
 };
 
 /// Maximum number of parts of a prompt that are read.
@@ -49,6 +50,9 @@
     /// Set by a target that takes no more than this number of requests per second from all
     /// daemons together, for as long as its answers say so.
     pub limit: HeaderName,
+    /// Number of requests that run at a target, of those that wait and of its slots, and how long
+    /// work takes there now, where 100 is usual, separated by commas; the last one may be missing.
+    pub load: HeaderName,
     /// Set to 1 by a target that leaves and is to get no new work.
     pub leaving: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by
@@ -168,6 +172,25 @@
         Ok(rates.into_iter().min_by(f64::total_cmp))
     }
 
+    /// Returns the load that a target states in an answer: the first readable one if there are
+    /// several.
+    ///
+    /// # Errors
+    /// Returns the first value if none is readable.
+    pub fn stated_load<'a>(
+        &self,
+        headers: &'a HeaderMap,
+    ) -> Result<Option<StatedLoad>, &'a HeaderValue> {
+        let values = headers.get_all(&self.load);
+        let Some(first) = values.iter().next() else {
+            return Ok(None);
+        };
+        let mut loads = values
+            .iter()
+            .filter_map(|value| StatedLoad::parse(value.to_str().ok()?));
+        loads.next().map(Some).ok_or(first)
+    }
+
     /// Returns the headers of a request that are forwarded to a target, without
     /// those that the gateway adds to each send.
     #[must_use]
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -74,6 +74,8 @@
     pub work: Work,
     /// Cost of the target, the lowest of all candidates; see `placement`.
     pub cost: f64,
+    /// How long work takes at the target now, as a factor of what is usual.
+    pub slowness: f64,
     /// Number of targets that were passed by because of what they have stated.
     pub closed: usize,
 }
@@ -156,7 +158,7 @@
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
-             unread={} closed={}",
+             unread={} closed={} slowness={:.2}",
             job.info.request_id,
             placement.target.id,
             self.distance(&placement.target.zone),
@@ -164,7 +166,8 @@
             work.requests,
             work.tokens,
             work.pending_prompt_tokens,
-            placement.closed
+            placement.closed,
+            placement.slowness
         );
         self.record_placement(fleet, &placement.target, now);
         Some(placement)
@@ -204,12 +207,12 @@
         let sampled = sample_other_zones(&in_other_zones, &mut rng);
         let costs = in_own_zone.iter().chain(sampled).map(|entry| {
             let target = &entry.target;
-            let (mut work, failures) = self.loads.get(&target.id, now);
-            work.add(peer_load.work.get(&entry.key));
+            let load = self.believed_load(&target.id, entry.key, &peer_load, &demand, now);
             let candidate = Candidate {
-                work,
+                work: load.work,
                 slots: target.slots,
-                failures,
+                failures: load.failures,
+                slowness: load.slowness,
                 is_cold: entry.cold_until > now,
                 distance: self.distance(&target.zone),
             };
@@ -220,13 +223,14 @@
             // The random part keeps daemons that have the same view from all
             // choosing the same target.
             let cost = cost + MAX_TIE_JITTER * rand::random::<f64>();
-            (cost, target, work)
+            (cost, target, load)
         });
-        let (cost, target, work) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        let (cost, target, load) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
         Some(Placement {
             target: target.clone(),
             service,
-            work,
+            work: load.work,
+            slowness: load.slowness,
             cost,
             closed: closed.len(),
         })
@@ -248,9 +252,9 @@
             .filter(|e| e.has_backups)?;
         let tried = [placement.target.id.clone()];
         let backup = self.choose_in_zone(fleet, &placement.target, &tried, demand)?;
-        let (mut work, _) = self.loads.get(&backup.id, clock::now());
-        work.add(self.shared.peer_load().work.get(&target_key(&backup.id)));
-        let has_room = has_room_for_backup(&work, limits, demand);
+        let (key, peer_load) = (target_key(&backup.id), self.shared.peer_load());
+        let load = self.believed_load(&backup.id, key, &peer_load, demand, clock::now());
+        let has_room = has_room_for_backup(&load.work, limits, demand);
         has_room.then_some(backup)
     }
 
@@ -271,12 +275,12 @@
             .filter(|entry| entry.target.zone == target.zone && !tried.contains(&entry.target.id))
             .filter(|entry| self.may_be_sent_to(&target.service, entry.key, now));
         let costs = candidates.map(|entry| {
-            let (mut work, failures) = self.loads.get(&entry.target.id, now);
-            work.add(peer_load.work.get(&entry.key));
+            let load = self.believed_load(&entry.target.id, entry.key, &peer_load, demand, now);
             let candidate = Candidate {
-                work,
+                work: load.work,
                 slots: entry.target.slots,
-                failures,
+                failures: load.failures,
+                slowness: load.slowness,
                 is_cold: entry.cold_until > now,
                 distance: Distance::SameZone,
             };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,8 @@
 mod sent;
 mod settings;
 mod shared_state;
+mod speed_table;
+mod speed_use;
 mod start;
 mod statements;
 mod stop;
@@ -47,6 +49,7 @@
 mod suspects;
 mod takeover;
 mod target_limits;
+mod target_speed;
 mod target_statements;
 mod whole_body;
 
@@ -85,8 +88,8 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        RequestCrash, RequestCrashReport, ServiceSendCounts, StatementReport, SubjectKey,
-        SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
+        RequestCrash, RequestCrashReport, ServiceSendCounts, SpeedReport, StatementReport,
+        SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -97,11 +100,13 @@
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
+    speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
     takeover::{Step, Takeover},
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
+    target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
 };
 use self::{
@@ -139,6 +144,7 @@
     pub sends: SendTracker,
     pub suspects: Suspects,
     pub statements: StatementTracker,
+    pub speeds: SpeedTracker,
 }
 
 /// State that the tasks of the traffic thread share.
@@ -152,6 +158,7 @@
     sends: SendTracker,
     suspects: Suspects,
     statements: StatementTracker,
+    speeds: SpeedTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -210,6 +217,7 @@
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
+            speeds: trackers.speeds,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -158,6 +158,17 @@
     pub leaving_age_ms: Option<u32>,
 }
 
+/// Long-lived speed of a target, as the sender has measured it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Hash of the target's id.
+    pub target: TargetKey,
+    /// How long work takes, where 100 is usual.
+    pub percent: u16,
+    /// Age of the newest sample, in milliseconds at the time of the send.
+    pub age_ms: u32,
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -75,6 +75,8 @@
     pub is_cold: bool,
     /// Distance from this daemon.
     pub distance: Distance,
+    /// How long work takes on the target now, as a factor of what is usual.
+    pub slowness: f64,
 }
 
 /// Resource demand of a generation that is to be placed.
@@ -99,8 +101,9 @@
     prefill_rate: f64,
 ) -> f64 {
     let objective = demand.objective.as_secs_f64().max(MIN_OBJECTIVE_S);
-    let wait =
-        as_f64(candidate.work.pending_prompt_tokens + demand.prompt) / prefill_rate / objective;
+    let wait = as_f64(candidate.work.pending_prompt_tokens + demand.prompt) / prefill_rate
+        * candidate.slowness
+        / objective;
     let utilization =
         as_f64(candidate.work.tokens + demand.tokens) / as_f64(limits.memory_tokens.max(1));
     let distance_cost = match candidate.distance {
@@ -123,7 +126,7 @@
 }
 
 /// Moving average of the prefill rate of engines, in tokens per second, measured
-/// by the time until first events.
+/// by the time until first events and normalized to the usual speed of a target.
 #[derive(Debug)]
 pub struct PrefillRate(Mutex<f64>);
 
@@ -192,8 +195,11 @@
     SLOT_WEIGHT * slot_utilization(candidate) + common_cost(candidate) + distance_cost
 }
 
+/// Returns the part of the slots in use that would delay a further request as much at the usual
+/// speed. At a slow target, the request itself takes longer too.
 fn slot_utilization(candidate: &Candidate) -> f64 {
-    f64::from(candidate.work.requests) / f64::from(candidate.slots.max(1))
+    let requests = f64::from(candidate.work.requests);
+    ((requests + 1.0) * candidate.slowness - 1.0) / f64::from(candidate.slots.max(1))
 }
 
 fn common_cost(candidate: &Candidate) -> f64 {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -27,6 +27,7 @@
     send_budget::RepeatReason,
     sent::SendOutcome,
     takeover::{Step, Takeover},
+    target_speed::GapMeter,
 };
 use crate::clock::{self, BootTime};
 
@@ -44,6 +45,9 @@
 const EVENTS_BEGUN: u64 = 8;
 /// Time after the first event of a run that says the same of slower runs.
 const TIME_BEGUN: Duration = Duration::from_secs(1);
+/// Time to hand an event to the caller's connection from which the caller is slow, so that
+/// gaps between events say nothing of the engine.
+const MAX_SEND_TIME: Duration = Duration::from_millis(2);
 /// Reason for which a run that broke early is not repeated.
 const SUSPECT: &str = "suspect request";
 
@@ -60,6 +64,7 @@
     events_of_run: u64,
     run_first_at: Option<BootTime>,
     run_last_at: BootTime,
+    gaps: GapMeter,
     /// Whether the current run may still clear its request of crashes. It may not if it has,
     /// or if it goes on from a copy of another run, which says nothing about the request.
     may_clear: bool,
@@ -272,6 +277,7 @@
         let mut attempts = 0;
         delivered.events_of_run = 0;
         delivered.run_first_at = None;
+        delivered.gaps = GapMeter::default();
         loop {
             let changed = self.shared.changed();
             let fleet = self.shared.fleet();
@@ -364,6 +370,9 @@
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
             delivered.run_last_at = now;
+            if let Some(gap) = delivered.gaps.record(now) {
+                self.record_gap(&run.target, gap, now);
+            }
             if !delivered.is_run_young(now) && delivered.may_clear {
                 delivered.may_clear = false;
                 job.record_begun();
@@ -374,12 +383,16 @@
             if let Some((tokens, sent)) = run.pending_prompt.take() {
                 run.reservation.record_prefilled();
                 let waited = now.saturating_sub(sent);
-                self.prefill_rate.record(tokens, waited);
+                self.record_first_event(&run.target, tokens, waited, now);
                 metrics::histogram!("bluebell_gateway_first_event_seconds")
                     .record(waited.as_secs_f64());
             }
             delivered.record(event.id, now);
             tx.send(event, memory).await?;
+            let sent_at = clock::now();
+            if sent_at.saturating_sub(now) > MAX_SEND_TIME {
+                delivered.gaps.restart(sent_at);
+            }
         }
         Ok(())
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -67,6 +67,7 @@
         metrics::gauge!("bluebell_gateway_config_age_seconds")
             .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
         gateway.set_memory_gauges();
+        gateway.set_speed_gauges(clock::now());
         (StatusCode::OK, crate::metrics::render())
     })
     .await;
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -130,6 +130,7 @@
         if is_of_other || res.status() == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        self.record_stated_load(target, headers, clock::now());
         let id = &target.id;
         if self.names.states_leaving(headers) {
             let now = clock::now();
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -35,6 +35,7 @@
         failures: 0.0,
         is_cold: false,
         distance: Distance::SameZone,
+        slowness: 1.0,
     }
 }
 
