Tell other daemons which targets are slow for long

Cause: each daemon of hundreds gets few answers of one target, and learnt its speed alone.

Received values fill in for what a daemon has not measured, and are not passed on.

--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -10,6 +10,7 @@
     time::{Duration, SystemTime},
 };
 
+use rand::seq::IndexedRandom;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::{Mutex, Notify, Semaphore, mpsc},
@@ -62,6 +63,9 @@
 /// Number of ticks from one report of the other zones' load to the next: as often as
 /// the leaders of zones exchange it.
 const OTHER_ZONES_REPORT_TICKS: u32 = 2;
+/// Maximum number of daemons to which one report of speeds is sent, so that it takes about
+/// 1 KB/s whatever the number of daemons.
+const MAX_SPEED_RECEIVERS: usize = 8;
 /// Maximum number of fetches that are answered at the same time. Others wait, so that
 /// over a slow link some are complete in time.
 const MAX_CONCURRENT_FETCHES: usize = 8;
@@ -209,6 +213,7 @@
         }
         self.report_suspects(now).await;
         self.report_statements(now).await;
+        self.report_speeds(now).await;
     }
 
     /// Detects that this process stood still.
@@ -308,22 +313,40 @@
         }
     }
 
+    /// Reports the speeds of targets to a few daemons, each time to others.
+    async fn report_speeds(&self, now: BootTime) {
+        let (report, to) = {
+            let control = self.control.borrow();
+            let report = control.speeds.table().report(now);
+            (report, self.receivers(now))
+        };
+        if report.is_empty() {
+            return;
+        }
+        for peer in to.sample(&mut rand::rng(), MAX_SPEED_RECEIVERS) {
+            self.send(*peer, Message::Speeds(report.clone())).await;
+        }
+    }
+
     /// Sends a message to this daemon's zone, and to the leaders of other zones if this
     /// daemon leads its zone.
     async fn send_to_zones(&self, message: &Message, now: BootTime) {
-        let to = {
-            let peers = &self.control.borrow().peers;
-            let mut to = peers.zone_peers(now);
-            if peers.is_zone_leader(now) {
-                to.extend(peers.remote_peers_to_query(now));
-            }
-            to
-        };
-        for peer in to {
+        for peer in self.receivers(now) {
             self.send(peer, message.clone()).await;
         }
     }
 
+    /// Returns the other daemons of this daemon's zone, and the leaders of other zones if this
+    /// daemon leads its zone.
+    fn receivers(&self, now: BootTime) -> Vec<SocketAddr> {
+        let peers = &self.control.borrow().peers;
+        let mut to = peers.zone_peers(now);
+        if peers.is_zone_leader(now) {
+            to.extend(peers.remote_peers_to_query(now));
+        }
+        to
+    }
+
     /// Queries the best-ranked daemons of other zones, if this daemon leads its zone.
     async fn query_remote(&self) {
         let now = clock::now();
@@ -449,6 +472,7 @@
             | Message::Statements(_)
             | Message::RequestCrashes(_)
             | Message::PlainRequestCrashes(_)
+            | Message::Speeds(_)
                 if self.is_after_pause(now) =>
             {
                 log::debug!("event=report_ignored peer={from}");
@@ -478,6 +502,9 @@
                 let forwards = control.peers.is_zone_leader(now);
                 control.statements.table().merge(&reports, forwards, now);
             }
+            Message::Speeds(reports) => {
+                self.control.borrow().speeds.table().merge(&reports, now);
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -64,6 +64,8 @@
     RequestCrashes(Vec<RequestCrashReport>),
     /// Crashes of targets by the plain requests that they ran.
     PlainRequestCrashes(Vec<RequestCrashReport>),
+    /// Speeds of targets that differ from what is usual.
+    Speeds(Vec<SpeedReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
