--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -26,6 +26,7 @@
     peers::Peers,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
+    speed_table::SpeedTracker,
     store_era::{ConfigStamp, era_of, is_written_in_era, revision_in_store},
     suspects::Suspects,
     target_statements::StatementTracker,
@@ -63,6 +64,7 @@
     sends: SendTracker,
     pub suspects: Suspects,
     pub statements: StatementTracker,
+    pub speeds: SpeedTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -121,6 +123,7 @@
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
+            speeds: trackers.speeds,
             send_window,
             shared,
             // The first tick decides.
@@ -593,9 +596,11 @@
         }
         let targets = &self.fleet.targets;
         self.loads.retain(|id| targets.contains_key(id));
-        if self.statements.has_any() {
+        let has_speeds = !self.speeds.table().is_empty();
+        if has_speeds || self.statements.has_any() {
             let listed: HashSet<_> = targets.values().map(|entry| entry.key).collect();
             self.statements.table().retain(|key| listed.contains(&key));
+            self.speeds.table().retain(|key| listed.contains(&key));
         }
         let leaving = self.statements.table().leaving(now);
         if self.fleet.set_said_leaving(&leaving) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,8 @@
 mod sent;
 mod settings;
 mod shared_state;
+mod speed_table;
+mod speed_use;
 mod start;
 mod statements;
 mod stop;
@@ -50,6 +52,7 @@
 mod suspects;
 mod takeover;
 mod target_limits;
+mod target_speed;
 mod target_statements;
 mod whole_body;
 
@@ -88,8 +91,9 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        AttemptKey, RequestCrash, RequestCrashReport, ServiceSendCounts, StatementReport,
-        SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
+        AttemptKey, RequestCrash, RequestCrashReport, ServiceSendCounts, SpeedReport,
+        StatementReport, SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport,
+        ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -104,6 +108,7 @@
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
+    speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     store_era::{
@@ -113,6 +118,7 @@
     suspects::{HeldChange, ReleaseReason, SuspectTable, SuspectTracker, Suspects, Verdict},
     takeover::{Step, Takeover},
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
+    target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
 };
 use self::{
@@ -150,6 +156,7 @@
     pub sends: SendTracker,
     pub suspects: Suspects,
     pub statements: StatementTracker,
+    pub speeds: SpeedTracker,
 }
 
 /// State that the tasks of the traffic thread share.
@@ -163,6 +170,7 @@
     sends: SendTracker,
     suspects: Suspects,
     statements: StatementTracker,
+    speeds: SpeedTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -221,6 +229,7 @@
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
+            speeds: trackers.speeds,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -68,6 +68,8 @@
     PlainRequestCrashes(Vec<RequestCrashReport>),
     /// Which configuration the sender has, while the store may hold an older one.
     ConfigStatement(ConfigStatement),
+    /// Speeds of targets that differ from what is usual.
+    Speeds(Vec<SpeedReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -173,6 +175,17 @@
     pub leaving_age_ms: Option<u32>,
 }
 
+/// Long-lived speed of a target, as the sender has measured it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Hash of the target's id.
+    pub target: TargetKey,
+    /// How long work takes, where 100 is usual.
+    pub percent: u16,
+    /// Age of the newest sample, in milliseconds at the time of the send.
+    pub age_ms: u32,
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
