Tell engines the priority of each request

Cause: the priorities of routes and customers were decoded and not used, and a caller's own value was dropped, so engines served all requests as 5 and urgent ones waited behind less urgent ones.

Change: a streamed request to a service with engines carries the priority of its customer, or else of its route, clamped to 0 to 9, on its first send, on repeats and on runs that are resumed from a copy. It is taken once, when the request arrives. No header is sent where all such requests are equally urgent.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -64,6 +64,8 @@
     pub copy_from: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
+    /// Priority of a request to an engine; 0 is the most urgent one.
+    pub priority: HeaderName,
     /// Headers that only the gateway may set; a caller's values are dropped.
     pub reserved: Vec<HeaderName>,
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -54,6 +54,9 @@
     pub deadline: BootTime,
     /// Service chosen at random by the route's weights.
     pub service: Box<str>,
+    /// Priority that engines are told; `None` if they are told none. It stays the same for
+    /// all sends.
+    pub priority: Option<u8>,
     /// What a crash of its target may be due to: the shared parts of its prompt, and the
     /// request as a whole.
     pub subjects: Box<[SubjectKey]>,
@@ -356,6 +359,9 @@
         if let Some(customer) = &admitted.customer {
             set(&names.customer, &customer.name);
         }
+        if let Some(priority) = job.priority {
+            set(&names.priority, &priority.to_string());
+        }
         if let Some(backup) = &send_headers.backup {
             set(&names.backup, backup);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod placement;
 mod plain;
+mod priority;
 mod pump;
 mod readiness;
 mod refusal;
@@ -93,6 +94,7 @@
         Candidate, Distance, GenerationDemand, PrefillRate, engine_cost, has_room_for_backup,
         plain_cost, sample_other_zones,
     },
+    priority::PriorityRange,
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
@@ -526,8 +528,15 @@
         let deadline = arrived + caller_timeout.min(admitted.route.timeout);
         // The process may have been asked to stop while the body was read.
         self.check_ends_before_exit(deadline)?;
-        let service = admitted.route.pick_service(rand::random());
+        let service = admitted
+            .route
+            .pick_service(rand::random())
+            .unwrap_or_default();
         let customer = admitted.customer.as_ref();
+        let config = fleet.config.as_ref();
+        let priority = config.and_then(|config| {
+            config.engine_priority(&admitted.route, customer.map(|c| &**c), service)
+        });
         let request = request_key(&head.method, &host, &head.uri, customer, &body);
         let is_stream = admitted.route.repeat_policy == RepeatPolicy::Stream;
         let job = Job {
@@ -535,7 +544,8 @@
             request,
             suspects: self.suspects.of_kind(is_stream).clone(),
             deadline,
-            service: service.unwrap_or_default().into(),
+            service: service.into(),
+            priority,
             key: key.map(Into::into),
             headers: self.names.for_target(&head.headers),
             method: head.method,
