Refuse at once requests that no engine can begin in time

Cause: a streamed request went to an engine whatever its queue. Under more load than the engines can run, requests waited there until their deadline and their callers could not try again elsewhere.

Change: before each send, the expected wait at each target is compared with the time left. It comes from unread prompt tokens and from requests beyond the slots, over the rates at which this daemon's runs have begun. If no target can begin the request, it is refused with 503 and a time to come back that is spread over the time in which the queue shortens; otherwise targets that begin it too late are left out. Nothing is refused while under half of the slots are taken and nothing waits, or before the rates are known. Reports are not divided by priority, so only the least urgent requests count the work of other daemons as ahead; more urgent ones count this daemon's own as far as it is as urgent.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -17,6 +17,7 @@
     model::{Target, Tokens},
     plain::{MAX_RESPONSE_BYTES, caller_response},
     refusal::Refusal,
+    room::queued_at,
     send_budget::RepeatReason,
     sent::SendOutcome,
 };
@@ -39,6 +40,8 @@
     /// including those of its other requests, and the time of the send. `None`
     /// once an event has been forwarded, and for a resumed run.
     pub pending_prompt: Option<(Tokens, BootTime)>,
+    /// Requests that waited for a slot at the engine when the request was sent.
+    pub queued_ahead: u32,
 }
 
 /// A copy of a run on another engine, updated as the run grows.
@@ -100,8 +103,9 @@
             if trial.is_none() {
                 trial = self.check_subjects(job)?;
             }
+            let late = self.check_room(&fleet, job, &admitted, &tried)?;
             let placement = self
-                .place(&fleet, job, &admitted, &tried)
+                .place(&fleet, job, &admitted, &tried, &late)
                 .ok_or_else(|| self.refusal_without_target(&fleet, job, last_refusal))?;
             let repeat = was_sent.then_some(RepeatReason::OtherTarget);
             if !self.try_record_send(job, repeat, now) {
@@ -160,12 +164,17 @@
             backup: backup.as_ref().map(|t| t.address.to_string().into()),
             ..SendHeaders::default()
         };
+        // More than an engine has cannot be true, and would make others' waits look long.
+        let memory = placement.service.engine.as_ref().map(|e| e.memory_tokens);
+        let memory = memory.unwrap_or(Tokens::MAX);
         let work = Work {
             requests: 1,
-            tokens: job.tokens(),
-            pending_prompt_tokens: job.info.prompt_tokens,
+            tokens: job.tokens().min(memory),
+            pending_prompt_tokens: job.info.prompt_tokens.min(memory),
         };
-        let reservation = self.loads.reserve(&placement.target.id, work);
+        let reservation =
+            self.loads
+                .reserve_with_priority(&placement.target.id, work, job.priority);
         let pending_prompt = (
             placement.work.pending_prompt_tokens + job.info.prompt_tokens,
             clock::now(),
@@ -182,6 +191,7 @@
             SendOutcome::Answered(run) => SendOutcome::Answered(Run {
                 backup: backup.map(|target| self.reserve_backup(job, target)),
                 pending_prompt: Some(pending_prompt),
+                queued_ahead: queued_at(placement),
                 ..run
             }),
             other => other,
@@ -238,6 +248,7 @@
             sent_at: now,
             reservation,
             pending_prompt: None,
+            queued_ahead: 0,
         })
     }
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -142,7 +142,7 @@
         })
     }
 
-    /// Chooses a target other than those in `tried`, logs the placement and
+    /// Chooses a target other than those in `tried` and `late`, logs the placement and
     /// counts it against the target's cold limit. The caller sends the request.
     pub(crate) fn place(
         &self,
@@ -150,12 +150,13 @@
         job: &Job,
         admitted: &Admitted,
         tried: &[Box<str>],
+        late: &[Box<str>],
     ) -> Option<Placement> {
         let now = clock::now();
         if tried.is_empty() && self.statements.is_in_force() {
             self.statements.record_request(&job.service, now);
         }
-        let placement = self.choose(fleet, job, admitted, tried)?;
+        let placement = self.choose(fleet, job, admitted, &[tried, late].concat())?;
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use super::model::{TargetId, Tokens};
+use super::{
+    admission::PRIORITIES,
+    model::{TargetId, Tokens},
+};
 use crate::clock::BootTime;
 
 /// Work in progress at one target.
@@ -46,6 +49,8 @@
 #[derive(Debug, Default)]
 struct Entry {
     work: Work,
+    /// Pending prompt tokens of this daemon by priority, 0 first.
+    unread: [Tokens; PRIORITIES],
     /// Recent failures as of `failures_at`, halved every [`FAILURE_HALF_LIFE`].
     failures: f64,
     failures_at: BootTime,
@@ -69,10 +74,25 @@
     /// Adds work to a target until the returned guard is dropped.
     #[must_use]
     pub fn reserve(&self, target: &str, work: Work) -> Reservation {
+        self.reserve_with_priority(target, work, None)
+    }
+
+    /// Does the same as [`Self::reserve`] for a request with a priority, if it has one.
+    #[must_use]
+    pub fn reserve_with_priority(
+        &self,
+        target: &str,
+        work: Work,
+        priority: Option<u8>,
+    ) -> Reservation {
+        // Work that engines were told no priority of is not known to be ahead of any other.
+        let least_urgent = PRIORITIES - 1;
+        let priority = priority.map_or(least_urgent, |p| usize::from(p).min(least_urgent));
         self.update_entry(target, |entry| {
             entry.work.requests += work.requests;
             entry.work.tokens += work.tokens;
             entry.work.pending_prompt_tokens += work.pending_prompt_tokens;
+            entry.unread[priority] += work.pending_prompt_tokens;
         });
         if work.pending_prompt_tokens > 0 {
             self.request_report();
@@ -81,9 +101,17 @@
             loads: self.clone(),
             target: target.into(),
             work,
+            priority,
         }
     }
 
+    /// Returns the pending prompt tokens of this daemon at a target, by priority.
+    #[must_use]
+    pub fn unread_by_priority(&self, target: &str) -> [Tokens; PRIORITIES] {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.get(target).map_or([0; PRIORITIES], |e| e.unread)
+    }
+
     /// Returns the handle that is notified when prompt tokens are added, when a prompt has
     /// been prefilled, and by [`Self::request_report`].
     #[must_use]
@@ -154,14 +182,17 @@
     loads: LoadTracker,
     target: TargetId,
     work: Work,
+    priority: usize,
 }
 
 impl Reservation {
     /// Records that the prompt has been prefilled, as the first event shows.
     pub fn record_prefilled(&mut self) {
         let prefilled = std::mem::take(&mut self.work.pending_prompt_tokens);
-        self.loads
-            .update_entry(&self.target, |e| e.work.pending_prompt_tokens -= prefilled);
+        self.loads.update_entry(&self.target, |e| {
+            e.work.pending_prompt_tokens -= prefilled;
+            e.unread[self.priority] -= prefilled;
+        });
         if prefilled > 0 {
             self.loads.request_report();
         }
@@ -175,6 +206,7 @@
             e.work.requests -= work.requests;
             e.work.tokens -= work.tokens;
             e.work.pending_prompt_tokens -= work.pending_prompt_tokens;
+            e.unread[self.priority] -= work.pending_prompt_tokens;
         });
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! names and the calls to the store and to engines are supplied by an adapter,
 //! so this module does not depend on the wire formats of one platform.
 
+mod admission;
 mod body;
 mod change_log;
 mod cold_limit;
@@ -36,9 +37,11 @@
 mod pump;
 mod readiness;
 mod refusal;
+mod room;
 mod routing;
 mod send_budget;
 mod sent;
+mod service_rates;
 mod settings;
 mod shared_state;
 mod start;
@@ -69,6 +72,10 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
+    admission::{
+        Demand as AdmissionDemand, Room, TargetRoom, Verdict as AdmissionVerdict,
+        decide as decide_admission,
+    },
     body::{Chunk, ResponseBody, StreamError},
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
@@ -97,6 +104,7 @@
     priority::PriorityRange,
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
+    service_rates::ServiceRates,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     start::Start,
@@ -151,6 +159,7 @@
     shared: Arc<SharedState>,
     loads: LoadTracker,
     prefill_rate: PrefillRate,
+    rates: ServiceRates,
     sends: SendTracker,
     suspects: Suspects,
     statements: StatementTracker,
@@ -209,6 +218,7 @@
             shared,
             loads: trackers.loads,
             prefill_rate: PrefillRate::default(),
+            rates: ServiceRates::default(),
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -75,7 +75,7 @@
             if possible_runs == 0 && trial.is_none() {
                 trial = self.check_subjects(job)?;
             }
-            let Some(placement) = self.place(&fleet, job, &admitted, &tried) else {
+            let Some(placement) = self.place(&fleet, job, &admitted, &tried, &[]) else {
                 last_refusal = self.refusal_without_target(&fleet, job, last_refusal);
                 break;
             };
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -375,6 +375,8 @@
                 run.reservation.record_prefilled();
                 let waited = now.saturating_sub(sent);
                 self.prefill_rate.record(tokens, waited);
+                self.rates
+                    .record_begin(&job.service, tokens, run.queued_ahead, waited);
                 metrics::histogram!("bluebell_gateway_first_event_seconds")
                     .record(waited.as_secs_f64());
             }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -40,6 +40,9 @@
     /// Each target that could take it wants no requests for this time at least; it has not
     /// run.
     Waiting(Duration),
+    /// No target can begin the request before its deadline; it has not run. Room is expected
+    /// after the time given.
+    NoRoom(Duration),
     /// Every target that was tried was unreachable or declined; the request has not
     /// run.
     Declined,
@@ -78,6 +81,7 @@
             | Self::NoTarget
             | Self::Limited
             | Self::Waiting(_)
+            | Self::NoRoom(_)
             | Self::Declined
             | Self::Suspect
             | Self::NoMemory
@@ -101,6 +105,7 @@
             }
             Self::Limited => Some(RETRY_LIMITED.mul_f64(1.0 + jitter)),
             Self::Waiting(left) => Some(left + RETRY_SPREAD.mul_f64(jitter)),
+            Self::NoRoom(after) => Some(after),
             Self::NoMemory => Some(RETRY_NO_MEMORY.mul_f64(1.0 + jitter)),
             Self::Suspect => Some(RETRY_SUSPECT.mul_f64(1.0 + jitter)),
             _ => None,
