Hold requests for a short time while no engine can begin them in time

Cause: where the queues of all engines are long, a request joins one at once and cannot leave it when another engine has room a moment later; and daemons that learn of room from the same reports would all choose the same engine.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,4 +1,5 @@
-//! Decides whether a request to an engine is sent or rejected, by when a target can begin it.
+//! Decides whether a request to an engine is sent, held or rejected, by when a target can begin
+//! it.
 //!
 //! Load pattern: more requests arrive than the engines of a service can run. Queues at the
 //! engines grow until those that are served have waited almost until their deadline, and the
@@ -23,6 +24,9 @@
 const MARGIN: f64 = 2.0;
 /// Age up to which reports of other daemons are used: what waited then has been served since.
 const REPORT_AGE: Duration = Duration::from_secs(1);
+/// Fraction of its objective for which a request may be held. An eighth has a cost, also for a
+/// request that is served in time after that; the rest is for the way to the target.
+const HOLD_FRACTION: f64 = 0.1;
 /// Fraction of the places of a service below which nothing is rejected.
 const FREE_FRACTION: f64 = 0.5;
 /// Minimum `Retry-After`: about the time in which reports show a change of the load.
@@ -38,6 +42,12 @@
 pub struct Demand {
     /// Priority that engines are told; `None` if all requests are equally urgent.
     pub priority: Option<u8>,
+    /// Number of prompt tokens to be read.
+    pub prompt: Tokens,
+    /// Latency objective for the first event, from the arrival on.
+    pub objective: Duration,
+    /// Time at which it arrived.
+    pub arrived: BootTime,
     /// Time after which the request is of no use.
     pub deadline: BootTime,
 }
@@ -75,6 +85,8 @@
 pub enum Verdict {
     /// It is sent to a target.
     Send,
+    /// No target can begin it within its objective, and it may still be held.
+    Wait,
     /// No target can begin it in time.
     Refuse {
         /// Time after which the caller may find room.
@@ -129,6 +141,22 @@
         self.expected_wait(target, demand) <= longest_wait(until, now)
     }
 
+    /// Returns how many requests like this one the targets can still begin within its objective.
+    #[must_use]
+    pub fn places(&self, demand: &Demand, now: BootTime) -> f64 {
+        let longest = longest_wait(demand.arrived + demand.objective, now);
+        let places = |target: &TargetRoom| {
+            let left = longest.saturating_sub(self.expected_wait(target, demand));
+            let requests_by = |rate: Option<f64>, each: f64| {
+                rate.map_or(f64::INFINITY, |rate| left.as_secs_f64() * rate / each)
+            };
+            let by_tokens = requests_by(self.token_rate, as_f64(demand.prompt.max(1)));
+            by_tokens.min(requests_by(self.queue_rate, 1.0))
+        };
+        let allowed = self.targets.iter().filter(|t| t.is_allowed);
+        allowed.map(places).sum()
+    }
+
     /// Returns the shortest expected wait at a target that the request may be sent to.
     #[must_use]
     pub fn shortest_wait(&self, demand: &Demand) -> Option<Duration> {
@@ -150,7 +178,15 @@
     };
     let mut allowed = room.targets.iter().filter(|t| t.is_allowed);
     if allowed.any(|t| room.may_begin(t, demand, demand.deadline, now)) {
-        return Verdict::Send;
+        let objective = demand.arrived + demand.objective;
+        let mut allowed = room.targets.iter().filter(|t| t.is_allowed);
+        let is_held =
+            now < hold_end(demand) && !allowed.any(|t| room.may_begin(t, demand, objective, now));
+        return if is_held {
+            Verdict::Wait
+        } else {
+            Verdict::Send
+        };
     }
     // A request with as much time would be sent once the queue is this much shorter. All of
     // the queue has gone after the whole wait.
@@ -165,6 +201,12 @@
     }
 }
 
+/// Returns the time until which a request may be held.
+#[must_use]
+pub fn hold_end(demand: &Demand) -> BootTime {
+    demand.arrived + demand.objective.mul_f64(HOLD_FRACTION)
+}
+
 /// Returns the longest expected wait with which a request may still be begun by `until`.
 fn longest_wait(until: BootTime, now: BootTime) -> Duration {
     until.saturating_sub(now).mul_f64(MARGIN) + REPORT_AGE
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -92,7 +92,8 @@
         let mut last_refusal = Refusal::NoTarget;
         let mut was_sent = false;
         // Returned on each way out before the request has run.
-        let mut trial = None;
+        let mut trial = self.check_subjects(job)?;
+        let avoided = self.wait_for_room(job, &mut admitted).await?;
         loop {
             let now = clock::now();
             let fleet = self.shared.fleet();
@@ -103,7 +104,10 @@
             if trial.is_none() {
                 trial = self.check_subjects(job)?;
             }
-            let late = self.check_room(&fleet, job, &admitted, &tried)?;
+            let mut late = self.check_room(&fleet, job, &admitted, &tried)?;
+            if tried.is_empty() {
+                late = self.add_avoided(&fleet, job, &admitted, late, &avoided);
+            }
             let placement = self
                 .place(&fleet, job, &admitted, &tried, &late)
                 .ok_or_else(|| self.refusal_without_target(&fleet, job, last_refusal))?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod fleet;
 mod generation;
 mod headers;
+mod held;
 mod in_flight;
 mod job;
 mod listener;
@@ -52,6 +53,7 @@
 mod takeover;
 mod target_limits;
 mod target_statements;
+mod wait_queue;
 mod whole_body;
 
 use std::{
@@ -74,7 +76,7 @@
 pub use self::{
     admission::{
         Demand as AdmissionDemand, Room, TargetRoom, Verdict as AdmissionVerdict,
-        decide as decide_admission,
+        decide as decide_admission, hold_end,
     },
     body::{Chunk, ResponseBody, StreamError},
     change_log::ChangeLog,
@@ -113,10 +115,12 @@
     takeover::{Step, Takeover},
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_statements::{LimitChange, StatementTable, StatementTracker},
+    wait_queue::{HeldNumber, RELEASE_WINDOW, WaitQueue},
 };
 use self::{
     control::Control,
     crashes::request_key,
+    held::HeldRequests,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
     memory::REQUEST_BYTES,
@@ -160,6 +164,7 @@
     loads: LoadTracker,
     prefill_rate: PrefillRate,
     rates: ServiceRates,
+    held: HeldRequests,
     sends: SendTracker,
     suspects: Suspects,
     statements: StatementTracker,
@@ -219,6 +224,7 @@
             loads: trackers.loads,
             prefill_rate: PrefillRate::default(),
             rates: ServiceRates::default(),
+            held: HeldRequests::default(),
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
@@ -261,6 +267,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = Some(earliest);
         gateway.shared.mark_stopping();
+        gateway.held.close();
         log::info!("event=stopping running={}", gateway.in_progress.count());
         let grace = GracePeriod {
             earliest,
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -27,14 +27,12 @@
         if room.is_free() {
             return Ok(Vec::new());
         }
-        let demand = Demand {
-            priority: job.priority,
-            deadline: job.deadline,
-        };
+        let demand = job.admission_demand(admitted);
         let wait = room.shortest_wait(&demand).unwrap_or_default();
         metrics::histogram!("bluebell_gateway_expected_wait_seconds").record(wait.as_secs_f64());
         match decide(&demand, &room, now, rand::random()) {
-            Verdict::Send => {
+            // It has been held as long as it may be.
+            Verdict::Send | Verdict::Wait => {
                 let targets = ids.iter().zip(&room.targets);
                 let late = targets.filter(|(_, t)| {
                     t.is_allowed && !room.may_begin(t, &demand, demand.deadline, now)
@@ -62,7 +60,7 @@
 
     /// Returns what is known of the targets of the request's service, and their ids; `None`
     /// if the service has no engines.
-    fn room<'a>(
+    pub(super) fn room<'a>(
         &self,
         fleet: &'a Fleet,
         job: &Job,
@@ -103,6 +101,18 @@
     }
 }
 
+impl Job {
+    pub(super) fn admission_demand(&self, admitted: &Admitted) -> Demand {
+        Demand {
+            priority: self.priority,
+            prompt: self.info.prompt_tokens,
+            objective: admitted.route.objective,
+            arrived: self.arrived,
+            deadline: self.deadline,
+        }
+    }
+}
+
 /// Returns how many requests a target runs at the same time. Where its entry and the
 /// configuration differ, the higher number makes no expected wait too long.
 fn concurrent_runs(limits: &EngineLimits, slots: u32) -> u32 {
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -49,6 +49,9 @@
 fn demand(left_ms: u64) -> Demand {
     Demand {
         priority: None,
+        prompt: 1_000,
+        objective: at(left_ms / 4),
+        arrived: NOW,
         deadline: NOW + at(left_ms),
     }
 }
@@ -139,6 +142,27 @@
     assert!(is_refused(&with(5), &others_only));
 }
 
+#[test]
+fn a_request_is_held_only_if_no_target_begins_it_within_its_objective() {
+    // An objective of 1 s: an expected wait of 3 s may still be in time.
+    let demand = demand(4_000);
+    let verdict = |requests, now| decide(&demand, &room(&[target(requests, 0)]), now, 0.5);
+    assert_eq!(verdict(8 + 2, NOW), Verdict::Send);
+    assert_eq!(verdict(8 + 4, NOW), Verdict::Wait);
+    // Never for longer than an eighth of the objective.
+    assert_eq!(verdict(8 + 4, NOW + at(124)), Verdict::Send);
+    let with_other = room(&[target(8 + 4, 0), target(8, 0)]);
+    assert_eq!(decide(&demand, &with_other, NOW, 0.5), Verdict::Send);
+    // Neither while few places are taken, nor without measurements.
+    assert_eq!(verdict(3, NOW), Verdict::Send);
+    let unmeasured = Room {
+        token_rate: None,
+        queue_rate: None,
+        ..room(&[target(80, 1_000_000)])
+    };
+    assert_eq!(decide(&demand, &unmeasured, NOW, 0.5), Verdict::Send);
+}
+
 #[test]
 fn returns_are_spread_over_the_time_in_which_room_is_expected() {
     // The queue of 9 s is admissible for a request with 2 s left once it is down to 5 s: twice
@@ -150,7 +174,7 @@
     let demand = demand(2_000);
     let retry = |spread| match decide(&demand, &unread(9_000), NOW, spread) {
         Verdict::Refuse { retry_after } => retry_after,
-        Verdict::Send => panic!("a request without room was sent"),
+        Verdict::Send | Verdict::Wait => panic!("a request without room was not refused"),
     };
     assert_eq!([retry(0.0), retry(1.0)], [at(4_000), at(9_000)]);
     assert!(retry(0.2) < retry(0.3));
@@ -335,6 +359,9 @@
             };
             let demand = Demand {
                 priority: None,
+                prompt: request.prompt,
+                objective: at(patience_ms / 4),
+                arrived: at(now),
                 deadline: at(request.deadline),
             };
             if has_admission
