Replay holds together with refusals

Change: daemons of the replay hold requests as the product does. The test also asserts that no hold exceeds an eighth of the objective and that no fewer requests begin within their objective. Subjects are checked once per send.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -101,7 +101,7 @@
                 admitted =
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
-            if trial.is_none() {
+            if trial.is_none() && !tried.is_empty() {
                 trial = self.check_subjects(job)?;
             }
             let mut late = self.check_room(&fleet, job, &admitted, &tried)?;
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -14,8 +14,8 @@
 };
 
 use bluebelldrift::gateway::{
-    AdmissionDemand as Demand, AdmissionVerdict as Verdict, Room, ServiceRates, TargetRoom,
-    decide_admission as decide,
+    AdmissionDemand as Demand, AdmissionVerdict as Verdict, HeldNumber, Room, ServiceRates,
+    TargetRoom, WaitQueue, decide_admission as decide, hold_end,
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
@@ -265,6 +265,10 @@
     begun: u32,
     expired: u32,
     refused: u32,
+    held: u32,
+    begun_in_time: u32,
+    /// Largest part of its objective for which a request was held.
+    longest_hold: f64,
     /// Refused requests that an engine could have begun, given the queue ahead of them.
     wrongly_refused: u32,
     /// Refused requests that could have begun because others before them left at their
@@ -272,24 +276,7 @@
     could_have_displaced: u32,
 }
 
-/// Plays a load with `load` times the requests that the engines can run, at daemons whose
-/// knowledge is `REPORT_MS` old. Engines and patience of callers differ unless `is_uniform`.
-fn play(load: f64, is_uniform: bool, has_admission: bool, seed: u64) -> Outcome {
-    play_with(load, is_uniform, has_admission, seed, 1.0)
-}
-
-/// Does the same; from 10 to 20 s all engines are `slowdown` times as slow, as after a restart.
-fn play_with(
-    load: f64,
-    is_uniform: bool,
-    has_admission: bool,
-    seed: u64,
-    slowdown: f64,
-) -> Outcome {
-    const REPORT_MS: usize = 400;
-    const DAEMONS: usize = 12;
-    const PLAYED_MS: u64 = 40_000;
-    let mut rng = StdRng::seed_from_u64(seed);
+fn start_engines(is_uniform: bool) -> Vec<Engine> {
     let engine = |i: usize| {
         // A third of the engines take 1.3 times as long.
         let slowness = if i.is_multiple_of(3) && !is_uniform {
@@ -306,15 +293,43 @@
             slowness: 1.0,
         }
     };
-    let mut engines: Vec<Engine> = (0..9).map(engine).collect();
-    let capacity_per_s: f64 = engines
+    (0..9).map(engine).collect()
+}
+
+/// Returns how many requests the engines can run in a second.
+fn requests_per_s(engines: &[Engine]) -> f64 {
+    engines
         .iter()
         .map(|e| SLOTS as f64 * 1_000.0 / (e.run_ms as f64 + 1_000.0 / e.tokens_per_ms))
-        .sum();
+        .sum()
+}
+
+/// Plays a load with `load` times the requests that the engines can run, at daemons whose
+/// knowledge is `REPORT_MS` old. Engines and patience of callers differ unless `is_uniform`.
+fn play(load: f64, is_uniform: bool, has_admission: bool, seed: u64) -> Outcome {
+    play_with(load, is_uniform, has_admission, seed, 1.0)
+}
+
+/// Does the same; from 10 to 20 s all engines are `slowdown` times as slow, as after a restart.
+fn play_with(
+    load: f64,
+    is_uniform: bool,
+    has_admission: bool,
+    seed: u64,
+    slowdown: f64,
+) -> Outcome {
+    const REPORT_MS: usize = 400;
+    const DAEMONS: usize = 12;
+    const PLAYED_MS: u64 = 40_000;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut engines = start_engines(is_uniform);
+    let capacity_per_s = requests_per_s(&engines);
     let rates: Vec<ServiceRates> = (0..DAEMONS).map(|_| ServiceRates::default()).collect();
     let mut reports: VecDeque<Vec<TargetRoom>> = VecDeque::new();
-    // By request: daemon, time of the send, tokens and queue as known then.
-    let mut sends: HashMap<u64, (usize, u64, u64, u32)> = HashMap::new();
+    // By request: daemon, time of the send, tokens and queue as known then, and its demand.
+    let mut sends: HashMap<u64, (usize, u64, u64, u32, Demand)> = HashMap::new();
+    // By daemon: what it holds.
+    let mut held: Vec<Held> = (0..DAEMONS).map(|_| Held::default()).collect();
     let mut outcome = Outcome::default();
     let mut next_id = 0;
     for now in (0..PLAYED_MS).step_by(STEP_MS) {
@@ -328,7 +343,9 @@
             outcome.expired += u32::try_from(expired.len()).expect("count the requests");
             if let Some(id) = begun {
                 outcome.begun += 1;
-                let (daemon, sent, tokens, queued) = sends[&id];
+                let (daemon, sent, tokens, queued, demand) = sends[&id];
+                let is_in_time = at(now) <= demand.arrived + demand.objective;
+                outcome.begun_in_time += u32::from(is_in_time);
                 rates[daemon].record_begin("model", tokens, queued, at(now - sent));
             }
         }
@@ -336,16 +353,22 @@
         if reports.len() > REPORT_MS / STEP_MS {
             reports.pop_front();
         }
+        let room_of = |daemon: usize| Room {
+            targets: reports[0].clone(),
+            least_urgent: None,
+            token_rate: rates[daemon].token_rate("model"),
+            queue_rate: rates[daemon].queue_rate("model"),
+        };
+        let mut sent = Vec::new();
+        for (daemon, held) in held.iter_mut().enumerate() {
+            let released = held.release(&room_of(daemon), DAEMONS, at(now), &mut rng);
+            sent.extend(released.into_iter().map(|(r, d)| (daemon, r, d)));
+        }
         let expected = load * capacity_per_s * STEP_MS as f64 / 1_000.0;
         let arrivals = expected.floor() as u32 + u32::from(rng.random_bool(expected.fract()));
         for _ in 0..arrivals {
             let daemon = rng.random_range(0..DAEMONS);
-            let room = Room {
-                targets: reports[0].clone(),
-                least_urgent: None,
-                token_rate: rates[daemon].token_rate("model"),
-                queue_rate: rates[daemon].queue_rate("model"),
-            };
+            let room = room_of(daemon);
             next_id += 1;
             let patience_ms = if is_uniform {
                 5_000
@@ -364,9 +387,8 @@
                 arrived: at(now),
                 deadline: at(request.deadline),
             };
-            if has_admission
-                && let Verdict::Refuse { .. } = decide(&demand, &room, at(now), rng.random())
-            {
+            let verdict = decide(&demand, &room, at(now), rng.random());
+            if has_admission && matches!(verdict, Verdict::Refuse { .. }) {
                 outcome.refused += 1;
                 let could_begin = |they_leave| {
                     engines
@@ -377,10 +399,19 @@
                 outcome.could_have_displaced += u32::from(could_begin(true));
                 continue;
             }
+            if has_admission && verdict == Verdict::Wait && held[daemon].enter(request, demand) {
+                outcome.held += 1;
+            } else {
+                sent.push((daemon, request, demand));
+            }
+        }
+        for (daemon, request, demand) in sent {
+            let room = room_of(daemon);
+            outcome.longest_hold = outcome.longest_hold.max(hold_fraction(&demand, now));
             let chosen = choose(&room, &demand, &mut rng);
             let known = &room.targets[chosen];
             let tokens = known.unread + request.prompt;
-            sends.insert(request.id, (daemon, now, tokens, known.queued()));
+            sends.insert(request.id, (daemon, now, tokens, known.queued(), demand));
             outcome.sent += 1;
             engines[chosen].queue.push_back(request);
         }
@@ -388,6 +419,57 @@
     outcome
 }
 
+/// Requests that one daemon holds.
+#[derive(Default)]
+struct Held {
+    queue: WaitQueue,
+    requests: HashMap<HeldNumber, (Waiting, Demand)>,
+}
+
+impl Held {
+    fn enter(&mut self, request: Waiting, demand: Demand) -> bool {
+        let number = self.queue.enter(demand);
+        let entered = number.map(|number| self.requests.insert(number, (request, demand)));
+        entered.is_some()
+    }
+
+    fn take(&mut self, number: HeldNumber) -> (Waiting, Demand) {
+        self.queue.leave(number);
+        self.requests.remove(&number).expect("find the request")
+    }
+
+    /// Returns the requests that are sent now: those whose hold ends, and those for which there
+    /// is room.
+    fn release(
+        &mut self,
+        room: &Room,
+        daemons: usize,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<(Waiting, Demand)> {
+        let requests = self.requests.iter();
+        let ended = requests.filter(|(_, (_, demand))| hold_end(demand) <= now);
+        let ended: Vec<HeldNumber> = ended.map(|(number, _)| *number).collect();
+        let mut sent: Vec<_> = ended.into_iter().map(|n| self.take(n)).collect();
+        while let Some(number) = self.queue.next(now) {
+            let demand = self.requests[&number].1;
+            let has_room = decide(&demand, room, now, 0.0) == Verdict::Send;
+            let places = room.places(&demand, now);
+            if !has_room || !self.queue.try_release(places, daemons, rng.random(), now) {
+                break;
+            }
+            sent.push(self.take(number));
+        }
+        sent
+    }
+}
+
+/// Returns the part of its objective that has passed since a request arrived.
+fn hold_fraction(demand: &Demand, now: u64) -> f64 {
+    let held = at(now).saturating_sub(demand.arrived);
+    held.as_secs_f64() / demand.objective.as_secs_f64()
+}
+
 /// Returns the target of two random ones at which the request is begun sooner.
 fn choose(room: &Room, demand: &Demand, rng: &mut impl Rng) -> usize {
     let [a, b] = [(); 2].map(|()| rng.random_range(0..room.targets.len()));
@@ -399,7 +481,7 @@
 }
 
 #[test]
-fn refusals_shorten_the_queues_and_take_no_work_from_engines() {
+fn refusals_and_holds_shorten_the_queues_and_take_no_work_from_engines() {
     for seed in 0..3 {
         for load in [1.5, 2.5, 4.0] {
             let without = play(load, false, false, seed);
@@ -407,6 +489,8 @@
             println!("seed={seed} load={load} without={without:?} with={with:?}");
             // The arrivals of the two differ, as the refusals draw numbers as well.
             assert!(f64::from(with.begun) > 0.98 * f64::from(without.begun));
+            assert!(with.begun_in_time >= without.begun_in_time);
+            assert!(with.longest_hold <= 0.125, "{with:?}");
             if load > 2.0 {
                 assert!(with.expired < without.expired);
             }
