--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -19,6 +19,7 @@
     new_start::Attempts,
     plain::{MAX_RESPONSE_BYTES, caller_response},
     refusal::Refusal,
+    room::queued_at,
     send_budget::RepeatReason,
     sent::SendOutcome,
 };
@@ -41,6 +42,8 @@
     /// including those of its other requests, and the time of the send. `None`
     /// once an event has been forwarded, and for a resumed run.
     pub pending_prompt: Option<(Tokens, BootTime)>,
+    /// Requests that waited for a slot at the engine when the request was sent.
+    pub queued_ahead: u32,
 }
 
 /// A copy of a run on another engine, updated as the run grows.
@@ -91,7 +94,8 @@
         let mut last_refusal = Refusal::NoTarget;
         let mut was_sent = false;
         // Returned on each way out before the request has run.
-        let mut trial = None;
+        let mut trial = self.check_subjects(job)?;
+        let avoided = self.wait_for_room(job, &mut admitted).await?;
         loop {
             let now = clock::now();
             let fleet = self.shared.fleet();
@@ -99,11 +103,15 @@
                 admitted =
                     self.admit(&fleet, &job.host, job.uri.path(), job.key.as_deref(), now)?;
             }
-            if trial.is_none() {
+            if trial.is_none() && !attempts.tried.is_empty() {
                 trial = self.check_subjects(job)?;
             }
+            let mut late = self.check_room(&fleet, job, &admitted, &attempts.tried)?;
+            if attempts.tried.is_empty() {
+                late = self.add_avoided(&fleet, job, &admitted, late, &avoided);
+            }
             let placement = self
-                .place(&fleet, job, &admitted, &attempts.tried)
+                .place(&fleet, job, &admitted, &attempts.tried, &late)
                 .ok_or_else(|| self.refusal_without_target(&fleet, job, last_refusal))?;
             let repeat = was_sent.then_some(RepeatReason::OtherTarget);
             if !self.try_record_send(job, repeat, now) {
@@ -180,12 +188,17 @@
             last_event,
             ..SendHeaders::default()
         };
+        // More than an engine has cannot be true, and would make others' waits look long.
+        let memory = placement.service.engine.as_ref().map(|e| e.memory_tokens);
+        let memory = memory.unwrap_or(Tokens::MAX);
         let work = Work {
             requests: 1,
-            tokens: job.tokens(),
-            pending_prompt_tokens: job.info.prompt_tokens,
+            tokens: job.tokens().min(memory),
+            pending_prompt_tokens: job.info.prompt_tokens.min(memory),
         };
-        let reservation = self.loads.reserve(&placement.target.id, work);
+        let reservation =
+            self.loads
+                .reserve_with_priority(&placement.target.id, work, job.priority);
         let pending_prompt = (
             placement.work.pending_prompt_tokens + job.info.prompt_tokens,
             clock::now(),
@@ -202,6 +215,7 @@
             SendOutcome::Answered(run) => SendOutcome::Answered(Run {
                 backup: backup.map(|target| self.reserve_backup(job, target)),
                 pending_prompt: Some(pending_prompt),
+                queued_ahead: queued_at(placement),
                 ..run
             }),
             other => other,
@@ -258,6 +272,7 @@
             sent_at: now,
             reservation,
             pending_prompt: None,
+            queued_ahead: 0,
         })
     }
 }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -71,6 +71,8 @@
     /// Id of the last event that the caller has received; read from callers of resumable
     /// streams only.
     pub last_event: HeaderName,
+    /// Priority of a request to an engine; 0 is the most urgent one.
+    pub priority: HeaderName,
     /// Headers that only the gateway may set; a caller's values are dropped.
     pub reserved: Vec<HeaderName>,
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -60,6 +60,9 @@
     /// Last event that the caller has from an earlier response; `None` if it has none, or if
     /// its stream is not resumable.
     pub last_event: Option<EventId>,
+    /// Priority that engines are told; `None` if they are told none. It stays the same for
+    /// all sends.
+    pub priority: Option<u8>,
     /// What a crash of its target may be due to: the shared parts of its prompt, and the
     /// request as a whole.
     pub subjects: Box<[SubjectKey]>,
@@ -147,7 +150,7 @@
         })
     }
 
-    /// Chooses a target other than those in `tried`, logs the placement and
+    /// Chooses a target other than those in `tried` and `late`, logs the placement and
     /// counts it against the target's cold limit. The caller sends the request.
     pub(crate) fn place(
         &self,
@@ -155,12 +158,13 @@
         job: &Job,
         admitted: &Admitted,
         tried: &[Box<str>],
+        late: &[Box<str>],
     ) -> Option<Placement> {
         let now = clock::now();
         if tried.is_empty() && self.statements.is_in_force() {
             self.statements.record_request(&job.service, now);
         }
-        let placement = self.choose(fleet, job, admitted, tried)?;
+        let placement = self.choose(fleet, job, admitted, &[tried, late].concat())?;
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
@@ -366,6 +370,9 @@
         if let Some(customer) = &admitted.customer {
             set(&names.customer, &customer.name);
         }
+        if let Some(priority) = job.priority {
+            set(&names.priority, &priority.to_string());
+        }
         if let Some(backup) = &send_headers.backup {
             set(&names.backup, backup);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! names and the calls to the store and to engines are supplied by an adapter,
 //! so this module does not depend on the wire formats of one platform.
 
+mod admission;
 mod body;
 mod change_log;
 mod cold_limit;
@@ -21,6 +22,7 @@
 mod fleet;
 mod generation;
 mod headers;
+mod held;
 mod in_flight;
 mod job;
 mod listener;
@@ -33,13 +35,16 @@
 mod peers;
 mod placement;
 mod plain;
+mod priority;
 mod pump;
 mod readiness;
 mod refusal;
 mod resumption;
+mod room;
 mod routing;
 mod send_budget;
 mod sent;
+mod service_rates;
 mod settings;
 mod shared_state;
 mod speed_table;
@@ -54,6 +59,7 @@
 mod target_limits;
 mod target_speed;
 mod target_statements;
+mod wait_queue;
 mod whole_body;
 
 use std::{
@@ -74,6 +80,10 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
+    admission::{
+        Demand as AdmissionDemand, Room, TargetRoom, Verdict as AdmissionVerdict,
+        decide as decide_admission, hold_end,
+    },
     body::{Chunk, ResponseBody, StreamError},
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
@@ -100,12 +110,14 @@
         Candidate, Distance, GenerationDemand, PrefillRate, engine_cost, has_room_for_backup,
         plain_cost, sample_other_zones,
     },
+    priority::PriorityRange,
     resumption::{
         AfterBreak, BrokenStream, GiveUpReason, InvalidEventId, StreamPosition, after_break,
         parse_event_id,
     },
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
+    service_rates::ServiceRates,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
@@ -120,10 +132,12 @@
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
+    wait_queue::{HeldNumber, RELEASE_WINDOW, WaitQueue},
 };
 use self::{
     control::Control,
     crashes::request_key,
+    held::HeldRequests,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
     memory::REQUEST_BYTES,
@@ -167,6 +181,8 @@
     shared: Arc<SharedState>,
     loads: LoadTracker,
     prefill_rate: PrefillRate,
+    rates: ServiceRates,
+    held: HeldRequests,
     sends: SendTracker,
     suspects: Suspects,
     statements: StatementTracker,
@@ -226,6 +242,8 @@
             shared,
             loads: trackers.loads,
             prefill_rate: PrefillRate::default(),
+            rates: ServiceRates::default(),
+            held: HeldRequests::default(),
             sends: trackers.sends,
             suspects: trackers.suspects,
             statements: trackers.statements,
@@ -269,6 +287,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = Some(earliest);
         gateway.shared.mark_stopping();
+        gateway.held.close();
         log::info!("event=stopping running={}", gateway.in_progress.count());
         let grace = GracePeriod {
             earliest,
@@ -546,8 +565,15 @@
         let deadline = arrived + caller_timeout.min(admitted.route.timeout);
         // The process may have been asked to stop while the body was read.
         self.check_ends_before_exit(deadline)?;
-        let service = admitted.route.pick_service(rand::random());
+        let service = admitted
+            .route
+            .pick_service(rand::random())
+            .unwrap_or_default();
         let customer = admitted.customer.as_ref();
+        let config = fleet.config.as_ref();
+        let priority = config.and_then(|config| {
+            config.engine_priority(&admitted.route, customer.map(|c| &**c), service)
+        });
         let request = request_key(&head.method, &host, &head.uri, customer, &body);
         let policy = admitted.route.repeat_policy;
         let is_stream = policy.is_stream();
@@ -564,7 +590,8 @@
             last_event,
             suspects: self.suspects.of_kind(is_stream).clone(),
             deadline,
-            service: service.unwrap_or_default().into(),
+            service: service.into(),
+            priority,
             key: key.map(Into::into),
             headers: self.names.for_target(&head.headers),
             method: head.method,
--- a/src/gateway/new_start.rs
+++ b/src/gateway/new_start.rs
@@ -136,7 +136,7 @@
         let fleet = self.shared.fleet();
         let now = clock::now();
         let placement = self
-            .place(&fleet, job, admitted, &attempts.tried)
+            .place(&fleet, job, admitted, &attempts.tried, &[])
             .ok_or_else(|| Failed::Final("no target".into()))?;
         // Without a new event the caller loses little if the budget keeps it from another start.
         let reason = if broken.last_id == job.last_event {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -395,6 +395,8 @@
                 // An engine may first generate the events again that the caller has.
                 if delivered.position.last_id().is_none() {
                     self.record_first_event(&run.target, tokens, waited, now);
+                    self.rates
+                        .record_begin(&job.service, tokens, run.queued_ahead, waited);
                     metrics::histogram!("bluebell_gateway_first_event_seconds")
                         .record(waited.as_secs_f64());
                 }
