Bound connections, heads and slow bodies by time, descriptors and memory

Cause: connections had no bound, header-timeout-ms was not enforced (hyper counts its limit from the end of the last request, so it got the idle timeout), bodies had no time limit, and the ports for readiness and metrics took heads of 400 KiB and responses that nobody reads.

Change: - connections (pure): bounds from descriptors, memory and the size of heads; times from the first byte of a head, without a request and without progress of a response; which connection of a full port gives way. - connection_set: counts open connections and watches their bytes. A full caller port closes the oldest connection without a request, then the one that has waited longest for the next one; connections in use stay. On the other ports any connection gives way, those with many requests or unread responses before a load balancer's. - body_pace: a body that is not there by the request's deadline, or that pauses for the idle timeout, is refused with 408; while others find no room, one that pauses for the header timeout or stays below 16 KiB/s. - Heads of up to 8 KiB and small send buffers on the other ports.

--- /dev/null
+++ b/src/gateway/connection_set.rs
@@ -0,0 +1,212 @@
+//! Open connections of one port: bounds their number and the time that each may wait.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    sync::Notify,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    connections::{ConnectionState, ConnectionTimes, EvictionRule},
+    in_flight::InFlightCounter,
+};
+use crate::clock;
+
+/// Interval at which a full port looks for a connection that gives way.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// One connection as its port and its task see it. Clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Monitor {
+    state: Arc<Mutex<ConnectionState>>,
+    /// Requests in progress on the connection.
+    pub in_flight: InFlightCounter,
+    /// Cancelled when the connection gives way to another one.
+    pub evicted: CancellationToken,
+}
+
+impl Monitor {
+    fn new() -> Self {
+        Self {
+            state: Arc::new(Mutex::new(ConnectionState::new(clock::now()))),
+            in_flight: InFlightCounter::default(),
+            evicted: CancellationToken::new(),
+        }
+    }
+
+    /// Records that a head is complete.
+    pub fn record_request(&self) {
+        self.state().record_request();
+    }
+
+    /// Returns the time that is left until the connection is to be closed; `None` while
+    /// nothing bounds it.
+    pub fn time_left(&self, times: &ConnectionTimes) -> Option<Duration> {
+        let expires_at = self.state().expires_at(self.is_in_request(), times);
+        expires_at.map(|at| at.saturating_sub(clock::now()))
+    }
+
+    fn is_in_request(&self) -> bool {
+        self.in_flight.count() > 0
+    }
+
+    fn state(&self) -> MutexGuard<'_, ConnectionState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Open connections of one port. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionSet {
+    open: Arc<Mutex<Connections>>,
+    freed: Arc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct Connections {
+    added: u64,
+    by_number: BTreeMap<u64, Monitor>,
+}
+
+impl ConnectionSet {
+    /// Adds a connection. While there are `max` of them, the one that ranks first by `rule`
+    /// gives way; without one, calls `on_full` and waits.
+    pub async fn add(&self, max: usize, rule: &EvictionRule, on_full: impl Fn()) -> OpenConnection {
+        while self.lock().by_number.len() >= max {
+            if !self.evict(rule) {
+                on_full();
+                let freed = self.freed.notified();
+                let _ = tokio::time::timeout(FULL_CHECK_INTERVAL, freed).await;
+            }
+        }
+        let mut open = self.lock();
+        open.added += 1;
+        let (number, monitor) = (open.added, Monitor::new());
+        open.by_number.insert(number, monitor.clone());
+        drop(open);
+        OpenConnection {
+            set: self.clone(),
+            number,
+            monitor,
+        }
+    }
+
+    /// Returns the number of connections.
+    pub fn count(&self) -> usize {
+        self.lock().by_number.len()
+    }
+
+    /// Closes the connection that ranks first. Returns whether there was one.
+    fn evict(&self, rule: &EvictionRule) -> bool {
+        let now = clock::now();
+        let mut open = self.lock();
+        let ranked = open.by_number.iter().filter_map(|(number, monitor)| {
+            let in_request = monitor.is_in_request();
+            let rank = monitor.state().eviction_rank(in_request, rule, now);
+            rank.map(|rank| (rank, *number))
+        });
+        let Some((_, number)) = ranked.min() else {
+            return false;
+        };
+        if let Some(monitor) = open.by_number.remove(&number) {
+            monitor.evicted.cancel();
+        }
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection of a [`ConnectionSet`] until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    set: ConnectionSet,
+    number: u64,
+    pub monitor: Monitor,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.set.lock().by_number.remove(&self.number);
+        self.set.freed.notify_one();
+    }
+}
+
+/// TCP connection that records when bytes go in either direction.
+pub(crate) struct MonitoredTcp {
+    pub tcp: TcpStream,
+    pub monitor: Monitor,
+}
+
+impl MonitoredTcp {
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let has_progress = matches!(written, Poll::Ready(Ok(len)) if *len > 0);
+        let mut state = self.monitor.state();
+        state.record_write(has_progress, clock::now());
+    }
+}
+
+impl AsyncRead for MonitoredTcp {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+        if buf.filled().len() > filled {
+            let in_request = self.monitor.is_in_request();
+            self.monitor.state().record_read(in_request, clock::now());
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MonitoredTcp {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.record_write(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.record_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once it has written all that it has.
+        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        self.monitor.state().record_flush(clock::now());
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -15,8 +15,10 @@
 use super::{
     Gateway,
     body::ResponseBody,
+    connection_set::{Monitor, MonitoredTcp, OpenConnection},
+    connections::{ConnectionTimes, EvictionRule},
     exchange::{enable_dead_peer_detection, log_socket_error},
-    in_flight::{InFlightCounter, Stage},
+    in_flight::Stage,
 };
 
 /// Delay after a failed accept, so that the loop does not spin while the process
@@ -28,13 +30,22 @@
 /// Time limit for the acknowledgement of bytes sent to a caller. It also ends the
 /// connection of a caller that reads nothing for so long, which may be a pause.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time without progress of a response: twice the longest pause of a caller.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Connections in use stay. Others have some round trips for their first request, also if the
+/// process stands still for a moment.
+const EVICTION: EvictionRule = EvictionRule {
+    min_wait: Duration::from_secs(1),
+    max_request_rate: None,
+};
 
 /// Accepts callers' connections and serves each in a task; never returns.
 pub(crate) async fn accept(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
     loop {
         match listener.accept().await {
             Ok((tcp, peer)) => {
-                tokio::spawn(serve(tcp, peer, gateway.clone()));
+                let open = gateway.admit_connection().await;
+                tokio::spawn(serve(tcp, peer, open, gateway.clone()));
             }
             Err(e) => {
                 log::warn!("event=accept_failed error={e:?}");
@@ -44,57 +55,96 @@
     }
 }
 
-/// Serves one connection until it ends. While the process stops, closes the
-/// connection once idle connections are to be closed and it is idle.
-async fn serve(tcp: TcpStream, peer: SocketAddr, gateway: Arc<Gateway>) {
+impl Gateway {
+    /// Waits until the port has room for one more connection.
+    async fn admit_connection(&self) -> OpenConnection {
+        let max = self.connection_bounds().callers;
+        let on_full = || {
+            if self.shortages.record() {
+                log::warn!("event=connections_full port=callers max={max}");
+            }
+        };
+        self.ports.callers.add(max, &EVICTION, on_full).await
+    }
+}
+
+/// Serves one connection until it ends, gives way to another one or waits for too long. While
+/// the process stops, closes the connection once idle connections are to be closed and it is
+/// idle.
+async fn serve(tcp: TcpStream, peer: SocketAddr, open: OpenConnection, gateway: Arc<Gateway>) {
     log_socket_error(
         peer,
         enable_dead_peer_detection(&tcp, UNACKNOWLEDGED_TIMEOUT),
     );
     let _open = gateway.connections.start();
-    let in_flight = InFlightCounter::default();
+    let monitor = open.monitor.clone();
     let limits = gateway.limits();
-    let (service_gateway, service_in_flight) = (gateway.clone(), in_flight.clone());
+    let times = ConnectionTimes {
+        head: limits.header_timeout,
+        idle: limits.idle_timeout,
+        write: WRITE_TIMEOUT,
+    };
+    let (service_gateway, service_monitor) = (gateway.clone(), monitor.clone());
     let service = service_fn(move |req: Request<Incoming>| {
-        respond(service_gateway.clone(), service_in_flight.clone(), req)
+        respond(service_gateway.clone(), service_monitor.clone(), req)
+    });
+    let io = TokioIo::new(MonitoredTcp {
+        tcp,
+        monitor: monitor.clone(),
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        // hyper counts it from the end of the last request.
+        .header_read_timeout(None)
         .auto_date_header(false)
         // hyper panics if the size is below 8192 bytes.
         .max_buf_size(limits.max_header_bytes.max(8192))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     loop {
-        let ended = tokio::time::timeout(IDLE_CHECK_INTERVAL, connection.as_mut()).await;
-        match ended {
-            Ok(Ok(())) => return,
-            Ok(Err(e)) => {
-                log::debug!(
-                    "event=caller_connection_ended peer={peer} error={:?}",
-                    e.to_string()
-                );
-                return;
-            }
-            Err(_) if gateway.closes_idle_connections() && in_flight.count() == 0 => {
-                connection.as_mut().graceful_shutdown();
+        let left = monitor.time_left(&times).unwrap_or(IDLE_CHECK_INTERVAL);
+        let ended = tokio::select! {
+            // Bytes that arrived while the process stood still are read first.
+            biased;
+            ended = connection.as_mut() => ended,
+            () = monitor.evicted.cancelled() => return log_closed(peer, "full"),
+            () = tokio::time::sleep(left.min(IDLE_CHECK_INTERVAL)) => {
+                if monitor.time_left(&times).is_some_and(|left| left.is_zero()) {
+                    return log_closed(peer, "timeout");
+                }
+                if gateway.closes_idle_connections() && monitor.in_flight.count() == 0 {
+                    connection.as_mut().graceful_shutdown();
+                }
+                continue;
             }
-            Err(_) => {}
+        };
+        if let Err(e) = ended {
+            log::debug!(
+                "event=caller_connection_ended peer={peer} error={:?}",
+                e.to_string()
+            );
         }
+        return;
     }
 }
 
+/// Notes that a connection is closed although its peer keeps it open.
+fn log_closed(peer: SocketAddr, reason: &'static str) {
+    log::debug!("event=caller_connection_closed peer={peer} reason={reason}");
+    metrics::counter!("bluebell_gateway_connections_closed", "reason" => reason).increment(1);
+}
+
 /// Responds to one request and counts it as in progress until the response has
 /// been sent or the caller has disconnected.
 async fn respond(
     gateway: Arc<Gateway>,
-    in_flight: InFlightCounter,
+    monitor: Monitor,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id = gateway.names.request_id_of(req.headers()).unwrap_or("-");
-    let running = gateway.in_progress.start(id.into(), &in_flight);
-    let handling = gateway.handle_request(req, running.progress(), &in_flight);
+    let running = gateway.in_progress.start(id.into(), &monitor.in_flight);
+    monitor.record_request();
+    let handling = gateway.handle_request(req, running.progress(), &monitor.in_flight);
     let mut res = handling.await;
     running.progress().set(Stage::Responding);
     if gateway.shared.is_stopping() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,9 +7,12 @@
 //! so this module does not depend on the wire formats of one platform.
 
 mod body;
+mod body_pace;
 mod change_log;
 mod cold_limit;
 mod config_patch;
+mod connection_set;
+mod connections;
 mod control;
 mod crash_history;
 mod crashes;
@@ -69,9 +72,11 @@
 
 pub use self::{
     body::{Chunk, ResponseBody, StreamError},
+    body_pace::{BodyPace, PaceLimits},
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
+    connections::{ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule},
     crash_history::{CrashHistory, CrashHistoryHandle},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
@@ -105,6 +110,8 @@
     target_statements::{LimitChange, StatementTable, StatementTracker},
 };
 use self::{
+    body_pace::{PacedBody, Shortages},
+    connection_set::ConnectionSet,
     control::Control,
     crashes::request_key,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
@@ -141,6 +148,14 @@
     pub statements: StatementTracker,
 }
 
+/// Open connections of each port.
+#[derive(Debug, Default)]
+struct PortConnections {
+    callers: ConnectionSet,
+    readiness: ConnectionSet,
+    metrics: ConnectionSet,
+}
+
 /// State that the tasks of the traffic thread share.
 pub struct Gateway {
     settings: ArcSwap<GatewaySettings>,
@@ -156,6 +171,9 @@
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
     memory: MemoryPools,
+    /// Whether requests or connections found no room.
+    shortages: Shortages,
+    ports: PortConnections,
     /// Open connections of callers.
     connections: InFlightCounter,
     /// Cancelled when requests that have no response yet are to be answered, because
@@ -214,6 +232,8 @@
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
             memory,
+            shortages: Shortages::default(),
+            ports: PortConnections::default(),
             connections: InFlightCounter::default(),
             final_answers: CancellationToken::new(),
             stop_requested_at: Mutex::default(),
@@ -399,6 +419,14 @@
             .map_or_else(CallerLimits::default, |c| c.limits)
     }
 
+    /// Returns how many connections each port may have.
+    fn connection_bounds(&self) -> ConnectionBounds {
+        let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let descriptors = limit.map_or(usize::MAX, |l| usize::try_from(l).unwrap_or(usize::MAX));
+        let max_header_bytes = self.limits().max_header_bytes;
+        ConnectionBounds::new(descriptors, self.settings().memory_mb, max_header_bytes)
+    }
+
     /// Returns the time since shutdown was requested; `None` before that.
     fn elapsed_since_stop(&self) -> Option<Duration> {
         let stop_requested_at = *self
@@ -453,6 +481,9 @@
         match served {
             Ok(res) => res,
             Err(refusal) => {
+                if refusal == Refusal::NoMemory {
+                    self.shortages.record();
+                }
                 // `None` until a configuration has been confirmed; logged as -1.
                 let age = self.shared.config_age(clock::now());
                 let version = self.shared.fleet().config.as_ref().map_or(0, |c| c.version);
@@ -515,10 +546,17 @@
         self.check_ends_before_exit(deadline)?;
         let limits = self.limits();
         let (max_bytes, pool) = (limits.max_body_bytes, &self.memory.bodies);
-        let body = read_whole(body, max_bytes, pool, Shortage::Fail);
-        let body = body.await.map_err(|e| match e {
+        let pace = PaceLimits {
+            deadline,
+            pause: limits.idle_timeout,
+            shortage_pause: limits.header_timeout,
+        };
+        let mut paced = PacedBody::new(body, pace, self.shortages.clone());
+        let body = read_whole(&mut paced, max_bytes, pool, Shortage::Fail).await;
+        let body = body.map_err(|e| match e {
             BodyError::TooLarge { .. } => Refusal::TooLarge,
             BodyError::NoMemory => Refusal::NoMemory,
+            BodyError::Broken { .. } if paced.is_too_slow => Refusal::BodySlow,
             BodyError::Broken { .. } => Refusal::BodyCut,
         })?;
         let fleet = self.shared.fleet();
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -9,14 +9,33 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::TcpListener;
 
-use super::Gateway;
+use super::{
+    Gateway,
+    connection_set::{ConnectionSet, MonitoredTcp},
+    connections::{ConnectionTimes, EvictionRule},
+    exchange::log_socket_error,
+};
 use crate::clock;
 
 /// Longest wait for a request on an open connection; load balancers poll about every
 /// second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time without progress of a response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// A load balancer's request follows its connection within a round trip, and there is about one
+/// a second.
+const EVICTION: EvictionRule = EvictionRule {
+    min_wait: Duration::from_millis(100),
+    max_request_rate: Some(10.0),
+};
+/// Size of the send buffer of a connection, in bytes. Responses that are not read soon fill it,
+/// and no more requests are read.
+const SEND_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum size of a request head, in bytes; the least that hyper allows.
+const MAX_HEAD_BYTES: usize = 8192;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -33,6 +52,20 @@
 }
 
 impl Gateway {
+    fn set_connection_gauges(&self) {
+        let ports = &self.ports;
+        let sets = [
+            ("callers", &ports.callers),
+            ("readiness", &ports.readiness),
+            ("metrics", &ports.metrics),
+        ];
+        for (port, set) in sets {
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+            let count = set.count() as f64;
+            metrics::gauge!("bluebell_gateway_connections", "port" => port).set(count);
+        }
+    }
+
     fn set_memory_gauges(&self) {
         let pools = &self.memory;
         for (name, pool) in [
@@ -50,55 +83,99 @@
 
 /// Answers readiness checks on any path; never returns.
 pub(crate) async fn serve_readiness(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
-    serve_text(listener, move || {
-        if gateway.is_ready() {
-            (StatusCode::OK, "ready\n".to_owned())
-        } else {
-            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+    let ready = {
+        let gateway = gateway.clone();
+        move || {
+            if gateway.is_ready() {
+                (StatusCode::OK, "ready\n".to_owned())
+            } else {
+                (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+            }
         }
-    })
-    .await;
+    };
+    let set = gateway.ports.readiness.clone();
+    serve_text(listener, gateway, set, ready).await;
 }
 
 /// Serves all metrics as text on any path; never returns.
 pub(crate) async fn serve_metrics(listener: Arc<TcpListener>, gateway: Arc<Gateway>) {
-    serve_text(listener, move || {
-        let age = gateway.shared.config_age(clock::now());
-        metrics::gauge!("bluebell_gateway_config_age_seconds")
-            .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
-        gateway.set_memory_gauges();
-        (StatusCode::OK, crate::metrics::render())
-    })
-    .await;
+    let set = gateway.ports.metrics.clone();
+    let text = {
+        let gateway = gateway.clone();
+        move || {
+            let age = gateway.shared.config_age(clock::now());
+            metrics::gauge!("bluebell_gateway_config_age_seconds")
+                .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
+            gateway.set_memory_gauges();
+            gateway.set_connection_gauges();
+            (StatusCode::OK, crate::metrics::render())
+        }
+    };
+    serve_text(listener, gateway, set, text).await;
 }
 
-async fn serve_text<F>(listener: Arc<TcpListener>, text: F)
-where
+/// Serves text on any path. A connection of a full port gives way to a new one, whatever it
+/// does: the load balancer's probes always have to be answered.
+async fn serve_text<F>(
+    listener: Arc<TcpListener>,
+    gateway: Arc<Gateway>,
+    set: ConnectionSet,
+    text: F,
+) where
     F: Fn() -> (StatusCode, String) + Clone + Send + 'static,
 {
     loop {
         let tcp = match listener.accept().await {
-            Ok((tcp, _)) => tcp,
+            Ok((tcp, peer)) => {
+                let sized = SockRef::from(&tcp).set_send_buffer_size(SEND_BUFFER_BYTES);
+                log_socket_error(peer, sized);
+                tcp
+            }
             Err(e) => {
                 log::warn!("event=accept_failed error={e:?}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let text = text.clone();
+        let max = gateway.connection_bounds().probes;
+        let open = set.add(max, &EVICTION, || ()).await;
+        let times = ConnectionTimes {
+            head: gateway.limits().header_timeout,
+            idle: IDLE_TIMEOUT,
+            write: WRITE_TIMEOUT,
+        };
+        let (text, monitor) = (text.clone(), open.monitor.clone());
+        let service_monitor = monitor.clone();
         let service = service_fn(move |_: Request<Incoming>| {
+            service_monitor.record_request();
             let (status, text) = text();
             let mut res = Response::new(Full::new(Bytes::from(text)));
             *res.status_mut() = status;
             async move { Ok::<_, Infallible>(res) }
         });
+        let io = TokioIo::new(MonitoredTcp {
+            tcp,
+            monitor: monitor.clone(),
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIMEOUT)
-            .serve_connection(TokioIo::new(tcp), service);
+            .header_read_timeout(None)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(io, service);
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!("event=connection_ended error={:?}", e.to_string());
+            let _open = open;
+            let mut connection = std::pin::pin!(connection);
+            while let Some(left) = monitor.time_left(&times).filter(|left| !left.is_zero()) {
+                let ended = tokio::select! {
+                    biased;
+                    ended = connection.as_mut() => ended,
+                    () = monitor.evicted.cancelled() => return,
+                    () = tokio::time::sleep(left) => continue,
+                };
+                if let Err(e) = ended {
+                    log::debug!("event=connection_ended error={:?}", e.to_string());
+                }
+                return;
             }
         });
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The body could not be read to its end.
     BodyCut,
+    /// The body arrives too slowly; the request has not run.
+    BodySlow,
     /// Other requests take the memory of this daemon; it has not run.
     NoMemory,
     /// The process is stopping and may exit before the request's deadline; the request
@@ -83,6 +85,7 @@
             | Self::NoMemory
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoId | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::BodySlow => StatusCode::REQUEST_TIMEOUT,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
             Self::Denied(Denied::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
