Lend the memory of idle pools to busy ones, and let bodies wait for it

Cause: requests, bodies and answers had fixed parts of memory_mb, so a daemon of 88 MB held four bodies of 4 MiB whatever else it did, and refused the fifth at once; a body of 4 MiB never fitted into less than 19 MB, an answer into less than 34.

Change: the pools share 63.5% of memory_mb (as before in total) and each keeps a part: 14%, 5% and 10%. Answers that wait go before bodies and requests, but for what those keep. A body with a declared length waits for memory for up to a second, 16 bodies at most, and bodies that have stopped give way meanwhile; bodies up to 64 KiB do not wait behind larger ones. A body that never fits is refused with 413. memory_mb below 17 is a fault of the settings, since a body and an answer of 4 MiB do not fit.

the_pools_of_a_process_exceed_its_memory summed the sizes of the pools, which now overlap; it takes all that the pools give in each order instead, with the same bound.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -157,7 +157,7 @@
         pool: &MemoryPool,
     ) -> Result<Response<Bytes>, BodyError> {
         let (head, body) = self.response.into_parts();
-        let body = read_whole(body, max_bytes, pool, Shortage::Wait).await;
+        let body = read_whole(body, max_bytes, pool, Shortage::Wait, || ()).await;
         drop(self.connection);
         Ok(Response::from_parts(head, body?))
     }
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -5,17 +5,14 @@
 //! is within its own limit, but together they exceed the memory of the process, and its end
 //! breaks all other requests.
 //!
-//! Memory is taken before bytes are read. Requests, bodies and answers have separate pools:
-//! large bodies do not keep out small requests, and an answer never waits for the memory of
-//! bodies that are held until answers end.
+//! Memory is taken before bytes are read. Requests, bodies and answers have separate pools that
+//! lend each other what they do not use, apart from a part that each keeps: large bodies do not
+//! keep out small requests, nor answers, for whose ends they are held.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Notify;
 
 /// Memory taken for each request while it is in progress, in bytes: its head, its tasks, its
 /// connections' buffers, and a body, an answer or events that are small. Few requests have
@@ -27,13 +24,20 @@
 /// is larger.
 pub const EVENT_QUEUE_BYTES: usize = 16 * 1024;
 
-/// Share of the process's memory for [`REQUEST_BYTES`] of all requests.
-const REQUESTS_SHARE: f64 = 0.28;
-/// Share of the process's memory for request bodies over [`SMALL_BYTES`].
-const BODIES_SHARE: f64 = 0.23;
-/// Share of the process's memory for answers and events over [`SMALL_BYTES`]. The rest is for
-/// control state and for what the allocator and the operating system add.
-const ANSWERS_SHARE: f64 = 0.125;
+/// Share of the process's memory for all pools. The rest is for control state and for what the
+/// allocator and the operating system add.
+const TOTAL_SHARE: f64 = 0.635;
+/// Share that is kept for each pool, whatever the others take: requests, bodies, answers. They
+/// share the rest, so that idle pools lend to busy ones. Answers are kept the most: their
+/// requests have run, and their bodies are held until they end.
+const KEPT_SHARES: [f64; POOLS] = [0.14, 0.05, 0.1];
+const POOLS: usize = 3;
+const REQUESTS: usize = 0;
+const BODIES: usize = 1;
+const ANSWERS: usize = 2;
+/// Least memory of a process, in MB: with less, a request with a body and an answer of 4 MiB
+/// each would not fit even if it is the only one.
+pub const MIN_MEMORY_MB: u64 = 17;
 const BYTES_PER_MB: f64 = 1e6;
 
 /// Memory for requests and answers.
@@ -51,25 +55,33 @@
     /// Divides the memory of a process, in MB.
     #[must_use]
     pub fn new(memory_mb: u64) -> Self {
-        let [requests, bodies, answers] = pool_sizes(memory_mb).map(MemoryPool::new);
+        let (total, kept) = pool_sizes(memory_mb);
+        let shared = Arc::new(SharedMemory::new(total, kept.into()));
+        let pool = |index| MemoryPool::of(&shared, index);
         Self {
-            requests,
-            bodies,
-            answers,
+            requests: pool(REQUESTS),
+            bodies: pool(BODIES),
+            answers: pool(ANSWERS),
         }
     }
 
-    /// Adapts the pools to a changed amount of memory, in MB. A pool that shrinks does so as
-    /// its memory is returned.
+    /// Adapts the pools to a changed amount of memory, in MB. Pools that shrink do so as their
+    /// memory is returned.
     pub fn resize(&self, memory_mb: u64) {
-        let pools = [&self.requests, &self.bodies, &self.answers];
-        for (pool, size) in pools.into_iter().zip(pool_sizes(memory_mb)) {
-            pool.resize(size);
+        let (total, kept) = pool_sizes(memory_mb);
+        let shared = &self.requests.shared;
+        let mut state = shared.state();
+        state.total = total;
+        for (pool, kept) in state.pools.iter_mut().zip(kept) {
+            pool.kept = kept;
         }
+        drop(state);
+        shared.freed.notify_waiters();
     }
 }
 
-fn pool_sizes(memory_mb: u64) -> [usize; 3] {
+/// Returns the size of all pools together, and what is kept for each.
+fn pool_sizes(memory_mb: u64) -> (usize, [usize; POOLS]) {
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
     let bytes = memory_mb as f64 * BYTES_PER_MB;
     #[expect(
@@ -78,83 +90,223 @@
         reason = "not negative, and saturates"
     )]
     let size = |share: f64| (bytes * share) as usize;
-    [REQUESTS_SHARE, BODIES_SHARE, ANSWERS_SHARE].map(size)
+    (size(TOTAL_SHARE), KEPT_SHARES.map(size))
+}
+
+/// Memory that several pools share.
+#[derive(Debug)]
+struct SharedMemory {
+    state: Mutex<SharedState>,
+    freed: Notify,
+}
+
+#[derive(Debug)]
+struct SharedState {
+    total: usize,
+    pools: Vec<PoolState>,
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    /// Bytes that other pools leave.
+    kept: usize,
+    taken: usize,
+    /// Bytes that the first waiting call wants.
+    wanted: usize,
+    /// Number of waiting calls.
+    waiting: usize,
+}
+
+impl SharedMemory {
+    fn new(total: usize, kept: Vec<usize>) -> Self {
+        let pools = kept.into_iter().map(|kept| PoolState {
+            kept,
+            ..PoolState::default()
+        });
+        Self {
+            state: Mutex::new(SharedState {
+                total,
+                pools: pools.collect(),
+            }),
+            freed: Notify::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, SharedState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SharedState {
+    /// Returns the most that a pool may take while the others are idle.
+    fn size(&self, index: usize) -> usize {
+        let others = self.pools.iter().enumerate().filter(|(i, _)| *i != index);
+        let kept: usize = others.map(|(_, pool)| pool.kept).sum();
+        self.total.saturating_sub(kept)
+    }
+
+    /// Takes `bytes` for a pool: of what is kept for it, or of what the others leave. Those keep
+    /// their part, and answers also what they wait for.
+    fn try_take(&mut self, index: usize, bytes: usize) -> bool {
+        let used = self.pools.iter().enumerate().map(|(i, pool)| {
+            if i == index {
+                return pool.taken;
+            }
+            let wanted = if i == ANSWERS { pool.wanted } else { 0 };
+            pool.kept.max(pool.taken + wanted)
+        });
+        let has_room = used.sum::<usize>().saturating_add(bytes) <= self.total;
+        let pool = &mut self.pools[index];
+        let taken = pool.taken.saturating_add(bytes);
+        if has_room || taken <= pool.kept {
+            pool.taken = taken;
+            return true;
+        }
+        false
+    }
 }
 
 /// A number of bytes from which grants are taken. Clones share it.
 #[derive(Clone, Debug)]
 pub struct MemoryPool {
-    free: Arc<Semaphore>,
-    size: Arc<AtomicUsize>,
+    shared: Arc<SharedMemory>,
+    index: usize,
+    /// Held by the first waiting call.
+    turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl MemoryPool {
-    /// Creates a pool of `size` bytes.
+    /// Creates a pool of `size` bytes that shares none.
     #[must_use]
     pub fn new(size: usize) -> Self {
-        let size = size.min(Semaphore::MAX_PERMITS);
+        Self::of(&Arc::new(SharedMemory::new(size, vec![0])), 0)
+    }
+
+    fn of(shared: &Arc<SharedMemory>, index: usize) -> Self {
         Self {
-            free: Arc::new(Semaphore::new(size)),
-            size: Arc::new(AtomicUsize::new(size)),
+            shared: shared.clone(),
+            index,
+            turn: Arc::default(),
         }
     }
 
-    /// Returns the size of the pool, in bytes.
+    /// Returns the most bytes that can be taken while other pools are idle.
     #[must_use]
     pub fn size(&self) -> usize {
-        self.size.load(Ordering::Relaxed)
+        self.shared.state().size(self.index)
     }
 
     /// Returns how many bytes are taken.
     #[must_use]
     pub fn taken(&self) -> usize {
-        self.size().saturating_sub(self.free.available_permits())
+        self.shared.state().pools[self.index].taken
     }
 
-    /// Takes `bytes`; `None` if there is less left.
+    /// Takes `bytes`; `None` if there is less left, or if others wait for it.
     #[must_use]
     pub fn try_take(&self, bytes: usize) -> Option<MemoryGrant> {
-        let permits = u32::try_from(bytes).ok()?;
-        let permit = self.free.clone().try_acquire_many_owned(permits).ok()?;
-        Some(MemoryGrant(Some(permit)))
+        let mut state = self.shared.state();
+        let is_free = state.pools[self.index].waiting == 0 && state.try_take(self.index, bytes);
+        drop(state);
+        is_free.then(|| self.grant(bytes))
+    }
+
+    /// Does the same, but does not let waiting calls go first.
+    #[must_use]
+    pub fn try_take_first(&self, bytes: usize) -> Option<MemoryGrant> {
+        let is_free = self.shared.state().try_take(self.index, bytes);
+        is_free.then(|| self.grant(bytes))
+    }
+
+    /// Returns the number of calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.shared.state().pools[self.index].waiting
     }
 
     /// Waits until `bytes` can be taken, in the order of the calls; `None` if the pool is
     /// smaller than that.
     pub async fn take(&self, bytes: usize) -> Option<MemoryGrant> {
-        if bytes > self.size() {
-            return None;
+        if let Some(grant) = self.try_take(bytes) {
+            return Some(grant);
+        }
+        let _waiting = Waiting::begin(self);
+        let _turn = self.turn.lock().await;
+        let _wanted = Wanted(self);
+        loop {
+            let freed = self.shared.freed.notified();
+            {
+                let mut state = self.shared.state();
+                if bytes > state.size(self.index) {
+                    return None;
+                }
+                if state.try_take(self.index, bytes) {
+                    drop(state);
+                    return Some(self.grant(bytes));
+                }
+                state.pools[self.index].wanted = bytes;
+            }
+            freed.await;
         }
-        let permits = u32::try_from(bytes).ok()?;
-        let permit = self.free.clone().acquire_many_owned(permits).await.ok()?;
-        Some(MemoryGrant(Some(permit)))
     }
 
-    fn resize(&self, size: usize) {
-        let size = size.min(Semaphore::MAX_PERMITS);
-        let old_size = self.size.swap(size, Ordering::Relaxed);
-        self.free.add_permits(size.saturating_sub(old_size));
-        let Ok(removed) = u32::try_from(old_size.saturating_sub(size)) else {
-            return;
-        };
-        let free = self.free.clone();
-        tokio::spawn(async move {
-            if let Ok(permits) = free.acquire_many_owned(removed).await {
-                permits.forget();
-            }
-        });
+    fn grant(&self, bytes: usize) -> MemoryGrant {
+        MemoryGrant(Some(Taken {
+            pool: self.clone(),
+            bytes,
+        }))
+    }
+}
+
+/// Counts a waiting call until it is dropped.
+struct Waiting<'a>(&'a MemoryPool);
+
+impl<'a> Waiting<'a> {
+    fn begin(pool: &'a MemoryPool) -> Self {
+        pool.shared.state().pools[pool.index].waiting += 1;
+        Self(pool)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.shared.state().pools[self.0.index].waiting -= 1;
+    }
+}
+
+/// Ends the claim of the first waiting call when it is dropped.
+struct Wanted<'a>(&'a MemoryPool);
+
+impl Drop for Wanted<'_> {
+    fn drop(&mut self) {
+        self.0.shared.state().pools[self.0.index].wanted = 0;
+        self.0.shared.freed.notify_waiters();
+    }
+}
+
+/// Bytes taken from a pool; returned on drop.
+#[derive(Debug)]
+struct Taken {
+    pool: MemoryPool,
+    bytes: usize,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.pool.shared.state().pools[self.pool.index].taken -= self.bytes;
+        self.pool.shared.freed.notify_waiters();
     }
 }
 
 /// Bytes taken from a [`MemoryPool`]; returned on drop.
 #[derive(Debug, Default)]
-pub struct MemoryGrant(Option<OwnedSemaphorePermit>);
+pub struct MemoryGrant(Option<Taken>);
 
 impl MemoryGrant {
     /// Returns the number of bytes taken.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+        self.0.as_ref().map_or(0, |taken| taken.bytes)
     }
 
     /// Takes or returns bytes of `pool` so that this grant is for `bytes`. Returns `false`,
@@ -165,6 +317,13 @@
         missing == 0 || self.extend(pool.try_take(missing))
     }
 
+    /// Does the same, but does not let waiting calls go first.
+    #[must_use]
+    pub fn try_resize_first(&mut self, pool: &MemoryPool, bytes: usize) -> bool {
+        let missing = self.shrink(bytes);
+        missing == 0 || self.extend(pool.try_take_first(missing))
+    }
+
     /// Does the same as [`Self::try_resize`], but waits for bytes that are taken. Returns
     /// `false` only if the pool is smaller than that.
     pub async fn resize(&mut self, pool: &MemoryPool, bytes: usize) -> bool {
@@ -176,19 +335,21 @@
     /// it lacks.
     fn shrink(&mut self, bytes: usize) -> usize {
         let has = self.bytes();
-        if bytes < has {
-            drop(self.0.as_mut().and_then(|permit| permit.split(has - bytes)));
+        if let Some(taken) = self.0.as_mut().filter(|_| bytes < has) {
+            taken.bytes = bytes;
+            drop(taken.pool.grant(has - bytes));
         }
         bytes.saturating_sub(has)
     }
 
     /// Adds another grant of the same pool, if there is one.
     fn extend(&mut self, more: Option<MemoryGrant>) -> bool {
-        let Some(MemoryGrant(Some(more))) = more else {
+        let Some(MemoryGrant(Some(mut more))) = more else {
             return false;
         };
         match &mut self.0 {
-            Some(permit) => permit.merge(more),
+            // What is merged is returned with this grant.
+            Some(taken) => taken.bytes += std::mem::take(&mut more.bytes),
             None => self.0 = Some(more),
         }
         true
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -552,7 +552,11 @@
             shortage_pause: limits.header_timeout,
         };
         let mut paced = PacedBody::new(body, pace, self.shortages.clone());
-        let body = read_whole(&mut paced, max_bytes, pool, Shortage::Fail).await;
+        // Bodies that have stopped give way meanwhile.
+        let on_shortage = || {
+            self.shortages.record();
+        };
+        let body = read_whole(&mut paced, max_bytes, pool, Shortage::Fail, on_shortage).await;
         let body = body.map_err(|e| match e {
             BodyError::TooLarge { .. } => Refusal::TooLarge,
             BodyError::NoMemory => Refusal::NoMemory,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,7 +5,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::send_budget::SendBudget;
+use super::{memory::MIN_MEMORY_MB, send_budget::SendBudget};
 use crate::{
     records::Fault,
     settings::{SettingsError, fault},
@@ -176,8 +176,9 @@
         if self.ip.parse::<std::net::IpAddr>().is_err() {
             faults.push(fault("/ip", "must be an IP address"));
         }
-        if self.memory_mb == 0 {
-            faults.push(fault("/memory_mb", "must be above zero"));
+        if self.memory_mb < MIN_MEMORY_MB {
+            let reason = "must be at least 17: the largest body and answer do not fit in less";
+            faults.push(fault("/memory_mb", reason));
         }
         if bounds.key_removal_ms == 0 {
             faults.push(fault("/bounds/key_removal_ms", "must be above zero"));
--- a/src/gateway/whole_body.rs
+++ b/src/gateway/whole_body.rs
@@ -1,11 +1,22 @@
 //! Reads bodies whole, within a limit on their size and on the memory of all bodies.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
 use super::memory::{MemoryGrant, MemoryPool, SMALL_BYTES};
 
+/// Longest wait for memory of a body that fails on a shortage: about the time in which others
+/// are sent and answered, and a small part of a caller's deadline.
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
+/// Maximum number of bodies that wait for memory; what has arrived of them waits in the
+/// sockets' buffers, some 64 KiB each.
+const MAX_WAITING: usize = 16;
+/// Size up to which a body does not wait for larger ones to go first, in bytes.
+const PASSING_BYTES: usize = 64 * 1024;
+
 /// Why a body was not read to its end.
 #[derive(Debug, snafu::Snafu)]
 pub(crate) enum BodyError {
@@ -29,19 +40,21 @@
 /// What to do if other bodies take the memory for the length that a body declares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shortage {
-    /// Fail at once: a request has not run yet, and its caller may come back.
+    /// Fail soon: a request has not run yet, and its caller may come back.
     Fail,
     /// Wait: the target has run the request already.
     Wait,
 }
 
 /// Reads a body of at most `max_bytes`, with memory from `pool`. Without a declared length,
-/// memory is taken as the body grows, and a shortage always fails.
+/// memory is taken as the body grows, and a shortage fails at once. Calls `on_shortage` before
+/// a body waits for memory.
 pub(crate) async fn read_whole<B>(
     mut body: B,
     max_bytes: usize,
     pool: &MemoryPool,
     shortage: Shortage,
+    on_shortage: impl Fn(),
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -51,7 +64,8 @@
     let grant = match own_bytes(length) {
         0 => Some(MemoryGrant::default()),
         bytes if shortage == Shortage::Wait => pool.take(bytes).await,
-        bytes => pool.try_take(bytes),
+        bytes if bytes > pool.size() => return Err(BodyError::TooLarge { max_bytes }),
+        bytes => take_soon(pool, bytes, on_shortage).await,
     };
     let mut grant = grant.ok_or(BodyError::NoMemory)?;
     let mut buf = BytesMut::with_capacity(length);
@@ -68,7 +82,7 @@
         }
         if len > buf.capacity() {
             let capacity = (2 * buf.capacity()).clamp(len, max_bytes);
-            if !grant.try_resize(pool, own_bytes(capacity)) {
+            if !grant.try_resize_first(pool, own_bytes(capacity)) {
                 return Err(BodyError::NoMemory);
             }
             buf.reserve(capacity - buf.len());
@@ -81,6 +95,24 @@
     })
 }
 
+/// Takes memory for a body whose request has not run, within [`MEMORY_WAIT`].
+async fn take_soon(pool: &MemoryPool, bytes: usize, on_shortage: impl Fn()) -> Option<MemoryGrant> {
+    let taken = if bytes <= PASSING_BYTES {
+        pool.try_take_first(bytes)
+    } else {
+        pool.try_take(bytes)
+    };
+    if taken.is_some() {
+        return taken;
+    }
+    on_shortage();
+    if pool.waiting() >= MAX_WAITING {
+        return None;
+    }
+    let taking = tokio::time::timeout(MEMORY_WAIT, pool.take(bytes)).await;
+    taking.ok().flatten()
+}
+
 /// Returns the declared length, or 0 without one.
 fn declared_length(body: &impl Body, max_bytes: usize) -> Result<usize, BodyError> {
     let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -109,12 +109,104 @@
     assert!(pools.bodies.try_take(2 * size).is_some());
 }
 
+/// Takes all that a pool gives, in grants of 1 KiB to a quarter of the pool.
+fn take_all(pool: &MemoryPool) -> Vec<MemoryGrant> {
+    let mut grants = Vec::new();
+    let mut bytes = pool.size() / 4;
+    while bytes > 1_024 {
+        match pool.try_take(bytes) {
+            Some(grant) => grants.push(grant),
+            None => bytes /= 2,
+        }
+    }
+    grants
+}
+
 #[test]
 fn the_pools_of_a_process_exceed_its_memory() {
-    for memory_mb in [1, 64, 110, 512, 100_000] {
-        let pools = MemoryPools::new(memory_mb);
-        let sizes = [&pools.requests, &pools.bodies, &pools.answers].map(MemoryPool::size);
-        let bound = usize::try_from(memory_mb).expect("fits") * 1_000_000 * 2 / 3;
-        assert!(sizes.iter().sum::<usize>() <= bound, "{sizes:?}");
+    for memory_mb in [1, 64, 110, 512] {
+        for order in [
+            [0, 1, 2],
+            [0, 2, 1],
+            [1, 0, 2],
+            [1, 2, 0],
+            [2, 0, 1],
+            [2, 1, 0],
+        ] {
+            let pools = MemoryPools::new(memory_mb);
+            let pools = [&pools.requests, &pools.bodies, &pools.answers];
+            let grants = order.map(|i| take_all(pools[i]));
+            let taken = grants
+                .iter()
+                .flatten()
+                .map(MemoryGrant::bytes)
+                .sum::<usize>();
+            let bytes = usize::try_from(memory_mb).expect("fits") * 1_000_000;
+            assert!(
+                taken <= bytes * 2 / 3 && taken > bytes / 2,
+                "{taken} of {bytes}"
+            );
+            // None keeps another one out.
+            assert!(
+                grants.iter().all(|g| !g.is_empty()),
+                "{order:?} {memory_mb}"
+            );
+        }
     }
 }
+
+/// The memory of idle pools was of no use to busy ones: at 88 MB, the fifth body of 4 MiB was
+/// refused.
+#[test]
+fn an_idle_pool_lends_nothing() {
+    let pools = MemoryPools::new(88);
+    let body = 4 * 1024 * 1024;
+    let bodies: Vec<_> = (0..8).map_while(|_| pools.bodies.try_take(body)).collect();
+    assert_eq!(bodies.len(), 8);
+    let answers: Vec<_> = (0..2).map_while(|_| pools.answers.try_take(body)).collect();
+    assert_eq!(answers.len(), 2);
+    let requests = (0..300).map_while(|_| pools.requests.try_take(32 * 1024));
+    assert_eq!(requests.collect::<Vec<_>>().len(), 300);
+}
+
+/// An answer waits although bodies that come later take what is returned, up to the deadline.
+#[tokio::test]
+async fn bodies_take_what_an_answer_waits_for() {
+    let pools = MemoryPools::new(100);
+    let mut bodies = take_all(&pools.bodies);
+    let (answers, wanted) = (pools.answers.clone(), 20_000_000);
+    let answer = tokio::spawn(async move { answers.take(wanted).await });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    while !answer.is_finished() {
+        drop(bodies.pop().expect("the answer gets its memory"));
+        let late = pools.bodies.try_take(3_000_000);
+        // Both fit, beside what requests keep.
+        assert!(late.is_none() || pools.bodies.taken() + wanted + 14_000_000 <= 63_500_000);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let answer = answer.await.expect("join the wait");
+    assert_eq!(answer.map(|grant| grant.bytes()), Some(wanted));
+}
+
+/// A wait that ends with its caller leaves no claim behind.
+#[tokio::test]
+async fn an_answer_that_gave_up_keeps_bodies_out() {
+    let pools = MemoryPools::new(100);
+    let bodies = take_all(&pools.bodies);
+    let answers = pools.answers.clone();
+    let wait = tokio::time::timeout(Duration::from_millis(20), answers.take(30_000_000));
+    assert!(wait.await.is_err());
+    drop(bodies);
+    assert_eq!(pools.answers.waiting(), 0);
+    assert!(pools.bodies.try_take(pools.bodies.size()).is_some());
+}
+
+/// The largest body and answer fit into the least memory that the settings allow.
+#[test]
+fn the_largest_request_does_not_fit_into_the_least_memory() {
+    let pools = MemoryPools::new(17);
+    let largest = 4 * 1024 * 1024;
+    let _request = pools.requests.try_take(32 * 1024).expect("take memory");
+    let _body = pools.bodies.try_take(largest).expect("take memory");
+    assert!(pools.answers.try_take(largest).is_some());
+}
