--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -370,7 +370,7 @@
         if let Some(customer) = &admitted.customer {
             set(&names.customer, &customer.name);
         }
-        if let Some(priority) = job.priority {
+        if let Some(priority) = job.priority.filter(|_| self.settings().sends_priority) {
             set(&names.priority, &priority.to_string());
         }
         if let Some(backup) = &send_headers.backup {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -28,6 +28,8 @@
     BodyCut,
     /// The last event that the caller states to have is not one number.
     BadEventId,
+    /// The body arrives too slowly; the request has not run.
+    BodySlow,
     /// Other requests take the memory of this daemon; it has not run.
     NoMemory,
     /// The process is stopping and may exit before the request's deadline; the request
@@ -89,6 +91,7 @@
             | Self::NoMemory
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoId | Self::BodyCut | Self::BadEventId => StatusCode::BAD_REQUEST,
+            Self::BodySlow => StatusCode::REQUEST_TIMEOUT,
             Self::Denied(Denied::NoRoute) => StatusCode::NOT_FOUND,
             Self::Denied(Denied::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,7 +5,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::send_budget::SendBudget;
+use super::{memory::MIN_MEMORY_MB, send_budget::SendBudget};
 use crate::{
     records::Fault,
     settings::{SettingsError, fault},
@@ -35,6 +35,10 @@
     pub store: StoreSettings,
     /// Memory available to the process, in MB.
     pub memory_mb: u64,
+    /// Whether engines are told the priority of each request. Off by default: engines preempt
+    /// less urgent runs for urgent ones once their memory is full, and read their prompts again.
+    #[serde(default)]
+    pub sends_priority: bool,
     /// Service bounds that operators promise.
     pub bounds: Bounds,
 }
@@ -137,6 +141,7 @@
                 heartbeat_ms: 1_200,
             },
             memory_mb: 110,
+            sends_priority: false,
             bounds: Bounds {
                 stop_grace_s: 8.0,
                 drain_ms: 3_000,
@@ -176,8 +181,9 @@
         if self.ip.parse::<std::net::IpAddr>().is_err() {
             faults.push(fault("/ip", "must be an IP address"));
         }
-        if self.memory_mb == 0 {
-            faults.push(fault("/memory_mb", "must be above zero"));
+        if self.memory_mb < MIN_MEMORY_MB {
+            let reason = "must be at least 25: the largest body and answer do not fit in less";
+            faults.push(fault("/memory_mb", reason));
         }
         if bounds.key_removal_ms == 0 {
             faults.push(fault("/bounds/key_removal_ms", "must be above zero"));
