--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -40,7 +40,7 @@
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
-    /// Priority that engines are told; `None` if all requests are equally urgent.
+    /// Priority sent to engines; `None` if all requests are equally urgent.
     pub priority: Option<u8>,
     /// Number of prompt tokens to be read.
     pub prompt: Tokens,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -57,7 +57,7 @@
     awaited_confirmation: Option<(Revision, BootTime)>,
     /// Notified when this daemon gains its first confirmed configuration.
     config_gained: Arc<Notify>,
-    /// Notified when this daemon learns that the store was restored from an older copy.
+    /// Notified once the store is known to have been restored from an older copy.
     era_began: Arc<Notify>,
     pub peers: Peers,
     loads: LoadTracker,
@@ -82,7 +82,7 @@
     Same,
     /// The other daemon has a newer one, which is to be fetched.
     Fetch,
-    /// This daemon has a newer one, which the other daemon is to be told.
+    /// This daemon has a newer one, which it sends to the other daemon.
     Tell(ConfigStatement),
 }
 
@@ -308,7 +308,7 @@
         }
     }
 
-    /// Returns the handle that is notified when this daemon learns that the store was
+    /// Returns the handle that is notified once the store is known to have been
     /// restored from an older copy.
     pub fn era_began(&self) -> Arc<Notify> {
         self.era_began.clone()
@@ -376,7 +376,7 @@
             self.awaited_confirmation = Some((answer.config_revision, sent));
             self.confirm_awaited();
         }
-        // A daemon in an earlier era has not heard of the restored store.
+        // A daemon in an earlier era does not know of the restored store yet.
         let is_behind = era_of(answer.config_revision) < era_of(self.revision(Topic::Config));
         let is_unreliable = answer.is_store_down || is_behind;
         self.peers
--- a/src/gateway/crash_history.rs
+++ b/src/gateway/crash_history.rs
@@ -19,7 +19,7 @@
 const MIN_CRASHES: usize = 3;
 /// A request is held if a sound one would meet as many crashes with a lower probability.
 const MAX_CHANCE: f64 = 0.0002;
-/// Time before the first crash of a request for which the crashes of others tell the rate as
+/// Time before the first crash of a request for which the crashes of others count for the rate as
 /// well, since targets may crash in series with some seconds in between.
 const RATE_BEFORE: Duration = Duration::from_secs(10);
 /// Time from the last crash to the next run of a request that is held with [`MIN_CRASHES`], for
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -60,7 +60,7 @@
     /// Last event that the caller has from an earlier response; `None` if it has none, or if
     /// its stream is not resumable.
     pub last_event: Option<EventId>,
-    /// Priority that engines are told; `None` if they are told none. It stays the same for
+    /// Priority of the request at engines; `None` if all are equally urgent. It is the same for
     /// all sends.
     pub priority: Option<u8>,
     /// What a crash of its target may be due to: the shared parts of its prompt, and the
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -85,7 +85,7 @@
         work: Work,
         priority: Option<u8>,
     ) -> Reservation {
-        // Work that engines were told no priority of is not known to be ahead of any other.
+        // Work without a priority is not known to be ahead of any other.
         let least_urgent = PRIORITIES - 1;
         let priority = priority.map_or(least_urgent, |p| usize::from(p).min(least_urgent));
         self.update_entry(target, |entry| {
--- a/src/gateway/priority.rs
+++ b/src/gateway/priority.rs
@@ -1,4 +1,4 @@
-//! Priorities that engines are told for the requests of customers.
+//! Priorities of the requests to engines.
 //!
 //! Load pattern: engines have more requests than they can run at once, and urgent ones wait
 //! behind less urgent ones until their deadline. Engines admit by priority, so each request
@@ -60,8 +60,8 @@
         range.filter(|range| range.most_urgent < range.least_urgent)
     }
 
-    /// Returns the priority that an engine of `service` is told for a request; `None` if it is
-    /// told none, because the service has no engines or all requests are equally urgent.
+    /// Returns the priority of a request at an engine of `service`; `None` if the service has
+    /// no engines or all requests are equally urgent.
     #[must_use]
     pub fn engine_priority(
         &self,
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -206,7 +206,7 @@
             match resumed {
                 Ok(next) => {
                     run = next.run;
-                    // A new start reads the prompt again, so that its events speak for it.
+                    // A new start reads the prompt again, so that its events count.
                     delivered.may_clear =
                         next.is_new_start || (delivered.may_clear && delivered.events == 0);
                 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -35,7 +35,7 @@
     pub store: StoreSettings,
     /// Memory available to the process, in MB.
     pub memory_mb: u64,
-    /// Whether engines are told the priority of each request. Off by default: engines preempt
+    /// Whether the priority of each request is sent to engines. Off by default: engines preempt
     /// less urgent runs for urgent ones once their memory is full, and read their prompts again.
     #[serde(default)]
     pub sends_priority: bool,
--- a/src/gateway/speed_table.rs
+++ b/src/gateway/speed_table.rs
@@ -2,7 +2,7 @@
 //! daemons.
 //!
 //! Load pattern: 340 daemons have requests at 600 targets, a third of which are slow. Reports
-//! hold a few targets each and go to a few daemons a second; all hear of a target in some
+//! hold a few targets each and go to a few daemons a second; all know of a target after some
 //! seconds, which is less than the long-lived part averages over.
 
 use std::{
--- a/src/gateway/target_speed.rs
+++ b/src/gateway/target_speed.rs
@@ -55,7 +55,7 @@
 /// Range of believed values. Beyond it a target gets no work, or all, in any case.
 const MIN_SLOWNESS: f64 = 0.25;
 const MAX_SLOWNESS: f64 = 8.0;
-/// Factor from usual above which other daemons are told, and weight that own samples need.
+/// Factor from usual above which other daemons get a report, and weight that own samples need.
 const REPORT_FACTOR: f64 = 1.15;
 const MIN_REPORT_WEIGHT: f64 = 0.4;
 /// Time over which gaps between events are averaged. Events may arrive several at once.
--- a/src/gateway/wait_queue.rs
+++ b/src/gateway/wait_queue.rs
@@ -2,7 +2,7 @@
 //! objective, and decides how many it may send when room appears.
 //!
 //! Load pattern: the queues of all engines of a service are long, then a burst ends, and
-//! hundreds of daemons learn from the same reports that there is room. Each of them sends only
+//! hundreds of daemons see in the same reports that there is room. Each of them sends only
 //! its share of the known room within one report interval, so that together they do not fill
 //! the engine that looked best.
 
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -305,7 +305,7 @@
 }
 
 /// Plays a load with `load` times the requests that the engines can run, at daemons whose
-/// knowledge is `REPORT_MS` old. Engines and patience of callers differ unless `is_uniform`.
+/// knowledge is `REPORT_MS` old. Engines and deadlines differ unless `is_uniform`.
 fn play(load: f64, is_uniform: bool, has_admission: bool, seed: u64) -> Outcome {
     play_with(load, is_uniform, has_admission, seed, 1.0)
 }
--- a/tests/gateway_crash_history.rs
+++ b/tests/gateway_crash_history.rs
@@ -134,7 +134,7 @@
 }
 
 /// A run that met the second crash, but began before the first one, hid the one that shows that
-/// the crashes are separate, at daemons that heard of it first.
+/// the crashes are separate, at daemons that received it first.
 #[test]
 fn an_earlier_run_hides_a_crash_at_other_daemons() {
     let mut seen = CrashHistory::default();
--- a/tests/gateway_priority.rs
+++ b/tests/gateway_priority.rs
@@ -1,4 +1,4 @@
-//! Tests which priority engines are told for a request. A wrong one lets less urgent requests
+//! Tests which priority a request has at engines. A wrong one lets less urgent requests
 //! pass urgent ones, or changes deployments whose requests are equally urgent.
 
 use std::{sync::Arc, time::Duration};
