--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -124,7 +124,7 @@
 
 #[test]
 fn the_pools_of_a_process_exceed_its_memory() {
-    for memory_mb in [1, 64, 110, 512] {
+    for memory_mb in [1, 64, 110, 512, 100_000] {
         for order in [
             [0, 1, 2],
             [0, 2, 1],
