--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -258,6 +258,7 @@
         let known = KnownTarget {
             key: target_key(&target.id),
             target: Arc::new(target.clone()),
+            version: None,
             cold_until: now + target.cold_for,
             removal_due_at: None,
             leaving_since: if target.is_draining {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod readiness;
 mod refusal;
 mod resumption;
+mod rollout;
 mod room;
 mod routing;
 mod send_budget;
@@ -120,6 +121,7 @@
         AfterBreak, BrokenStream, GiveUpReason, InvalidEventId, StreamPosition, after_break,
         parse_event_id,
     },
+    rollout::{Rollout, RolloutOrder, RolloutState},
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     service_rates::ServiceRates,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::config_patch::ConfigPatch;
+use super::{config_patch::ConfigPatch, rollout::Rollout};
 use crate::{clock::BootTime, platform::Revision};
 
 /// Id of one incarnation (process run) of a target.
@@ -243,6 +243,8 @@
     /// Evacuated zones whose entries a restored store does not hold, and the time at which
     /// they return to service unless the entry does.
     pub lapsed_evacuations: BTreeMap<ZoneName, BootTime>,
+    /// Rollouts by service.
+    pub rollouts: BTreeMap<Box<str>, Rollout>,
     /// Whether every topic has been read at least once.
     pub is_complete: bool,
 }
@@ -254,6 +256,8 @@
     pub key: super::peer_wire::TargetKey,
     /// Description from the target's entry.
     pub target: Arc<Target>,
+    /// Version of the target's software; `None` if it states none or no rollouts are in use.
+    pub version: Option<Box<str>>,
     /// Time until which the target is cold.
     pub cold_until: BootTime,
     /// Time at which the target is removed unless its entry returns; set if the entry
