Let requests wait for the first configuration of a daemon

After a loss of power callers reached daemons some hundred milliseconds before these had their configuration, and were refused (no_config); their only repeat was refused as well. Requests now wait for it for up to a quarter of their deadline, 0.8 s at most, in the first 3 s of a process.

The process test failed before (503).

--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -155,7 +155,8 @@
         if has_target { all } else { late }
     }
 
-    fn has_memory_to_hold(&self) -> bool {
+    /// Returns whether there is memory for requests that wait.
+    pub(super) fn has_memory_to_hold(&self) -> bool {
         let pool = &self.memory.requests;
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
         let fraction = pool.taken() as f64 / pool.size().max(1) as f64;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 mod speed_table;
 mod speed_use;
 mod start;
+mod startup_wait;
 mod statements;
 mod stop;
 mod store_era;
@@ -129,6 +130,7 @@
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
+    startup_wait::startup_wait_end,
     stop::{GracePeriod, PauseDetector, ends_before_exit},
     store_era::{
         ConfigStamp, era_of, is_written_in_era, mark_written_in_era, revision_in_era,
@@ -216,6 +218,8 @@
     /// Cancelled when requests that have no response yet are to be answered, because
     /// the process is about to exit.
     final_answers: CancellationToken,
+    /// Time at which the process started to serve.
+    started_at: clock::BootTime,
     /// Time at which shutdown was requested; `None` before that.
     stop_requested_at: Mutex<Option<clock::BootTime>>,
 }
@@ -276,6 +280,7 @@
             ports: PortConnections::default(),
             connections: InFlightCounter::default(),
             final_answers: CancellationToken::new(),
+            started_at: clock::now(),
             stop_requested_at: Mutex::default(),
         });
         let ports = [Arc::new(callers), Arc::new(readiness), Arc::new(metrics)];
@@ -567,6 +572,13 @@
         progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
+        let info = self.names.request_info(&head.headers);
+        let deadline_ms = info.as_ref().and_then(|info| info.deadline_ms);
+        let caller_timeout = deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        if let Some(info) = &info {
+            self.wait_for_first_config(&info.request_id, arrived, caller_timeout)
+                .await;
+        }
         let fleet = self.shared.fleet();
         let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
         let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
@@ -575,14 +587,8 @@
             .get(&self.names.key)
             .and_then(|k| k.to_str().ok());
         let path = head.uri.path();
-        let admitted = self.admit(&fleet, &host, path, key, arrived)?;
-        let info = self
-            .names
-            .request_info(&head.headers)
-            .ok_or(Refusal::NoId)?;
-        let caller_timeout = info
-            .deadline_ms
-            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
+        let info = info.ok_or(Refusal::NoId)?;
         let deadline = arrived + caller_timeout.min(admitted.route.timeout);
         self.check_ends_before_exit(deadline)?;
         let limits = self.limits();
