Keep a load balancer's connection while many others open at once

Cause: a connection gives way only after it has waited for 0.1 s. The load balancer's waits between two probes, so that while all others were younger than that it was the only one that could. The test passes as long as the check, every 20 ms, does not fall between the two.

Change: on ports where connections in use give way too, up to a quarter of the connections that wait for the next request stay until one of the others has waited for long enough, at most 0.1 s later. With more of them the first one gives way at once, so that clients which hold the places cannot slow the accepting of new connections. The port of callers is as before.

Ruled out: waiting for whichever connection ranks first, however young; 17 idle connections and one new silent one at a time would leave ten accepted connections a second.

--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connections::{ConnectionState, ConnectionTimes, EvictionRule},
+    connections::{ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict},
     in_flight::InFlightCounter,
 };
 use crate::clock;
@@ -79,8 +79,8 @@
 }
 
 impl ConnectionSet {
-    /// Adds a connection. While there are `max` of them, the one that ranks first by `rule`
-    /// gives way; without one, calls `on_full` and waits.
+    /// Adds a connection. While there are `max` of them, one gives way by
+    /// `rule`; without one, calls `on_full` and waits.
     pub async fn add(&self, max: usize, rule: &EvictionRule, on_full: impl Fn()) -> OpenConnection {
         while self.lock().by_number.len() >= max {
             if !self.evict(rule) {
@@ -106,16 +106,15 @@
         self.lock().by_number.len()
     }
 
-    /// Closes the connection that ranks first. Returns whether there was one.
+    /// Closes the connection that gives way. Returns whether there was one.
     fn evict(&self, rule: &EvictionRule) -> bool {
         let now = clock::now();
         let mut open = self.lock();
-        let ranked = open.by_number.iter().filter_map(|(number, monitor)| {
+        let states = open.by_number.iter().map(|(number, monitor)| {
             let in_request = monitor.is_in_request();
-            let rank = monitor.state().eviction_rank(in_request, rule, now);
-            rank.map(|rank| (rank, *number))
+            (*number, in_request, *monitor.state())
         });
-        let Some((_, number)) = ranked.min() else {
+        let Some(number) = connection_to_evict(states, rule, now) else {
             return false;
         };
         if let Some(monitor) = open.by_number.remove(&number) {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -26,6 +26,11 @@
 const PROBES_DIVISOR: usize = 16;
 /// Least number of connections of a port, whatever the limits of the process.
 const MIN_CONNECTIONS: usize = 8;
+/// Part of the connections of a port that stay if they wait for the next request and the others
+/// have not waited for long enough. The other places are enough for new connections.
+const KEPT_DIVISOR: usize = 4;
+/// Place of connections that wait for the next request among those that give way.
+const WAITING_CLASS: u8 = 2;
 const BYTES_PER_MB: f64 = 1e6;
 
 /// Maximum numbers of connections.
@@ -168,11 +173,17 @@
         rule: &EvictionRule,
         now: BootTime,
     ) -> Option<(u8, BootTime)> {
+        let rank = self.rank(in_request, rule, now);
+        rank.filter(|(_, since)| now.saturating_sub(*since) >= rule.min_wait)
+    }
+
+    /// Returns the place that this connection has once it has waited for long enough.
+    fn rank(&self, in_request: bool, rule: &EvictionRule, now: BootTime) -> Option<(u8, BootTime)> {
         let age = now.saturating_sub(self.accepted_at);
         let max_rate = rule.max_request_rate;
         let is_in_use = in_request || self.writing_since.is_some();
         let max_requests = max_rate.map(|rate| rate * age.as_secs_f64().max(1.0));
-        let (class, since) = if is_in_use && max_rate.is_none() {
+        Some(if is_in_use && max_rate.is_none() {
             return None;
         } else if self.requests == 0 {
             (0, self.accepted_at)
@@ -181,8 +192,37 @@
         } else if let Some(since) = self.writing_since {
             (1, since)
         } else {
-            (2, self.head_since.unwrap_or(self.active_at))
-        };
-        (now.saturating_sub(since) >= rule.min_wait).then_some((class, since))
+            (WAITING_CLASS, self.head_since.unwrap_or(self.active_at))
+        })
+    }
+}
+
+/// Returns the connection of a full port that gives way to a new one; `None` if none does yet.
+/// `connections` has the state of each, and whether a request is in progress on it.
+///
+/// Where connections in use give way too, some of those that wait for the next request stay as
+/// long as the others will have waited for long enough soon. A load balancer's is among them: it
+/// waits between two probes, and clients that open many connections at once are all younger.
+pub fn connection_to_evict<K: Ord + Copy>(
+    connections: impl IntoIterator<Item = (K, bool, ConnectionState)>,
+    rule: &EvictionRule,
+    now: BootTime,
+) -> Option<K> {
+    let (mut count, mut waiting) = (0, 0);
+    let mut first: Option<((u8, BootTime), K)> = None;
+    for (key, in_request, state) in connections {
+        count += 1;
+        if let Some((WAITING_CLASS, _)) = state.rank(in_request, rule, now) {
+            waiting += 1;
+        }
+        if let Some(rank) = state.eviction_rank(in_request, rule, now) {
+            let ranked = (rank, key);
+            first = Some(first.map_or(ranked, |first| first.min(ranked)));
+        }
     }
+    let ((class, _), key) = first?;
+    let stays = rule.max_request_rate.is_some()
+        && class == WAITING_CLASS
+        && waiting <= count / KEPT_DIVISOR;
+    (!stays).then_some(key)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -93,7 +93,9 @@
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
-    connections::{ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule},
+    connections::{
+        ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict,
+    },
     crash_history::{CrashHistory, CrashHistoryHandle, RunCrash},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
--- a/tests/gateway_connections.rs
+++ b/tests/gateway_connections.rs
@@ -4,6 +4,7 @@
 
 use bluebelldrift::gateway::{
     BodyPace, ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule, PaceLimits,
+    connection_to_evict,
 };
 use proptest::prelude::*;
 
@@ -125,6 +126,53 @@
     assert!(ranks[0] < ranks[2] && ranks[1] < ranks[2], "{ranks:?}");
 }
 
+/// While all others were younger than the shortest wait, the load balancer's connection was the
+/// only one that could give way, and the next probe on it was lost.
+#[test]
+fn a_load_balancer_gives_way_to_many_connections_that_open_at_once() {
+    let mut balancer = ConnectionState::new(ms(0));
+    for at in [1, 9_700] {
+        balancer.record_read(false, ms(at));
+        balancer.record_request();
+        balancer.record_write(true, ms(at));
+        balancer.record_flush(ms(at));
+    }
+    let mut connections = vec![(0, false, balancer)];
+    for i in 1..18 {
+        let mut state = ConnectionState::new(ms(9_950 + i));
+        if i % 3 == 0 {
+            state.record_read(false, ms(9_950 + i));
+            state.record_request();
+            state.record_write(false, ms(9_950 + i));
+        }
+        connections.push((i, false, state));
+    }
+    let evicted = |at| connection_to_evict(connections.iter().copied(), &PROBES, ms(at));
+    for at in 10_000..10_051 {
+        assert_eq!(evicted(at), None, "at {at} ms");
+    }
+    assert_eq!(evicted(10_051), Some(1));
+}
+
+/// A port full of connections that have had a request would take no new ones while one without a
+/// request is young.
+#[test]
+fn many_idle_connections_keep_new_ones_out() {
+    let mut connections: Vec<_> = (0..17)
+        .map(|i| {
+            let mut idle = ConnectionState::new(ms(0));
+            idle.record_read(false, ms(8_000 + i));
+            idle.record_request();
+            (i, false, idle)
+        })
+        .collect();
+    connections.push((17, false, ConnectionState::new(ms(9_990))));
+    for rule in [&PROBES, &CALLERS] {
+        let evicted = connection_to_evict(connections.iter().copied(), rule, ms(10_000));
+        assert_eq!(evicted, Some(0), "{rule:?}");
+    }
+}
+
 #[test]
 fn a_body_that_stops_keeps_its_memory() {
     let limits = PaceLimits {
