Serve request heads of thousands of short fields, and account for their memory

What callers saw: a request within max-header-bytes, but with more than 100 fields, got 431 from the HTTP library's default, also on an idle daemon.

Cause: the limit on fields was never set. Raising it alone is unsafe: a parsed field takes up to a hundred times its bytes on the wire, and is kept until its request has been answered.

Change: a head may have max-header-bytes / 4 fields, 24,000 at most (the map of the library panics beyond 24,576). Fields beyond 64 take 400 bytes each of the memory for bodies as the request is handled, before its body is read; without memory it is refused with 503, not run. They do not wait: the fields are parsed by then. The request's map is passed on instead of a copy of it, and responses get a map of their own, since the library reuses that of the request, which the caller's connection then kept while it was idle.

Ruled out: memory from the pool of requests; a crowd would keep out small requests.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -170,7 +170,11 @@
         if let Some(status) = invalid_status {
             return NoResponseSnafu { peer, status }.fail();
         }
-        let response = response.context(LostSnafu { step: "send", peer })?;
+        let mut response = response.context(LostSnafu { step: "send", peer })?;
+        // hyper reuses the request's map, which may have room for thousands of fields and would
+        // be kept by the caller's connection.
+        let headers = std::mem::take(response.headers_mut());
+        response.headers_mut().extend(headers);
         Ok(Self {
             response,
             connection,
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -79,7 +79,7 @@
         }
         let mut head = Response::new(());
         *head.status_mut() = run.exchange.response.status();
-        *head.headers_mut() = end_to_end(run.exchange.response.headers());
+        *head.headers_mut() = end_to_end(run.exchange.response.headers().clone());
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
         let gateway = self.clone();
         tokio::spawn(async move { gateway.forward_stream(job, run, attempts, tx).await });
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -208,7 +208,7 @@
     /// Returns the headers of a request that are forwarded to a target, without
     /// those that the gateway adds to each send.
     #[must_use]
-    pub fn for_target(&self, headers: &HeaderMap) -> HeaderMap {
+    pub fn for_target(&self, headers: HeaderMap) -> HeaderMap {
         let mut forwarded = end_to_end(headers);
         for name in &self.reserved {
             forwarded.remove(name);
@@ -253,16 +253,12 @@
 /// Returns the headers without hop-by-hop ones, including those that the
 /// `connection` header names.
 #[must_use]
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = headers.clone();
-    for value in headers.get_all(header::CONNECTION) {
-        let names = value.to_str().unwrap_or_default().split(',');
-        for name in names.filter_map(|n| n.trim().parse::<HeaderName>().ok()) {
-            forwarded.remove(name);
-        }
-    }
-    for name in HOP_BY_HOP {
-        forwarded.remove(name);
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let connection = headers.get_all(header::CONNECTION).iter();
+    let options = connection.flat_map(|value| value.to_str().unwrap_or_default().split(','));
+    let names: Vec<HeaderName> = options.filter_map(|o| o.trim().parse().ok()).collect();
+    for name in names.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
     }
-    forwarded
+    headers
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -13,6 +13,7 @@
     headers::RequestInfo,
     in_flight::Progress,
     load::Work,
+    memory::MemoryGrant,
     model::{Customer, Fleet, KnownTarget, RepeatPolicy, Route, Service, Target, Tokens},
     peer_wire::{SubjectKey, target_key},
     placement::{
@@ -48,6 +49,8 @@
     /// Headers that are forwarded to targets, without those that the gateway
     /// adds to each send.
     pub headers: HeaderMap,
+    /// Memory taken for the headers.
+    pub _field_memory: MemoryGrant,
     pub body: Bytes,
     pub arrived: BootTime,
     /// The caller's deadline or the end of the route's timeout, whichever is
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -18,6 +18,7 @@
     connection_set::{Monitor, MonitoredTcp, OpenConnection},
     connections::{ConnectionTimes, EvictionRule},
     exchange::{enable_dead_peer_detection, log_socket_error},
+    head_fields::max_fields,
     in_flight::Stage,
 };
 
@@ -99,6 +100,7 @@
         .auto_date_header(false)
         // hyper panics if the size is below 8192 bytes.
         .max_buf_size(limits.max_header_bytes.max(8192))
+        .max_headers(max_fields(limits.max_header_bytes))
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     loop {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod feed;
 mod fleet;
 mod generation;
+mod head_fields;
 mod headers;
 mod held;
 mod in_flight;
@@ -101,6 +102,7 @@
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
     fleet::FeedState,
+    head_fields::{field_memory, max_fields},
     headers::{HeaderNames, RequestInfo, end_to_end},
     load::{LoadTracker, Work},
     memory::{MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES},
@@ -148,6 +150,7 @@
     connection_set::ConnectionSet,
     control::Control,
     crashes::request_key,
+    head_fields::take_field_memory,
     held::HeldRequests,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
@@ -569,13 +572,17 @@
         progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
+        let field_memory = take_field_memory(&head.headers, &self.memory.bodies);
+        let field_memory = field_memory.ok_or(Refusal::NoMemory)?;
         let fleet = self.shared.fleet();
         let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
         let host: Box<str> = host.or(head.uri.host()).unwrap_or_default().into();
         let key = head
             .headers
             .get(&self.names.key)
-            .and_then(|k| k.to_str().ok());
+            .and_then(|k| k.to_str().ok())
+            .map(Box::<str>::from);
+        let key = key.as_deref();
         let path = head.uri.path();
         let admitted = self.admit(&fleet, &host, path, key, arrived)?;
         let info = self
@@ -639,7 +646,8 @@
             service: service.into(),
             priority,
             key: key.map(Into::into),
-            headers: self.names.for_target(&head.headers),
+            headers: self.names.for_target(head.headers),
+            _field_memory: field_memory,
             method: head.method,
             uri: head.uri,
             host,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -227,6 +227,6 @@
 /// Builds the response to the caller from a target's response.
 pub(crate) fn caller_response(res: Response<Bytes>) -> Response<ResponseBody> {
     let (mut head, body) = res.into_parts();
-    head.headers = end_to_end(&head.headers);
+    head.headers = end_to_end(head.headers);
     Response::from_parts(head, ResponseBody::full(body))
 }
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -4,6 +4,7 @@
 
 use bluebelldrift::gateway::{
     EventSplitter, MAX_EVENT_BYTES, MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES,
+    field_memory, max_fields,
 };
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -210,3 +211,23 @@
     let _body = pools.bodies.try_take(largest).expect("take memory");
     assert!(pools.answers.try_take(largest).is_some());
 }
+
+/// Heads of more than 100 fields were refused, also on an idle daemon.
+#[test]
+fn the_fields_of_a_permitted_head_fit_into_no_process() {
+    let max_header_bytes = 16 * 1024;
+    let fields = "a:\r\n".repeat(max_header_bytes / 4).lines().count();
+    assert!(max_fields(max_header_bytes) >= fields);
+    let pool = MemoryPools::new(25).bodies;
+    let _fields = pool
+        .try_take(field_memory(fields))
+        .expect("take memory for the fields");
+    assert!(pool.try_take(4 * 1024 * 1024).is_some());
+}
+
+/// Ordinary requests have a few fields, which are part of their memory.
+#[test]
+fn an_ordinary_head_takes_memory_of_its_own() {
+    assert_eq!(field_memory(40), 0);
+    assert!(field_memory(1_000) > 0);
+}
