--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod feed;
 mod fleet;
 mod generation;
+mod head_fields;
 mod headers;
 mod held;
 mod in_flight;
@@ -94,12 +95,15 @@
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
     config_patch::{ConfigPatch, replace_with_patches},
-    connections::{ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule},
+    connections::{
+        ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict,
+    },
     crash_history::{CrashHistory, CrashHistoryHandle, RunCrash},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
     fleet::FeedState,
+    head_fields::{field_memory, max_fields},
     headers::{HeaderNames, RequestInfo, end_to_end},
     load::{LoadTracker, Work},
     memory::{MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES},
@@ -148,6 +152,7 @@
     connection_set::ConnectionSet,
     control::Control,
     crashes::request_key,
+    head_fields::take_field_memory,
     held::HeldRequests,
     in_flight::{InFlightCounter, InFlightRequests, Progress, Stage, describe},
     job::Job,
@@ -572,6 +577,8 @@
         progress: &Progress,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
+        let field_memory = take_field_memory(&head.headers, &self.memory.bodies);
+        let field_memory = field_memory.ok_or(Refusal::NoMemory)?;
         let info = self.names.request_info(&head.headers);
         let deadline_ms = info.as_ref().and_then(|info| info.deadline_ms);
         let caller_timeout = deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
@@ -585,7 +592,9 @@
         let key = head
             .headers
             .get(&self.names.key)
-            .and_then(|k| k.to_str().ok());
+            .and_then(|k| k.to_str().ok())
+            .map(Box::<str>::from);
+        let key = key.as_deref();
         let path = head.uri.path();
         let admitted = self.admit(&fleet, &host, path, key, clock::now())?;
         let info = info.ok_or(Refusal::NoId)?;
@@ -643,7 +652,8 @@
             service: service.into(),
             priority,
             key: key.map(Into::into),
-            headers: self.names.for_target(&head.headers),
+            headers: self.names.for_target(head.headers),
+            _field_memory: field_memory,
             method: head.method,
             uri: head.uri,
             host,
