Refuse requests of customers beyond their share while room is short

Cause: a burst of one customer takes the capacity of all. Plain requests are sent at once whatever the load, and engines' queues are shared by whoever comes first.

Change: each daemon counts the demand of its customers by service and priority, recent and usual. While a service is short of room, daemons exchange the few largest customers (CustomerDemand, appended), and refuse requests of customers that send much more than their usual demand and an equal part (reason customer_share, 503, not run). What the others leave is divided max-min. With one customer, without customers or with free room nothing is counted, sent or refused.

Ruled out on the way: freezing the usual demand while room is short (it was never learned where a target declines a request now and then), and the growth of all others as the measure of one customer's (two bursts excused each other).

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -113,6 +113,16 @@
         is_low && self.targets.iter().all(|t| t.queued() == 0)
     }
 
+    /// Returns the part of the places that are taken at the targets that the request may be sent
+    /// to, above 1 if requests wait for one; 0 without such a target.
+    #[must_use]
+    pub fn taken_fraction(&self) -> f64 {
+        let allowed = self.targets.iter().filter(|t| t.is_allowed);
+        let slots: u64 = allowed.clone().map(|t| u64::from(t.slots)).sum();
+        let requests: u64 = allowed.map(|t| u64::from(t.requests)).sum();
+        as_f64(requests) / as_f64(slots.max(1))
+    }
+
     /// Returns how long the request is expected to wait at a target until it is begun.
     #[must_use]
     pub fn expected_wait(&self, target: &TargetRoom, demand: &Demand) -> Duration {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,15 +16,17 @@
     Trackers,
     change_log::ChangeLog,
     config_patch::replace_with_patches,
+    demand_exchange::Surroundings,
     fleet::FeedState,
     load::LoadTracker,
     model::{Change, Fleet, Topic},
     peer_wire::{
-        Answer, ConfigStatement, Fetch, Query, ServiceSendCounts, TargetWork, Update, WorkReport,
-        ZoneLoad, target_key,
+        Answer, ConfigStatement, DemandReport, Fetch, Query, ServiceSendCounts, TargetWork, Update,
+        WorkReport, ZoneLoad, target_key,
     },
     peers::Peers,
     send_budget::SendTracker,
+    share_use::DemandTracker,
     shared_state::{PeerLoad, SharedState},
     speed_table::SpeedTracker,
     store_era::{ConfigStamp, era_of, is_written_in_era, revision_in_store},
@@ -65,6 +67,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub demand: DemandTracker,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -124,6 +127,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            demand: trackers.demand,
             send_window,
             shared,
             // The first tick decides.
@@ -547,6 +551,22 @@
         }
     }
 
+    /// Returns the reports of the demand of customers that are to be sent now.
+    pub fn demand_reports(&self, now: BootTime) -> Vec<DemandReport> {
+        let mut demand = self.demand.lock();
+        if demand.is_idle(now) {
+            return Vec::new();
+        }
+        let config = self.fleet.config.as_ref();
+        let around = Surroundings {
+            is_leader: self.peers.is_zone_leader(now),
+            zone_daemons: self.peers.zone_daemon_count(now).into(),
+            daemons: self.peers.daemon_count(now).into(),
+            customers: config.map_or(0, |config| config.customer_count()),
+        };
+        demand.step(&around, now)
+    }
+
     fn publish_peer_load(&self, now: BootTime) {
         let (work, sends) = self.peers.other_work_and_sends(now);
         let zone_sends = if self.statements.is_in_force() {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -95,6 +95,7 @@
         let mut was_sent = false;
         // Returned on each way out before the request has run.
         let mut trial = self.check_subjects(job)?;
+        self.check_share(&self.shared.fleet(), job, &admitted)?;
         let avoided = self.wait_for_room(job, &mut admitted).await?;
         loop {
             let now = clock::now();
@@ -106,6 +107,9 @@
             if trial.is_none() && !attempts.tried.is_empty() {
                 trial = self.check_subjects(job)?;
             }
+            if !attempts.tried.is_empty() {
+                self.check_share(&fleet, job, &admitted)?;
+            }
             let mut late = self.check_room(&fleet, job, &admitted, &attempts.tried)?;
             if attempts.tried.is_empty() {
                 late = self.add_avoided(&fleet, job, &admitted, late, &avoided);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -22,6 +22,7 @@
     refusal::Refusal,
     routing::Denied,
     send_budget::RepeatReason,
+    share_use::ShareAccount,
     suspects::SuspectTracker,
 };
 use crate::clock::{self, BootTime};
@@ -71,6 +72,8 @@
     /// Crashes by subject, of requests of this kind.
     pub suspects: SuspectTracker,
     pub progress: Progress,
+    /// Whose demand the request counts as; `None` if shares of customers do not apply.
+    pub account: Option<ShareAccount>,
 }
 
 /// The target chosen for a request, with the inputs of the placement.
@@ -406,6 +409,9 @@
             sends.record_first(now);
             true
         });
+        if is_allowed && repeat.is_some() {
+            self.record_demand(job, now);
+        }
         if !is_allowed {
             log::info!(
                 "event=budget_empty request={} service={}",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,9 @@
 mod control;
 mod crash_history;
 mod crashes;
+mod customer_demand;
+mod customer_shares;
+mod demand_exchange;
 mod engines;
 mod event_queue;
 mod events;
@@ -50,6 +53,7 @@
 mod sent;
 mod service_rates;
 mod settings;
+mod share_use;
 mod shared_state;
 mod speed_table;
 mod speed_use;
@@ -95,6 +99,9 @@
     config_patch::{ConfigPatch, replace_with_patches},
     connections::{ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule},
     crash_history::{CrashHistory, CrashHistoryHandle, RunCrash},
+    customer_demand::{ClassKey, DemandMeter},
+    customer_shares::{CustomerKey, CustomerRate, Limited, ServiceDemand, is_short, max_min},
+    demand_exchange::{DemandExchange, FORWARDED_TO, Surroundings},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
@@ -107,9 +114,9 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        AttemptKey, RequestCrash, RequestCrashReport, ServiceSendCounts, SpeedReport,
-        StatementReport, SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport,
-        ZoneLoad, target_key,
+        AttemptKey, CustomerDemand, DemandReport, DemandScope, Incarnation, RequestCrash,
+        RequestCrashReport, ServiceDemandReport, ServiceSendCounts, SpeedReport, StatementReport,
+        SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -126,6 +133,7 @@
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     service_rates::ServiceRates,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
+    share_use::DemandTracker,
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
@@ -180,6 +188,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub demand: DemandTracker,
 }
 
 /// Open connections of each port.
@@ -204,6 +213,7 @@
     suspects: Suspects,
     statements: StatementTracker,
     speeds: SpeedTracker,
+    demand: DemandTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -268,6 +278,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            demand: trackers.demand,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
@@ -627,7 +638,7 @@
         } else {
             None
         };
-        let job = Job {
+        let mut job = Job {
             subjects: info.parts.iter().copied().chain([request]).collect(),
             request,
             is_resumable: policy.is_resumable(),
@@ -645,7 +656,10 @@
             arrived,
             info,
             progress: progress.clone(),
+            account: None,
         };
+        job.account = Self::share_account(&fleet, &job, &admitted);
+        self.record_demand(&job, clock::now());
         if is_stream {
             self.serve_stream(job, admitted).await
         } else {
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -19,9 +19,13 @@
 
 use super::{
     control::{Comparison, Control},
+    demand_exchange::FORWARDED_TO,
     feed::{Store, with_timeout},
     model::ZoneName,
-    peer_wire::{Answer, ConfigStatement, Fetch, Incarnation, Message, Packet, Query, Update},
+    peer_wire::{
+        Answer, ConfigStatement, DemandReport, DemandScope, Fetch, Incarnation, Message, Packet,
+        Query, Update,
+    },
     peers::{DaemonInfo, DaemonName, QUERY_INTERVAL, REMOTE_QUERY_INTERVAL, REPORT_PERIOD},
 };
 use crate::{
@@ -147,8 +151,10 @@
     pub async fn bind(identity: Identity, control: Rc<RefCell<Control>>) -> io::Result<Self> {
         let udp = UdpSocket::bind(identity.address).await?;
         let tcp = TcpListener::bind(identity.address).await?;
+        let incarnation = incarnation();
+        control.borrow().demand.lock().begin(incarnation);
         Ok(Self {
-            incarnation: incarnation(),
+            incarnation,
             identity,
             udp,
             tcp,
@@ -223,6 +229,7 @@
         self.report_suspects(now).await;
         self.report_statements(now).await;
         self.report_speeds(now).await;
+        self.report_demand(now).await;
     }
 
     /// Detects that this process stood still.
@@ -337,6 +344,47 @@
         }
     }
 
+    /// Reports the demand of customers while a service is short of room.
+    async fn report_demand(&self, now: BootTime) {
+        let reports = self.control.borrow().demand_reports(now);
+        for report in reports {
+            let to = {
+                let peers = &self.control.borrow().peers;
+                match report.scope {
+                    DemandScope::Daemon => peers.zone_reader_address(now).into_iter().collect(),
+                    DemandScope::Zone => peers.remote_peers_to_query(now),
+                    DemandScope::All => self.few_zone_peers(now),
+                }
+            };
+            for peer in to {
+                self.send(peer, Message::CustomerDemand(report.clone()))
+                    .await;
+            }
+        }
+    }
+
+    /// Adds a report of the demand of customers, and passes it on if it is new.
+    async fn receive_demand(&self, from: &str, zone: &str, report: DemandReport, now: BootTime) {
+        let is_passed_on = {
+            let control = self.control.borrow();
+            let mut demand = control.demand.lock();
+            demand.receive(from, zone, report.clone(), now)
+        };
+        if is_passed_on {
+            for peer in self.few_zone_peers(now) {
+                self.send(peer, Message::CustomerDemand(report.clone()))
+                    .await;
+            }
+        }
+    }
+
+    /// Returns a few random daemons of this daemon's zone.
+    fn few_zone_peers(&self, now: BootTime) -> Vec<SocketAddr> {
+        let peers = self.control.borrow().peers.zone_peers(now);
+        let few = peers.sample(&mut rand::rng(), FORWARDED_TO);
+        few.copied().collect()
+    }
+
     /// Sends a message to this daemon's zone, and to the leaders of other zones if this
     /// daemon leads its zone.
     async fn send_to_zones(&self, message: &Message, now: BootTime) {
@@ -479,7 +527,7 @@
         self.record_activity(now);
         let info = DaemonInfo {
             address: from,
-            zone: packet.zone,
+            zone: packet.zone.clone(),
         };
         let is_accepted = {
             let peers = &mut self.control.borrow_mut().peers;
@@ -506,6 +554,7 @@
             | Message::RequestCrashes(_)
             | Message::PlainRequestCrashes(_)
             | Message::Speeds(_)
+            | Message::CustomerDemand(_)
                 if self.is_after_pause(now) =>
             {
                 log::debug!("event=report_ignored peer={from}");
@@ -539,6 +588,10 @@
             Message::Speeds(reports) => {
                 self.control.borrow().speeds.table().merge(&reports, now);
             }
+            Message::CustomerDemand(report) => {
+                self.receive_demand(&packet.from, &packet.zone, report, now)
+                    .await;
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -70,6 +70,8 @@
     ConfigStatement(ConfigStatement),
     /// Speeds of targets that differ from what is usual.
     Speeds(Vec<SpeedReport>),
+    /// Demand of customers for services that are short of room.
+    CustomerDemand(DemandReport),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
@@ -186,6 +188,83 @@
     pub age_ms: u32,
 }
 
+/// Demand of customers at one or more daemons for services that are short of room.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// Whose demand this is.
+    pub scope: DemandScope,
+    /// Incarnation of the daemon that made the report, which others may pass on.
+    pub origin: Incarnation,
+    /// Number of the report, which rises with each one of that daemon.
+    pub number: u32,
+    /// The services; none at the end of a shortage.
+    pub services: Vec<ServiceDemandReport>,
+}
+
+/// Whose demand a report states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DemandScope {
+    /// That of one daemon, for the leader of its zone.
+    #[default]
+    Daemon,
+    /// That of a zone, for the leaders of other zones.
+    Zone,
+    /// That of all daemons, for the daemons of a zone, which pass it on.
+    All,
+}
+
+/// Demand for one service by requests of one priority. For rates, see [`rate_to_wire`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemandReport {
+    /// Hash of the name of the service and of the priority.
+    pub class: TargetKey,
+    /// Whether a request has met no room recently.
+    pub is_short: bool,
+    /// Number of daemons whose demand this is.
+    pub daemons: u16,
+    /// Demand of all customers over the last seconds.
+    pub recent: u32,
+    /// Usual demand of all customers.
+    pub usual: u32,
+    /// What targets have begun to serve recently.
+    pub served: u32,
+    /// The largest customers.
+    pub largest: Vec<CustomerDemand>,
+}
+
+/// Demand of one customer. For rates, see [`rate_to_wire`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CustomerDemand {
+    /// Hash of the customer's name.
+    pub customer: u32,
+    /// Demand over the last seconds.
+    pub recent: u32,
+    /// Usual demand.
+    pub usual: u32,
+}
+
+/// Steps per unit of a rate in messages: at a daemon of hundreds, a customer has a request in
+/// some seconds.
+const RATE_STEPS: f64 = 64.0;
+
+/// Returns a rate per second as in messages, where small numbers take fewer bytes.
+#[must_use]
+pub fn rate_to_wire(rate: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "saturates"
+    )]
+    let steps = (rate * RATE_STEPS).round() as u32;
+    steps
+}
+
+/// Returns the rate per second of a message.
+#[must_use]
+pub fn rate_from_wire(steps: u32) -> f64 {
+    f64::from(steps) / RATE_STEPS
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -293,6 +293,13 @@
             .find(|name| self.answers(name, now))
     }
 
+    /// Returns the address of the zone reader, if there is one.
+    #[must_use]
+    pub fn zone_reader_address(&self, now: BootTime) -> Option<SocketAddr> {
+        let listed = self.listed.get(self.zone_reader(now)?);
+        listed.map(|listed| listed.address)
+    }
+
     /// Returns whether a higher-ranked daemon of this daemon's zone is likely to answer
     /// soon: one has sent a datagram recently, and this daemon has not waited too long for an
     /// answer. When a zone reader falls silent, the next best takes over, and the rest of
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -75,6 +75,9 @@
             if possible_runs == 0 && trial.is_none() {
                 trial = self.check_subjects(job)?;
             }
+            if possible_runs == 0 {
+                self.check_share(&fleet, job, &admitted)?;
+            }
             let Some(placement) = self.place(&fleet, job, &admitted, &tried, &[]) else {
                 last_refusal = self.refusal_without_target(&fleet, job, last_refusal);
                 break;
@@ -101,6 +104,7 @@
                     continue;
                 }
                 SendOutcome::Answered(res) => {
+                    self.record_served(job, clock::now());
                     log::info!(
                         "event=answer request={id} target={target} status={} took_ms={}",
                         res.status().as_u16(),
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -391,6 +391,7 @@
             }
             if let Some((tokens, sent)) = run.pending_prompt.take() {
                 run.reservation.record_prefilled();
+                self.record_served(job, now);
                 let waited = now.saturating_sub(sent);
                 // An engine may first generate the events again that the caller has.
                 if delivered.position.last_id().is_none() {
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -109,6 +109,7 @@
             gateway.set_memory_gauges();
             gateway.set_connection_gauges();
             gateway.set_speed_gauges(clock::now());
+            gateway.set_share_gauges();
             (StatusCode::OK, crate::metrics::render())
         }
     };
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -47,6 +47,8 @@
     /// No target can begin the request before its deadline; it has not run. Room is expected
     /// after the time given.
     NoRoom(Duration),
+    /// The service is short of room, and the customer is beyond its share of it; it has not run.
+    CustomerShare,
     /// Every target that was tried was unreachable or declined; the request has not
     /// run.
     Declined,
@@ -73,6 +75,9 @@
 /// Minimum `Retry-After` when other requests take the memory of this daemon: about the time
 /// in which a large body is sent and answered.
 const RETRY_NO_MEMORY: Duration = Duration::from_secs(1);
+/// Minimum `Retry-After` when a customer is beyond its share: in about this time its share is
+/// computed again.
+const RETRY_CUSTOMER_SHARE: Duration = Duration::from_secs(1);
 /// Minimum `Retry-After` when targets crash on the request.
 const RETRY_SUSPECT: Duration = Duration::from_secs(2);
 
@@ -86,6 +91,7 @@
             | Self::Limited
             | Self::Waiting(_)
             | Self::NoRoom(_)
+            | Self::CustomerShare
             | Self::Declined
             | Self::Suspect
             | Self::NoMemory
@@ -112,6 +118,7 @@
             Self::Waiting(left) => Some(left + RETRY_SPREAD.mul_f64(jitter)),
             Self::NoRoom(after) => Some(after),
             Self::NoMemory => Some(RETRY_NO_MEMORY.mul_f64(1.0 + jitter)),
+            Self::CustomerShare => Some(RETRY_CUSTOMER_SHARE.mul_f64(1.0 + jitter)),
             Self::Suspect => Some(RETRY_SUSPECT.mul_f64(1.0 + jitter)),
             _ => None,
         }
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -52,6 +52,7 @@
                     "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
                 );
                 self.loads.record_failure(target, clock::now());
+                self.record_declined(job, clock::now());
             }
             SendOutcome::Disconnected(reason)
             | SendOutcome::CutOff(reason)
