Limit no customer by chance, and report faster at first

Cause: the demand over some seconds of a customer with few or large requests varies. In a test of 24 customers with two requests a second of 100 to 30,000 tokens, a customer was limited 2,802 of 36,000 times. At 340 daemons the first reports said too little of a burst, and the next ones came 2 s later.

Change: reports carry the standard deviation of a customer's demand, and a customer is beyond its share only by three of these (at most 36 times in the same test). The first four reports of a shortage follow each other within a second; later ones take 2 KB/s of a zone's leader. Accounts are kept in order, so that a replay repeats.

--- a/src/gateway/customer_demand.rs
+++ b/src/gateway/customer_demand.rs
@@ -7,7 +7,7 @@
 //! long one soon counts as usual. A daemon that has just started does not know what is usual,
 //! and takes the present demand for it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     customer_shares::CustomerKey,
@@ -45,6 +45,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
     value: f64,
+    /// Sum of the squares of the weighted samples.
+    squares: f64,
     at: BootTime,
 }
 
@@ -54,8 +56,16 @@
         self.value * (-age / RECENT.as_secs_f64()).exp()
     }
 
+    /// Returns the variance of the average by chance, if requests arrive independently.
+    fn variance(&self, now: BootTime) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.squares * (-2.0 * age / RECENT.as_secs_f64()).exp()
+    }
+
     fn add(&mut self, units: f64, now: BootTime) {
-        self.value = self.get(now) + units / RECENT.as_secs_f64();
+        let sample = units / RECENT.as_secs_f64();
+        self.squares = self.variance(now) + sample * sample;
+        self.value = self.get(now) + sample;
         self.at = now;
     }
 }
@@ -75,7 +85,7 @@
 #[derive(Debug)]
 struct Class {
     /// At most [`MAX_CUSTOMERS`].
-    accounts: HashMap<CustomerKey, Account>,
+    accounts: BTreeMap<CustomerKey, Account>,
     served: Average,
     interval_began: BootTime,
     /// Number of intervals that have ended.
@@ -88,7 +98,7 @@
 impl Class {
     fn new(now: BootTime) -> Self {
         Self {
-            accounts: HashMap::new(),
+            accounts: BTreeMap::new(),
             served: Average::default(),
             interval_began: now,
             ended: 0,
@@ -150,18 +160,20 @@
         let rates = self.accounts.iter().map(|(customer, account)| {
             let recent = account.recent.get(now);
             let usual = if knows_usual { account.usual } else { recent };
-            (*customer, recent, usual)
+            let deviation = account.recent.variance(now).sqrt();
+            (*customer, recent, usual, deviation)
         });
         let mut rates: Vec<_> = rates.collect();
-        let all: (f64, f64) = rates.iter().fold((0.0, 0.0), |sum, (_, recent, usual)| {
+        let all: (f64, f64) = rates.iter().fold((0.0, 0.0), |sum, (_, recent, usual, _)| {
             (sum.0 + recent, sum.1 + usual)
         });
         rates.sort_by(|a, b| b.1.max(b.2).total_cmp(&a.1.max(a.2)));
         rates.truncate(MAX_REPORTED);
-        let customer = |(customer, recent, usual)| CustomerDemand {
+        let customer = |(customer, recent, usual, deviation)| CustomerDemand {
             customer,
             recent: rate_to_wire(recent),
             usual: rate_to_wire(usual),
+            deviation: rate_to_wire(deviation),
         };
         ServiceDemandReport {
             class,
@@ -179,7 +191,7 @@
 #[derive(Debug, Default)]
 pub struct DemandMeter {
     /// At most [`MAX_CLASSES`].
-    classes: HashMap<ClassKey, Class>,
+    classes: BTreeMap<ClassKey, Class>,
 }
 
 impl DemandMeter {
--- a/src/gateway/customer_shares.rs
+++ b/src/gateway/customer_shares.rs
@@ -20,6 +20,8 @@
 /// By how much the demand of a customer has to exceed its usual demand: demand over some seconds
 /// varies, and callers repeat requests that were declined.
 const BEYOND_USUAL: f64 = 2.0;
+/// Number of standard deviations by which it also has to exceed that.
+const DEVIATIONS: f64 = 3.0;
 /// Part of the demand below which a customer is not limited: that would make little room, and
 /// the demand of small customers varies most.
 const MIN_PART: f64 = 0.04;
@@ -41,8 +43,10 @@
 pub struct CustomerRate {
     /// Over the last seconds.
     pub recent: f64,
-    /// Over the last minutes, without times at which room was short.
+    /// Over the last minutes.
     pub usual: f64,
+    /// Standard deviation of the recent demand by chance, from the number and size of requests.
+    pub deviation: f64,
 }
 
 impl CustomerRate {
@@ -90,6 +94,7 @@
             let others = CustomerRate {
                 recent: rest.recent - rate.recent,
                 usual: rest.usual - rate.usual,
+                ..rest
             };
             if rate.recent <= BEYOND_USUAL * others.growth() * rate.usual {
                 break;
@@ -108,7 +113,7 @@
     /// Returns whether a customer is clearly beyond what it may have in any case.
     fn is_beyond(&self, rate: &CustomerRate, guaranteed: f64) -> bool {
         let others = self.all.recent - rate.recent;
-        rate.recent > guaranteed
+        rate.recent - DEVIATIONS * rate.deviation > guaranteed
             && rate.recent >= MIN_PART * self.all.recent
             && others > ONLY_CUSTOMER * self.all.recent
     }
--- a/src/gateway/demand_exchange.rs
+++ b/src/gateway/demand_exchange.rs
@@ -5,12 +5,9 @@
 //! largest customers to the leader of its zone; leaders exchange the sums of their zones, and
 //! send those of all zones to a few daemons, which pass them on to a few more. So the bytes of
 //! one daemon hardly depend on the number of daemons, except those that a leader receives,
-//! which a longer interval bounds. Nothing is sent while no service is short of room.
+//! which a longer interval bounds after the first seconds. Nothing is sent while no service is short of room.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     customer_demand::{ClassKey, DemandMeter, MAX_CLASSES_REPORTED},
@@ -27,14 +24,15 @@
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 const MAX_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of reports of a daemon and of a leader at the beginning of a shortage that follow each
-/// other faster, and their interval. The first ones cannot tell much of a burst yet.
-const FIRST_REPORTS: u32 = 2;
+/// other faster, and their interval. The first ones cannot tell much of a burst yet: with two
+/// first reports, 340 daemons gave back 70% of what a burst took in the replay, with four 83%.
+const FIRST_REPORTS: u32 = 4;
 const FIRST_INTERVAL: Duration = Duration::from_secs(1);
 const FIRST_LEADER_REPORTS: u32 = 6;
 const FIRST_LEADER_INTERVAL: Duration = Duration::from_millis(400);
-/// Bytes per second that the reports of a zone to its leader may take, half of what all control
-/// traffic of a daemon may, and the size of a report and of what it says of one service.
-const ZONE_BYTES_PER_SECOND: f64 = 3_000.0;
+/// Bytes per second that the reports of a zone to its leader may take, a third of what all
+/// control traffic of a daemon may, and the size of a report and of what it says of one service.
+const ZONE_BYTES_PER_SECOND: f64 = 2_000.0;
 const REPORT_BYTES: f64 = 60.0;
 const SERVICE_BYTES: f64 = 60.0;
 /// How long the report of a daemon counts: one may be lost at the longest interval.
@@ -100,13 +98,13 @@
     reports_of_shortage: u32,
     reported_at: Option<BootTime>,
     /// Reports of the daemons of this zone, received while this daemon leads it.
-    daemons: HashMap<DaemonName, Received>,
+    daemons: BTreeMap<DaemonName, Received>,
     /// Reports of the leaders of other zones.
-    zones: HashMap<ZoneName, Received>,
+    zones: BTreeMap<ZoneName, Received>,
     /// Demand of all daemons, as the leader of this zone reports it.
     all: Option<Received>,
     /// Customers that are limited now, by service.
-    limited: HashMap<ClassKey, Vec<Limited>>,
+    limited: BTreeMap<ClassKey, Vec<Limited>>,
 }
 
 impl DemandExchange {
@@ -283,6 +281,7 @@
                 });
             sum.recent = sum.recent.saturating_add(customer.recent);
             sum.usual = sum.usual.saturating_add(customer.usual);
+            sum.deviation = add_deviations(sum.deviation, customer.deviation);
         }
     }
     let mut sums: Vec<_> = sums.into_values().filter(|sum| sum.is_short).collect();
@@ -298,19 +297,32 @@
     sums
 }
 
+/// Returns the standard deviation of the sum of two independent values.
+fn add_deviations(a: u32, b: u32) -> u32 {
+    let sum = f64::from(a).hypot(f64::from(b));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "saturates"
+    )]
+    let sum = sum.round() as u32;
+    sum
+}
+
 /// Returns the demand that a report states. All customers have the same weight, since the
 /// configuration gives none.
 fn demand_of(report: &ServiceDemandReport, customers: usize) -> ServiceDemand {
-    let rate = |recent, usual| CustomerRate {
+    let rate = |recent, usual, deviation| CustomerRate {
         recent: rate_from_wire(recent),
         usual: rate_from_wire(usual),
+        deviation: rate_from_wire(deviation),
     };
     let largest = report.largest.iter();
-    let largest = largest.map(|c| (c.customer, rate(c.recent, c.usual), 1.0));
+    let largest = largest.map(|c| (c.customer, rate(c.recent, c.usual, c.deviation), 1.0));
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
     let weights = customers as f64;
     ServiceDemand {
-        all: rate(report.recent, report.usual),
+        all: rate(report.recent, report.usual, 0),
         served: rate_from_wire(report.served),
         largest: largest.collect(),
         weights,
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -241,6 +241,8 @@
     pub recent: u32,
     /// Usual demand.
     pub usual: u32,
+    /// Standard deviation of the recent demand by chance.
+    pub deviation: u32,
 }
 
 /// Steps per unit of a rate in messages: at a daemon of hundreds, a customer has a request in
--- a/tests/gateway_customer_shares.rs
+++ b/tests/gateway_customer_shares.rs
@@ -11,7 +11,7 @@
 )]
 
 use std::{
-    collections::{BinaryHeap, HashMap, VecDeque},
+    collections::{BTreeMap, BinaryHeap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -175,7 +175,7 @@
     targets: Vec<Target>,
     /// Requests at each target by the last reports, and those of each daemon since.
     known: Vec<usize>,
-    own: Vec<HashMap<usize, isize>>,
+    own: Vec<BTreeMap<usize, isize>>,
     messages: BinaryHeap<(std::cmp::Reverse<u64>, usize, usize, usize)>,
     reports: Vec<DemandReport>,
     repeats: BinaryHeap<(std::cmp::Reverse<u64>, Request)>,
@@ -194,7 +194,7 @@
             incarnation: scenario.daemons as u64 + 1,
             targets: (0..targets).map(|_| Target::default()).collect(),
             known: vec![0; targets],
-            own: vec![HashMap::new(); scenario.daemons],
+            own: vec![BTreeMap::new(); scenario.daemons],
             messages: BinaryHeap::new(),
             reports: Vec::new(),
             repeats: BinaryHeap::new(),
@@ -223,7 +223,7 @@
             if ms.is_multiple_of(REPORT_MS) {
                 let count = |target: &Target| target.running.len() + target.waiting.len();
                 self.known = self.targets.iter().map(count).collect();
-                self.own.iter_mut().for_each(HashMap::clear);
+                self.own.iter_mut().for_each(BTreeMap::clear);
             }
             self.end_runs(ms);
             self.deliver(ms);
@@ -610,6 +610,7 @@
             customer: 1,
             recent: recent * 64,
             usual: 64,
+            deviation: 64,
         }],
     };
     DemandReport {
@@ -698,12 +699,14 @@
     let rate = |(recent, usual): &(f64, f64)| CustomerRate {
         recent: *recent,
         usual: *usual,
+        deviation: 0.0,
     };
     let largest = (0..).zip(rates).map(|(i, r)| (i, rate(r), 1.0));
     ServiceDemand {
         all: CustomerRate {
             recent: rates.iter().map(|(recent, _)| recent).sum(),
             usual: rates.iter().map(|(_, usual)| usual).sum(),
+            deviation: 0.0,
         },
         served: 100.0,
         largest: largest.collect(),
@@ -725,6 +728,48 @@
     assert!((89.0..180.0).contains(&(first + second)), "{kept:?}");
 }
 
+#[test]
+fn a_few_large_requests_are_no_burst() {
+    let mut few = demand(&[(60.0, 4.0), (60.0, 60.0)]);
+    assert_eq!(few.limited().len(), 1);
+    few.largest[0].1.deviation = 30.0;
+    assert_eq!(few.limited(), []);
+}
+
+/// Generations of very different sizes arrive at random, more than engines serve, and some
+/// customers happen to send much at a time.
+#[test]
+fn chance_limits_nobody() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let around = Surroundings {
+        is_leader: true,
+        zone_daemons: 1,
+        daemons: 1,
+        customers: 24,
+    };
+    let mut exchange = DemandExchange::new(1);
+    let mut limited = 0;
+    for ms in (0..300_000).step_by(10) {
+        for customer in 0..24 {
+            // Two requests a second of 100 to 30,000 tokens.
+            if rng.random::<f64>() < 0.02 {
+                let tokens = 100.0 * 300_f64.powf(rng.random());
+                exchange.meter.record(CLASS, customer, tokens, at(ms));
+                exchange.meter.record_short(CLASS, at(ms));
+                if rng.random::<f64>() < 0.7 {
+                    exchange.meter.record_served(CLASS, tokens, at(ms));
+                }
+            }
+        }
+        if ms % TICK_MS == 0 {
+            exchange.step(&around, at(ms));
+            limited += exchange.limited_count();
+        }
+    }
+    // Of 36,000 times that a customer could have been limited.
+    assert!(limited <= 36, "{limited}");
+}
+
 #[test]
 fn weights_divide_what_is_left() {
     let parts = max_min(90.0, &[(100.0, 2.0), (100.0, 1.0), (10.0, 1.0)]);
