--- a/tests/gateway_customer_shares.rs
+++ b/tests/gateway_customer_shares.rs
@@ -69,7 +69,8 @@
 /// How messages between daemons fare.
 #[derive(Clone, Copy, Default)]
 struct Network {
-    loses_all: bool,
+    /// Time from which all messages are lost.
+    lost_from_ms: Option<u64>,
     is_duplicating: bool,
     delay_ms: u64,
 }
@@ -300,7 +301,7 @@
         let bytes = PACKET_BYTES + postcard::to_stdvec(report).expect("encode a report").len();
         self.bytes[from] += bytes;
         self.bytes[to] += bytes;
-        if network.loses_all {
+        if network.lost_from_ms.is_some_and(|from| ms >= from) {
             return;
         }
         let copies = if network.is_duplicating { 2 } else { 1 };
@@ -536,11 +537,24 @@
 #[test]
 fn without_reports_nobody_is_refused() {
     let mut scenario = Scenario::burst(58, 3, senders(24, 20.0));
-    scenario.network.loses_all = true;
+    scenario.network.lost_from_ms = Some(0);
     let outcome = scenario.run();
     assert_eq!(outcome.counts[0].refused + outcome.others().refused, 0);
 }
 
+#[test]
+fn reports_that_stop_in_a_burst_end_the_limits() {
+    let mut scenario = Scenario::burst(58, 3, senders(24, 20.0));
+    let all = scenario.run();
+    scenario.network.lost_from_ms = Some(30_000);
+    let lost = scenario.run();
+    assert!(lost.counts[0].refused > 0);
+    // A limit lasts for 3.5 s of the last 7 s, and longer only at leaders.
+    assert!(lost.counts[0].refused < all.counts[0].refused, "{lost:?}");
+    assert_eq!(lost.others().refused, 0);
+    assert_eq!(lost.refused_outside, 0);
+}
+
 #[test]
 fn late_and_duplicated_reports_limit_the_same_customer_only() {
     let mut scenario = Scenario::burst(58, 3, senders(24, 20.0));
@@ -646,6 +660,12 @@
     // The daemon has restarted.
     exchange.receive("d", "z", report(daemon, 6, 1, 70), at(20));
     assert_eq!(limited_rate(&mut exchange, &around, 20), Some(70.0));
+    // Too few of the daemons are known.
+    let cut_off = Surroundings {
+        daemons: 5,
+        ..around
+    };
+    assert_eq!(limited_rate(&mut exchange, &cut_off, 20), None);
     // Its reports have stopped.
     assert_eq!(limited_rate(&mut exchange, &around, 13_000), None);
 }
