--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,9 @@
 mod control;
 mod crash_history;
 mod crashes;
+mod customer_demand;
+mod customer_shares;
+mod demand_exchange;
 mod engines;
 mod event_queue;
 mod events;
@@ -51,6 +54,7 @@
 mod sent;
 mod service_rates;
 mod settings;
+mod share_use;
 mod shared_state;
 mod speed_table;
 mod speed_use;
@@ -99,6 +103,9 @@
         ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict,
     },
     crash_history::{CrashHistory, CrashHistoryHandle, RunCrash},
+    customer_demand::{ClassKey, DemandMeter},
+    customer_shares::{CustomerKey, CustomerRate, Limited, ServiceDemand, is_short, max_min},
+    demand_exchange::{DemandExchange, FORWARDED_TO, Surroundings},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     feed::{ReadError, Store},
@@ -112,9 +119,9 @@
         RepeatPolicy, Route, Service, Target, TargetId, Tokens, Topic, ZoneName,
     },
     peer_wire::{
-        AttemptKey, RequestCrash, RequestCrashReport, ServiceSendCounts, SpeedReport,
-        StatementReport, SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport,
-        ZoneLoad, target_key,
+        AttemptKey, CustomerDemand, DemandReport, DemandScope, Incarnation, RequestCrash,
+        RequestCrashReport, ServiceDemandReport, ServiceSendCounts, SpeedReport, StatementReport,
+        SubjectKey, SuspectReport, TargetKey, TargetWork, Update, WorkReport, ZoneLoad, target_key,
     },
     peers::{DaemonInfo, DaemonName, Peers},
     placement::{
@@ -131,6 +138,7 @@
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     service_rates::ServiceRates,
     settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
+    share_use::DemandTracker,
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
@@ -187,6 +195,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub demand: DemandTracker,
 }
 
 /// Open connections of each port.
@@ -211,6 +220,7 @@
     suspects: Suspects,
     statements: StatementTracker,
     speeds: SpeedTracker,
+    demand: DemandTracker,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -277,6 +287,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            demand: trackers.demand,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
@@ -642,7 +653,7 @@
         } else {
             None
         };
-        let job = Job {
+        let mut job = Job {
             subjects: info.parts.iter().copied().chain([request]).collect(),
             request,
             is_resumable: policy.is_resumable(),
@@ -661,7 +672,10 @@
             arrived,
             info,
             progress: progress.clone(),
+            account: None,
         };
+        job.account = Self::share_account(&fleet, &job, &admitted);
+        self.record_demand(&job, clock::now());
         if is_stream {
             self.serve_stream(job, admitted).await
         } else {
