Bound the bytes that wait unread in the sockets of clients

Cause: connections had receive buffers of the default size, some 118 KiB each, whatever their number and the memory of the process; also those that were not accepted yet, up to 1,024.

Change: the listening sockets have a buffer of 8 KiB (12 KiB can wait in it). It is enlarged to 64 KiB (96 KiB) for a body of more than 8 KiB or of unknown length, on as many connections as fit into 8% of memory_mb. Connections that are not accepted yet wait in 4% of it, 128 to 1,024 of them.

Ruled out: setting the size after accepting, or shrinking it again. One small size for all would slow large bodies from other regions.

--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -19,6 +20,7 @@
 use super::{
     connections::{ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict},
     in_flight::InFlightCounter,
+    receive_buffer::ReceiveBuffer,
 };
 use crate::clock;
 
@@ -33,6 +35,7 @@
     pub in_flight: InFlightCounter,
     /// Cancelled when the connection gives way to another one.
     pub evicted: CancellationToken,
+    pub receive_buffer: ReceiveBuffer,
 }
 
 impl Monitor {
@@ -41,6 +44,7 @@
             state: Arc::new(Mutex::new(ConnectionState::new(clock::now()))),
             in_flight: InFlightCounter::default(),
             evicted: CancellationToken::new(),
+            receive_buffer: ReceiveBuffer::default(),
         }
     }
 
@@ -145,11 +149,32 @@
 
 /// TCP connection that records when bytes go in either direction.
 pub(crate) struct MonitoredTcp {
-    pub tcp: TcpStream,
-    pub monitor: Monitor,
+    tcp: TcpStream,
+    monitor: Monitor,
+    /// Whether the receive buffer was enlarged.
+    has_large_buffer: bool,
 }
 
 impl MonitoredTcp {
+    pub fn new(tcp: TcpStream, monitor: Monitor) -> Self {
+        Self {
+            tcp,
+            monitor,
+            has_large_buffer: false,
+        }
+    }
+
+    /// Enlarges the receive buffer once that is wanted. Without, the connection is slower.
+    fn adapt_receive_buffer(&mut self) {
+        if self.has_large_buffer {
+            return;
+        }
+        if let Some(size) = self.monitor.receive_buffer.large_size() {
+            self.has_large_buffer = true;
+            let _ = SockRef::from(&self.tcp).set_recv_buffer_size(size);
+        }
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         let has_progress = matches!(written, Poll::Ready(Ok(len)) if *len > 0);
         let mut state = self.monitor.state();
@@ -163,6 +188,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.adapt_receive_buffer();
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
         if buf.filled().len() > filled {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -89,10 +89,7 @@
     let service = service_fn(move |req: Request<Incoming>| {
         respond(service_gateway.clone(), service_monitor.clone(), req)
     });
-    let io = TokioIo::new(MonitoredTcp {
-        tcp,
-        monitor: monitor.clone(),
-    });
+    let io = TokioIo::new(MonitoredTcp::new(tcp, monitor.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts it from the end of the last request.
@@ -146,7 +143,7 @@
     let id = gateway.names.request_id_of(req.headers()).unwrap_or("-");
     let running = gateway.in_progress.start(id.into(), &monitor.in_flight);
     monitor.record_request();
-    let handling = gateway.handle_request(req, running.progress(), &monitor.in_flight);
+    let handling = gateway.handle_request(req, running.progress(), &monitor);
     let mut res = handling.await;
     running.progress().set(Stage::Responding);
     if gateway.shared.is_stopping() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod priority;
 mod pump;
 mod readiness;
+mod receive_buffer;
 mod refusal;
 mod resumption;
 mod rollout;
@@ -76,7 +77,12 @@
 };
 
 use arc_swap::ArcSwap;
-use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    header,
+    http::request::Parts,
+};
 use strum::IntoEnumIterator;
 use tokio::{
     net::TcpListener,
@@ -121,6 +127,7 @@
         plain_cost, sample_other_zones,
     },
     priority::PriorityRange,
+    receive_buffer::max_large_buffers,
     resumption::{
         AfterBreak, BrokenStream, GiveUpReason, InvalidEventId, StreamPosition, after_break,
         parse_event_id,
@@ -147,7 +154,7 @@
 };
 use self::{
     body_pace::{PacedBody, Shortages},
-    connection_set::ConnectionSet,
+    connection_set::{ConnectionSet, Monitor},
     control::Control,
     crashes::request_key,
     head_fields::take_field_memory,
@@ -218,6 +225,8 @@
     ports: PortConnections,
     /// Open connections of callers.
     connections: InFlightCounter,
+    /// Those with a large receive buffer.
+    large_buffers: InFlightCounter,
     /// Cancelled when requests that have no response yet are to be answered, because
     /// the process is about to exit.
     final_answers: CancellationToken,
@@ -244,9 +253,10 @@
         store: Store,
         engines: EngineCalls,
     ) -> io::Result<Self> {
-        let callers = TcpListener::bind(settings.listen.callers).await?;
-        let readiness = TcpListener::bind(settings.listen.readiness).await?;
-        let metrics = TcpListener::bind(settings.listen.metrics).await?;
+        let listen = |address| receive_buffer::listen(address, settings.memory_mb);
+        let callers = listen(settings.listen.callers)?;
+        let readiness = listen(settings.listen.readiness)?;
+        let metrics = listen(settings.listen.metrics)?;
         crate::metrics::install();
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
@@ -280,6 +290,7 @@
             shortages: Shortages::default(),
             ports: PortConnections::default(),
             connections: InFlightCounter::default(),
+            large_buffers: InFlightCounter::default(),
             final_answers: CancellationToken::new(),
             stop_requested_at: Mutex::default(),
         });
@@ -510,7 +521,7 @@
         self: &Arc<Self>,
         req: Request<Incoming>,
         progress: &Progress,
-        on_connection: &InFlightCounter,
+        monitor: &Monitor,
     ) -> Response<ResponseBody> {
         let (head, mut body) = req.into_parts();
         let id = self.names.request_id_of(&head.headers).unwrap_or("-");
@@ -518,7 +529,7 @@
         let served = tokio::select! {
             // A response that is ready goes before the final answer.
             biased;
-            served = self.serve(head, &mut body, progress) => served,
+            served = self.serve(head, &mut body, progress, monitor) => served,
             () = self.final_answers.cancelled() => Err(match progress.stage() {
                 Stage::NotRun => Refusal::Stopping,
                 Stage::Sent | Stage::Responding => Refusal::Exiting,
@@ -539,7 +550,7 @@
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
                     .increment(1);
-                let unread = on_connection.start();
+                let unread = monitor.in_flight.start();
                 let max_body_bytes = self.limits().max_body_bytes;
                 tokio::spawn(async move {
                     http::discard(body, max_body_bytes).await;
@@ -556,10 +567,11 @@
         head: Parts,
         body: &mut Incoming,
         progress: &Progress,
+        monitor: &Monitor,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let memory = self.memory.requests.try_take(REQUEST_BYTES);
         let memory = memory.ok_or(Refusal::NoMemory)?;
-        let mut res = self.forward(head, body, progress).await?;
+        let mut res = self.forward(head, body, progress, monitor).await?;
         res.body_mut().attach_memory(memory);
         Ok(res)
     }
@@ -570,6 +582,7 @@
         head: Parts,
         body: &mut Incoming,
         progress: &Progress,
+        monitor: &Monitor,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = clock::now();
         let field_memory = take_field_memory(&head.headers, &self.memory.bodies);
@@ -601,6 +614,11 @@
             pause: limits.idle_timeout,
             shortage_pause: limits.header_timeout,
         };
+        let size = body.size_hint();
+        if size.exact().is_none_or(|size| size > SMALL_BYTES as u64) {
+            let max = max_large_buffers(self.settings().memory_mb);
+            monitor.receive_buffer.enlarge(&self.large_buffers, max);
+        }
         let mut paced = PacedBody::new(body, pace, self.shortages.clone());
         // Bodies that have stopped give way meanwhile.
         let on_shortage = || {
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -154,10 +154,7 @@
             *res.status_mut() = status;
             async move { Ok::<_, Infallible>(res) }
         });
-        let io = TokioIo::new(MonitoredTcp {
-            tcp,
-            monitor: monitor.clone(),
-        });
+        let io = TokioIo::new(MonitoredTcp::new(tcp, monitor.clone()));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
