Add the optional bounds of rollouts to the settings

Cause: rollouts are bounded by three values that only deployments with rollouts have. Result: tests/gateway_settings.rs passes.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -125,7 +125,7 @@
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     service_rates::ServiceRates,
-    settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
+    settings::{Bounds, GatewayListen, GatewaySettings, RolloutSettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -41,6 +41,37 @@
     pub sends_priority: bool,
     /// Service bounds that operators promise.
     pub bounds: Bounds,
+    /// Bounds of rollouts; `None` on deployments without rollouts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<RolloutSettings>,
+}
+
+/// Bounds of rollouts, that is of what a bad version may receive.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct RolloutSettings {
+    /// Share of the requests of its service that a bad version may receive between the order
+    /// and its time limit, from all daemons together.
+    pub exposure_share: f64,
+    /// Requests that a bad version may receive on top of that.
+    pub exposure_slack: f64,
+    /// Maximum time from the 50th bad response of a version until it receives no new requests,
+    /// in milliseconds.
+    pub rollback_ms: u64,
+}
+
+impl RolloutSettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        if !(0.0..=1.0).contains(&self.exposure_share) {
+            let reason = "must be from 0 to 1";
+            faults.push(fault("/rollouts/exposure_share", reason));
+        }
+        if !self.exposure_slack.is_finite() || self.exposure_slack < 0.0 {
+            let reason = "must be finite and not negative";
+            faults.push(fault("/rollouts/exposure_slack", reason));
+        }
+        faults
+    }
 }
 
 /// Addresses to listen on.
@@ -154,6 +185,7 @@
                 retry_extra: 58.0,
                 retry_window_s: 10.0,
             },
+            rollouts: None,
         }
     }
 
@@ -188,6 +220,7 @@
         if bounds.key_removal_ms == 0 {
             faults.push(fault("/bounds/key_removal_ms", "must be above zero"));
         }
+        faults.extend(self.rollouts.iter().flat_map(RolloutSettings::faults));
         faults
     }
 
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -42,3 +42,37 @@
         "{error}"
     );
 }
+
+/// Guards against settings of deployments without rollouts that are refused, or written with a
+/// field that older daemons do not know.
+#[test]
+fn rollouts_are_optional() {
+    let example =
+        serde_json::to_value(GatewaySettings::example()).expect("the settings serialize as JSON");
+    assert_eq!(example.get("rollouts"), None);
+    let read = read(&example).expect("valid settings");
+    assert_eq!(read.rollouts, None);
+}
+
+/// Guards against bounds of rollouts that no count of requests can be compared with.
+#[test]
+fn invalid_bounds_of_rollouts_are_reported() {
+    let mut value =
+        serde_json::to_value(GatewaySettings::example()).expect("the settings serialize as JSON");
+    let valid = json!({"exposure_share": 0.1, "exposure_slack": 50, "rollback_ms": 5000});
+    value["rollouts"] = valid;
+    let rollouts = read(&value).expect("valid settings").rollouts;
+    assert_eq!(rollouts.map(|r| r.rollback_ms), Some(5_000));
+    for (field, invalid) in [
+        ("exposure_share", json!(1.1)),
+        ("exposure_share", json!(-0.1)),
+        ("exposure_slack", json!(-1)),
+    ] {
+        let mut value = value.clone();
+        value["rollouts"][field] = invalid;
+        let error = read(&value).expect_err("invalid settings");
+        assert!(error.contains(&format!("/rollouts/{field}")), "{error}");
+    }
+    value["rollouts"]["rollback_ms"] = json!(-1);
+    read(&value).expect_err("a negative time");
+}
