Follow rollouts in the store and write their status

Cause: operators order rollouts in the store, and learn from the status how they end. Change: with the setting, daemons follow the topic 'rollouts' and learn the versions of targets; one daemon at a time writes the status, always on condition of the object's revision, in the order of rank. After a lost answer the object is read again. A final status that a restored store lacks stays in force and is written again. Without the setting nothing is read, sent or changed.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,7 +9,6 @@
     time::Duration,
 };
 
-use strum::IntoEnumIterator;
 use tokio::sync::{Notify, watch};
 
 use super::{
@@ -24,6 +23,7 @@
         ZoneLoad, target_key,
     },
     peers::Peers,
+    rollouts::Rollouts,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
     speed_table::SpeedTracker,
@@ -39,6 +39,9 @@
 /// How long answers report that the store has recovered; by then, expired entries
 /// have returned or their targets are removed.
 const STORE_BACK_REPORTED_FOR: Duration = Duration::from_secs(5);
+/// How long a daemon that has read all else waits for the rollouts before it serves. A store
+/// that refuses only this topic, or daemons without rollouts, must not keep it from serving.
+const MAX_ROLLOUTS_WAIT: Duration = Duration::from_secs(3);
 
 /// State of the control thread.
 pub(crate) struct Control {
@@ -46,6 +49,10 @@
     feeds: HashMap<Topic, FeedState>,
     change_logs: HashMap<Topic, ChangeLog>,
     topics_read: HashSet<Topic>,
+    /// Whether rollouts are followed.
+    has_rollouts: bool,
+    /// Time at which all topics but the rollouts had been read; `None` before that.
+    others_read_at: Option<BootTime>,
     /// Whether the complete configuration is needed, because a patch from another
     /// daemon is based on a configuration that this daemon never had.
     needs_full_config: bool,
@@ -65,6 +72,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub rollouts: Rollouts,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -113,6 +121,8 @@
             feeds: HashMap::new(),
             change_logs: HashMap::new(),
             topics_read: HashSet::new(),
+            has_rollouts: false,
+            others_read_at: None,
             needs_full_config: false,
             config_confirmed_at: None,
             awaited_confirmation: None,
@@ -124,6 +134,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            rollouts: trackers.rollouts,
             send_window,
             shared,
             // The first tick decides.
@@ -133,6 +144,27 @@
         }
     }
 
+    /// Follows rollouts too.
+    pub fn with_rollouts(mut self) -> Self {
+        self.has_rollouts = true;
+        self
+    }
+
+    /// Returns whether rollouts are followed.
+    pub fn has_rollouts(&self) -> bool {
+        self.has_rollouts
+    }
+
+    /// Returns the topics that this daemon follows.
+    pub fn topics(&self) -> impl Iterator<Item = Topic> + use<> {
+        Topic::followed(self.has_rollouts)
+    }
+
+    /// Returns the view of the fleet.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// Returns a receiver for whether this daemon has to read the store.
     pub fn subscribe_is_reader(&self) -> watch::Receiver<bool> {
         self.is_reader.subscribe()
@@ -160,7 +192,7 @@
             Topic::Config if self.needs_full_config => 0,
             _ => self.revision(topic),
         };
-        Topic::iter()
+        self.topics()
             .map(|topic| (topic, revision(topic)))
             .collect()
     }
@@ -217,6 +249,9 @@
     /// Applies an update if it continues from the known revision. Returns whether it
     /// changed anything.
     fn apply_update(&mut self, update: &Update, now: BootTime) -> bool {
+        if update.topic == Topic::Rollouts && !self.has_rollouts {
+            return false;
+        }
         let log = self.change_logs.entry(update.topic).or_default();
         if update.at < log.revision() && update.is_whole && update.topic == Topic::Config {
             return self.adopt_config(update, now);
@@ -255,7 +290,7 @@
             log.restart(update.at);
             self.fleet.replace(update.topic, &changes, feed, now);
             self.topics_read.insert(update.topic);
-            self.fleet.is_complete = Topic::iter().all(|t| self.topics_read.contains(&t));
+            self.check_complete(now);
         } else {
             log.push(update.at, &update.changes);
             self.fleet.apply(&update.changes, feed, now);
@@ -269,6 +304,21 @@
         has_changes
     }
 
+    /// Decides whether enough topics have been read to serve. Returns whether that changed.
+    fn check_complete(&mut self, now: BootTime) -> bool {
+        let was_complete = self.fleet.is_complete;
+        let is_read = |topic| self.topics_read.contains(&topic);
+        if Topic::followed(false).all(is_read) {
+            let waited = now.saturating_sub(*self.others_read_at.get_or_insert(now));
+            let has_rollouts = !self.has_rollouts || self.topics_read.contains(&Topic::Rollouts);
+            if !has_rollouts && waited >= MAX_ROLLOUTS_WAIT && !was_complete {
+                log::warn!("event=rollouts_missing waited_ms={}", waited.as_millis());
+            }
+            self.fleet.is_complete = was_complete || has_rollouts || waited >= MAX_ROLLOUTS_WAIT;
+        }
+        self.fleet.is_complete != was_complete
+    }
+
     /// Applies the configuration of a daemon that is behind in the store, which may still be
     /// newer than the one that a restored store holds. Returns whether it is.
     fn adopt_config(&mut self, update: &Update, now: BootTime) -> bool {
@@ -570,7 +620,8 @@
     /// Updates all state that depends on time.
     pub fn tick(&mut self) {
         let now = clock::now();
-        if self.fleet.expire(now) {
+        let is_completed = self.check_complete(now);
+        if self.fleet.expire(now) || is_completed {
             self.shared.publish(self.fleet.clone());
         }
         let config_age = self.config_confirmed_at.map(|at| now.saturating_sub(at));
@@ -622,10 +673,14 @@
                 let entry = |known: &super::model::KnownTarget| {
                     let mut target = (*known.target).clone();
                     target.cold_for = known.cold_until.saturating_sub(now);
-                    Change::Target(target)
+                    let id = target.id.clone();
+                    let version = known.version.clone();
+                    let version = version.map(|version| Change::TargetVersion(id, version));
+                    [Some(Change::Target(target)), version]
                 };
-                self.targets.values().map(entry).collect()
+                self.targets.values().flat_map(entry).flatten().collect()
             }
+            Topic::Rollouts => self.stored_rollouts().map(Change::Rollout).collect(),
             Topic::Evacuations => self
                 .evacuated_zones
                 .iter()
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -17,6 +17,7 @@
     model::{Batch, Change, Read, Topic},
     peer_wire::Update,
     peers::{DaemonInfo, DaemonName},
+    rollout_writer::{RolloutAnswer, RolloutStatusWrite},
     store_era::{era_of, mark_written_in_era},
 };
 use crate::{clock, platform::Revision};
@@ -66,6 +67,11 @@
     pub register: Arc<dyn Fn(DaemonName, DaemonInfo) -> Call<()> + Send + Sync>,
     /// Reads the list of daemons, which may be several seconds old.
     pub list_daemons: Arc<dyn Fn() -> Call<DaemonList> + Send + Sync>,
+    /// Writes the status of a rollout if its object still has the stated revision.
+    pub write_rollout_status:
+        Arc<dyn Fn(RolloutStatusWrite) -> BoxFuture<'static, RolloutAnswer> + Send + Sync>,
+    /// Reads the object of a rollout, given its service.
+    pub read_rollout: Arc<dyn Fn(Box<str>) -> BoxFuture<'static, RolloutAnswer> + Send + Sync>,
 }
 
 /// Reads a topic whenever this daemon has to read the store; never returns. Changes to
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -122,6 +122,7 @@
                     }
                 }
             }
+            Topic::Rollouts => self.retain_rollouts(changes, feed.era_began_at == Some(now)),
         }
     }
 
@@ -167,7 +168,11 @@
                 if self.targets.contains_key(name) {
                     self.remove(name, feed, now);
                 }
+                self.end_rollout(name, "unreadable");
             }
+            Change::Rollout(rollout) => self.put_rollout(rollout),
+            Change::RolloutGone(service) => self.remove_rollout(service),
+            Change::TargetVersion(id, version) => self.put_version(id, version),
         }
     }
 
@@ -244,6 +249,8 @@
         let known = self.targets.get(&target.id);
         let was_leaving = known.and_then(|k| k.leaving_since);
         let said_leaving_at = known.and_then(|k| k.said_leaving_at);
+        // An incarnation runs one version, and daemons without rollouts send none.
+        let version = known.and_then(|k| k.version.clone());
         if known.is_none_or(|k| *k.target != *target) {
             log::info!(
                 "event=target id={} service={} address={} zone={} draining={} cold_ms={}",
@@ -258,7 +265,7 @@
         let known = KnownTarget {
             key: target_key(&target.id),
             target: Arc::new(target.clone()),
-            version: None,
+            version,
             cold_until: now + target.cold_for,
             removal_due_at: None,
             leaving_since: if target.is_draining {
@@ -271,6 +278,16 @@
         self.targets.insert(target.id.clone(), known);
     }
 
+    fn put_version(&mut self, id: &TargetId, version: &str) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        if known.version.as_deref() != Some(version) {
+            log::info!("event=target_version id={id} version={version}");
+            known.version = Some(version.into());
+        }
+    }
+
     /// Records which targets have said in their answers that they leave, and when. Returns
     /// whether this changes anything.
     pub fn set_said_leaving(&mut self, leaving: &HashMap<TargetKey, BootTime>) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,10 @@
 mod refusal;
 mod resumption;
 mod rollout;
+mod rollout_orders;
+mod rollout_status;
+mod rollout_writer;
+mod rollouts;
 mod room;
 mod routing;
 mod send_budget;
@@ -76,7 +80,6 @@
 
 use arc_swap::ArcSwap;
 use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
-use strum::IntoEnumIterator;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
@@ -122,6 +125,8 @@
         parse_event_id,
     },
     rollout::{Rollout, RolloutOrder, RolloutState},
+    rollout_writer::{RolloutAnswer, RolloutCall, RolloutStatusWrite, RolloutStep, RolloutWriter},
+    rollouts::{RolloutDecision, Rollouts},
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
     service_rates::ServiceRates,
@@ -180,6 +185,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub rollouts: Rollouts,
 }
 
 /// Open connections of each port.
@@ -377,6 +383,7 @@
         .build()?;
     let identity = identity(settings)?;
     let window = settings.send_budget().window;
+    let has_rollouts = settings.rollouts.is_some();
     let (started_tx, started_rx) = oneshot::channel();
     let run_control = move || {
         let tasks = tokio::task::LocalSet::new();
@@ -384,7 +391,11 @@
         if identity.has_seeds() {
             peers = peers.with_seeds();
         }
-        let control = Rc::new(RefCell::new(Control::new(peers, trackers, window, shared)));
+        let mut control = Control::new(peers, trackers, window, shared);
+        if has_rollouts {
+            control = control.with_rollouts();
+        }
+        let control = Rc::new(RefCell::new(control));
         tasks.block_on(&runtime, async move {
             let port = PeerPort::bind(identity, control.clone()).await;
             let started = port.map(|port| start_control(Rc::new(port), &store, &control));
@@ -400,19 +411,25 @@
     started_rx.await.map_err(io::Error::other)?
 }
 
-/// Starts the tasks of the control thread: one feed for each topic, the
-/// exchange of messages with peers, the server that answers fetches, and the
+/// Starts the tasks of the control thread: one feed for each topic, the writer of
+/// rollouts' status, the exchange of messages with peers, the server that answers fetches, and the
 /// maintenance of the list of daemons.
 fn start_control(port: Rc<PeerPort>, store: &Store, control: &Rc<RefCell<Control>>) {
     let (updates_tx, updates_rx) = mpsc::unbounded_channel();
     // Shared, so that the exchange of messages still has it after a restart.
     let updates_rx = Rc::new(tokio::sync::Mutex::new(updates_rx));
-    for topic in Topic::iter() {
+    for topic in control.borrow().topics() {
         let (store, control, updates_tx) = (store.clone(), control.clone(), updates_tx.clone());
         supervise_local("feed", move || {
             feed::follow(topic, store.clone(), control.clone(), updates_tx.clone())
         });
     }
+    if control.borrow().has_rollouts() {
+        let (store, control) = (store.clone(), control.clone());
+        supervise_local("rollout_status", move || {
+            rollout_status::write_statuses(store.clone(), control.clone())
+        });
+    }
     let exchange_port = port.clone();
     supervise_local("peers", move || {
         exchange_port.clone().run(updates_rx.clone())
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -8,6 +8,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
 
 use super::{config_patch::ConfigPatch, rollout::Rollout};
 use crate::{clock::BootTime, platform::Revision};
@@ -173,6 +174,16 @@
     Targets,
     /// Availability zones that are taken out of service.
     Evacuations,
+    /// Rollouts; followed only with the setting `rollouts`.
+    Rollouts,
+}
+
+impl Topic {
+    /// Returns the topics that a daemon follows. Rollouts are last, so that messages of
+    /// daemons without them stay the same.
+    pub fn followed(has_rollouts: bool) -> impl Iterator<Item = Self> + Clone {
+        Self::iter().filter(move |topic| has_rollouts || *topic != Self::Rollouts)
+    }
 }
 
 /// Read request to the store.
@@ -216,6 +227,13 @@
         /// Error found in the entry.
         reason: Box<str>,
     },
+    /// An order that was added or changed, or its status.
+    Rollout(Rollout),
+    /// The order for a service was removed.
+    RolloutGone(Box<str>),
+    /// Version of a target; follows the target's own change. Not a field of [`Target`], which
+    /// daemons without rollouts exchange too.
+    TargetVersion(TargetId, Box<str>),
 }
 
 /// Answer to a [`Read`].
@@ -245,6 +263,9 @@
     pub lapsed_evacuations: BTreeMap<ZoneName, BootTime>,
     /// Rollouts by service.
     pub rollouts: BTreeMap<Box<str>, Rollout>,
+    /// Services whose final status a restored store does not hold, with what it holds instead.
+    /// Their entries in `rollouts` have the final status.
+    pub lost_rollouts: BTreeMap<Box<str>, Option<Rollout>>,
     /// Whether every topic has been read at least once.
     pub is_complete: bool,
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 //! load with the leaders of other zones.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -353,6 +353,32 @@
         self.higher_ranked().is_empty() && self.listed.values().all(|l| zone_rank(&l.zone) <= own)
     }
 
+    /// Returns how many daemons are to write to the store before this one, if all of them have
+    /// the same to write: the leaders of zones come first, that of the highest-ranked zone before
+    /// the others. Daemons that are not heard do not count, as far as this daemon would hear them.
+    /// Two daemons may have the same number.
+    #[must_use]
+    pub fn writer_rank(&self, now: BootTime) -> u32 {
+        let is_heard = |name: &str| {
+            let state = self.states.get(name);
+            state.is_some_and(|s| now.saturating_sub(s.last_datagram_at) < FOLLOWER_EXPIRY)
+        };
+        let higher_ranked = self.higher_ranked();
+        let position = higher_ranked.iter().filter(|name| is_heard(name)).count();
+        // Only leaders of zones hear daemons of other zones.
+        let hears_zones = self.is_zone_leader(now);
+        let zones: BTreeSet<&str> = self.listed.values().map(|l| &*l.zone).collect();
+        let own = zone_rank(&self.zone);
+        let is_before = |zone: &&&str| {
+            let in_zone = self.listed.iter().filter(|(_, l)| *l.zone == ***zone);
+            let mut in_zone = in_zone.map(|(name, _)| name);
+            zone_rank(zone) > own && (!hears_zones || in_zone.any(|name| is_heard(name)))
+        };
+        let zones_before = zones.iter().filter(is_before).count();
+        let zone_count = zones.len().max(1);
+        u32::try_from(position * zone_count + zones_before).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether this daemon obtains the changes for its zone, from the store or
     /// from daemons of other zones.
     #[must_use]
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -282,3 +282,36 @@
     };
     assert_eq!(other_work, work(expected));
 }
+
+/// Guards against daemons that all write to the store at once, and against a write that waits
+/// for daemons that are silent.
+#[test]
+fn the_leaders_of_zones_write_first_and_silent_daemons_do_not_count() {
+    let mut fleet = Fleet::of(&["z1", "z2", "z3"], 3);
+    fleet.run(0..10_000);
+    let now = at(10_000);
+    let ranks = |fleet: &Fleet, now| -> Vec<u32> {
+        let peers = fleet.peers.iter().enumerate();
+        let live = peers.filter(|(i, _)| !fleet.silent.contains(i));
+        let mut ranks: Vec<u32> = live.map(|(_, (_, p))| p.writer_rank(now)).collect();
+        ranks.sort_unstable();
+        ranks
+    };
+    assert_eq!(ranks(&fleet, now), [0, 1, 2, 3, 4, 5, 6, 7, 8]);
+    let readers = fleet.readers(now);
+    assert_eq!(readers.len(), 1);
+    assert_eq!(fleet.peers[readers[0]].1.writer_rank(now), 0);
+    // The zone of the reader falls silent.
+    let zone = fleet.zones[readers[0]].clone();
+    fleet.silent = (0..9).filter(|i| fleet.zones[*i] == zone).collect();
+    fleet.run(10_000..15_000);
+    let ranks = ranks(&fleet, at(15_000));
+    assert_eq!(ranks[..2], [0, 1], "{ranks:?}");
+}
+
+/// Guards against delays of a daemon that is alone.
+#[test]
+fn a_daemon_that_is_alone_writes_at_once() {
+    let peers = Peers::new("entry-1", "z1", at(0));
+    assert_eq!(peers.writer_rank(at(5_000)), 0);
+}
