Forward a target's version only when it is new

Cause: targets renew their entries every second or two, and each renewal would carry the version to all daemons. A daemon without the setting that reads the store without success would also have fetched from each daemon that names the topic, since it never learns it. Change: the reader removes known versions from what it forwards; revisions of topics that are not followed no longer count as newer.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -220,6 +220,7 @@
         if !update.is_whole {
             let known = (self.fleet.config_revision, self.fleet.config.clone());
             update.changes = replace_with_patches(known, &update.changes);
+            self.fleet.remove_known_versions(&mut update.changes);
         }
         let has_changes = self.apply_update(&update, now);
         if update.topic == Topic::Config && self.revision(Topic::Config) <= update.at {
@@ -490,8 +491,10 @@
     /// a query knows a newer revision: the store may refuse some daemons and serve
     /// others.
     pub fn is_behind_sender(&self, known_revisions: &[(Topic, Revision)]) -> bool {
-        let is_newer =
-            |(topic, known_revision): &(Topic, Revision)| *known_revision > self.revision(*topic);
+        let is_newer = |(topic, known_revision): &(Topic, Revision)| {
+            self.topics().any(|followed| followed == *topic)
+                && *known_revision > self.revision(*topic)
+        };
         self.is_store_down() && known_revisions.iter().any(is_newer)
     }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -176,3 +176,81 @@
         prop_assert!(f64::from(total) <= limit, "{total} requests allowed, limit {limit}");
     }
 }
+
+fn version(id: &str, version: &str) -> Change {
+    Change::TargetVersion(id.into(), version.into())
+}
+
+fn version_of(fleet: &Fleet, id: &str) -> Option<String> {
+    let version = fleet.targets[id].version.as_deref();
+    version.map(str::to_owned)
+}
+
+/// Guards against targets of a known version that count as targets without one, because their
+/// entry was renewed.
+#[test]
+fn the_version_of_a_target_is_kept_until_another_one_is_stated() {
+    let feed = FeedState::default();
+    let mut fleet = Fleet::default();
+    fleet.apply(&[version("a", "v1")], &feed, at(900));
+    assert!(fleet.targets.is_empty());
+    fleet.apply(&[target("a", false), version("a", "v1")], &feed, at(1_000));
+    fleet.apply(&[target("a", true)], &feed, at(2_000));
+    assert_eq!(version_of(&fleet, "a").as_deref(), Some("v1"));
+    fleet.apply(&[target("a", true), version("a", "v2")], &feed, at(3_000));
+    assert_eq!(version_of(&fleet, "a").as_deref(), Some("v2"));
+}
+
+/// Guards against versions that are forwarded with each renewal of an entry, and against
+/// versions that other daemons never learn.
+#[test]
+fn only_versions_that_others_may_lack_are_forwarded() {
+    let feed = FeedState::default();
+    let mut fleet = Fleet::default();
+    fleet.apply(&[target("a", false), version("a", "v1")], &feed, at(1_000));
+    let forwarded = |fleet: &Fleet, batch: &[Change]| {
+        let mut changes = batch.to_vec();
+        fleet.remove_known_versions(&mut changes);
+        let versions = changes.iter();
+        versions
+            .filter(|c| matches!(c, Change::TargetVersion(..)))
+            .count()
+    };
+    let renewed = [target("a", false), version("a", "v1")];
+    assert_eq!(forwarded(&fleet, &renewed), 0);
+    assert_eq!(
+        forwarded(&fleet, &[target("a", false), version("a", "v2")]),
+        1
+    );
+    assert_eq!(
+        forwarded(&fleet, &[target("b", false), version("b", "v1")]),
+        1
+    );
+    let removed = Change::TargetGone("a".into());
+    let returned = [removed.clone(), target("a", false), version("a", "v1")];
+    assert_eq!(forwarded(&fleet, &returned), 1);
+    fleet.apply(&[removed], &feed_restored_at_10_s(), at(10_500));
+    assert!(fleet.targets["a"].removal_due_at.is_some());
+    assert_eq!(forwarded(&fleet, &renewed), 1);
+}
+
+/// Guards against messages that daemons of the version before take for others: the encoding
+/// begins with the position of the variant.
+#[test]
+fn topics_and_changes_keep_their_encoding() {
+    let tag = |change: &Change| postcard::to_stdvec(change).expect("encode the change")[0];
+    let zone = || "z".into();
+    assert_eq!(tag(&target("a", false)), 2);
+    assert_eq!(tag(&Change::ZoneBack(zone())), 5);
+    let unreadable = Change::Unreadable {
+        name: zone(),
+        reason: zone(),
+    };
+    assert_eq!(tag(&unreadable), 6);
+    assert_eq!(tag(&Change::RolloutGone(zone())), 8);
+    assert_eq!(tag(&version("a", "v1")), 9);
+    let without = [Topic::Config, Topic::Targets, Topic::Evacuations];
+    assert_eq!(Topic::followed(false).collect::<Vec<_>>(), without);
+    let with: Vec<_> = Topic::followed(true).collect();
+    assert_eq!(postcard::to_stdvec(&with), Ok(vec![4, 0, 1, 2, 3]));
+}
