--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,6 +67,7 @@
 mod target_limits;
 mod target_speed;
 mod target_statements;
+mod target_versions;
 mod wait_queue;
 mod whole_body;
 
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -38,11 +38,11 @@
 
 fn due(writer: &mut RolloutWriter, control: &Control) -> Vec<RolloutStep> {
     let (fleet, now) = (control.fleet(), clock::now());
-    let decisions = if fleet.rollouts.is_empty() {
-        Vec::new()
-    } else {
-        control.rollouts.decisions(fleet, now)
-    };
+    if fleet.rollouts.is_empty() {
+        // Without an order, neither decisions nor ranks are worked out.
+        return writer.due(fleet, &[], 0, now);
+    }
+    let decisions = control.rollouts.decisions(fleet, now);
     writer.due(fleet, &decisions, control.peers.writer_rank(now), now)
 }
 
