Decide on rollouts and divide requests between versions

Cause: operators order the traffic of a service to be moved to another version, and some versions are bad. No daemon could tell versions apart, count their responses or keep requests from one.

Change: each daemon sends the new version a share of its own requests, by counting, and counts the responses of both versions by route and zone. Daemons report the counts (Message::Rollouts, appended); whichever has the evidence decides that a version is bad, and tells all. Without the setting `rollouts` nothing is read, counted or sent.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -17,13 +17,14 @@
     change_log::ChangeLog,
     config_patch::replace_with_patches,
     fleet::FeedState,
-    load::LoadTracker,
+    load::{LoadTracker, Work},
     model::{Change, Fleet, Topic},
     peer_wire::{
         Answer, ConfigStatement, Fetch, Query, ServiceSendCounts, TargetWork, Update, WorkReport,
         ZoneLoad, target_key,
     },
     peers::Peers,
+    rollouts::Rollouts,
     send_budget::SendTracker,
     shared_state::{PeerLoad, SharedState},
     speed_table::SpeedTracker,
@@ -65,6 +66,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub rollouts: Rollouts,
     /// Window over which sends are counted for the budget of repeated sends.
     send_window: Duration,
     shared: Arc<SharedState>,
@@ -124,6 +126,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            rollouts: trackers.rollouts,
             send_window,
             shared,
             // The first tick decides.
@@ -264,6 +267,7 @@
         if has_changes {
             let leaving = self.statements.table().leaving(now);
             self.fleet.set_said_leaving(&leaving);
+            self.rollouts.observe(&self.fleet, now);
             self.shared.publish(self.fleet.clone());
         }
         has_changes
@@ -567,6 +571,24 @@
         all.map(|(id, work)| (target_key(&id), work)).collect()
     }
 
+    /// Decides on rollouts, given at which targets any daemon has work.
+    fn tick_rollouts(&self, now: BootTime) {
+        if !self.rollouts.is_enabled() {
+            return;
+        }
+        let own: HashSet<_> = if self.rollouts.has_orders() {
+            self.own_work().into_iter().map(|(key, _)| key).collect()
+        } else {
+            HashSet::new()
+        };
+        let others = self.shared.peer_load();
+        let has_work = |key| {
+            let work = others.work.get(&key);
+            own.contains(&key) || work.is_some_and(|w| *w != Work::default())
+        };
+        self.rollouts.tick(&self.fleet, has_work, now);
+    }
+
     /// Updates all state that depends on time.
     pub fn tick(&mut self) {
         let now = clock::now();
@@ -590,6 +612,7 @@
         self.shared
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
+        self.tick_rollouts(now);
         let names = self.peers.daemon_names();
         if names.len() != self.shared.daemon_names().len() {
             self.shared.set_daemon_names(names);
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -19,8 +19,10 @@
     new_start::Attempts,
     plain::{MAX_RESPONSE_BYTES, caller_response},
     refusal::Refusal,
+    rollout_use::record_broken,
     room::queued_at,
     send_budget::RepeatReason,
+    send_meter::SendMeter,
     sent::SendOutcome,
 };
 use crate::clock::{self, BootTime};
@@ -44,6 +46,8 @@
     pub pending_prompt: Option<(Tokens, BootTime)>,
     /// Requests that waited for a slot at the engine when the request was sent.
     pub queued_ahead: u32,
+    /// Counts the response during a rollout; `None` without one, or if it is counted.
+    pub meter: Option<SendMeter>,
 }
 
 /// A copy of a run on another engine, updated as the run grows.
@@ -247,6 +251,7 @@
     ) -> SendOutcome<Run> {
         let now = clock::now();
         let req = self.request_for(job, admitted, target, send_headers, now);
+        let mut meter = self.meter(admitted, target, now);
         let opened = match tcp {
             Some(tcp) => Exchange::open_over(tcp, target.address, req).await,
             None => Exchange::open(target.address, req).await,
@@ -257,15 +262,27 @@
                 return SendOutcome::Unsent(e.to_string().into());
             }
             Err(e) if e.is_disconnect() => {
+                record_broken(meter.as_mut());
                 return SendOutcome::Disconnected(e.to_string().into());
             }
-            Err(e) => return SendOutcome::Unknown(e.to_string().into()),
+            Err(e) => {
+                record_broken(meter.as_mut());
+                return SendOutcome::Unknown(e.to_string().into());
+            }
         };
         self.record_statements(job, target, &exchange.response, now);
         if let Some(outcome) = self.classify_head(&exchange.response, &job.info.request_id) {
+            if matches!(outcome, SendOutcome::Unknown(_)) {
+                record_broken(meter.as_mut());
+            }
             return outcome;
         }
+        let status = exchange.response.status();
+        if let Some(meter) = meter.as_mut().filter(|_| !status.is_success()) {
+            meter.record_response(status.is_server_error(), clock::now());
+        }
         SendOutcome::Answered(Run {
+            meter,
             exchange,
             target: target.clone(),
             backup: None,
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -151,7 +151,8 @@
             return late;
         }
         let all = [&late, avoided].concat();
-        let has_target = self.choose(fleet, job, admitted, &all).is_some();
+        let versions = self.rollouts.version_use(&job.service, None, clock::now());
+        let has_target = self.choose(fleet, job, admitted, &all, &versions).is_some();
         if has_target { all } else { late }
     }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -20,6 +20,7 @@
         sample_other_zones,
     },
     refusal::Refusal,
+    rollout_share::VersionUse,
     routing::Denied,
     send_budget::RepeatReason,
     suspects::SuspectTracker,
@@ -164,7 +165,10 @@
         if tried.is_empty() && self.statements.is_in_force() {
             self.statements.record_request(&job.service, now);
         }
-        let placement = self.choose(fleet, job, admitted, &[tried, late].concat())?;
+        let offered = tried.is_empty().then(rand::random);
+        let versions = self.rollouts.version_use(&job.service, offered, now);
+        let tried = [tried, late].concat();
+        let placement = self.choose(fleet, job, admitted, &tried, &versions)?;
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
@@ -185,13 +189,14 @@
 
     /// Chooses the cheapest target that may receive the request, other than those
     /// in `tried`, among all targets in this zone and a random sample of those in
-    /// other zones. Counts and logs nothing.
+    /// other zones, of the versions that it may go to. Counts and logs nothing.
     pub(crate) fn choose(
         &self,
         fleet: &Fleet,
         job: &Job,
         admitted: &Admitted,
         tried: &[Box<str>],
+        versions: &VersionUse,
     ) -> Option<Placement> {
         let service = fleet.config.as_ref()?.services.get(&job.service)?.clone();
         let now = clock::now();
@@ -211,8 +216,12 @@
             .into_iter()
             .filter(|entry| !closed.contains(&entry.key))
             .filter(|entry| self.is_within_cold_limit(entry, &service, now));
-        let (in_own_zone, in_other_zones): (Vec<_>, Vec<_>) =
-            eligible.partition(|entry| entry.target.zone == settings.zone);
+        let is_near =
+            |entry: &KnownTarget| settings.region_of(&entry.target.zone) == settings.region();
+        let eligible = versions.select(eligible.collect(), is_near);
+        let (in_own_zone, in_other_zones): (Vec<_>, Vec<_>) = eligible
+            .into_iter()
+            .partition(|entry| entry.target.zone == settings.zone);
         let mut rng = rand::rng();
         let sampled = sample_other_zones(&in_other_zones, &mut rng);
         let costs = in_own_zone.iter().chain(sampled).map(|entry| {
@@ -268,7 +277,8 @@
         has_room.then_some(backup)
     }
 
-    /// Chooses the cheapest other engine of the same service and zone.
+    /// Chooses the cheapest other engine of the same service and zone, of the versions that
+    /// further sends may go to.
     pub(crate) fn choose_in_zone(
         &self,
         fleet: &Fleet,
@@ -284,7 +294,9 @@
             .available_targets(&target.service)
             .filter(|entry| entry.target.zone == target.zone && !tried.contains(&entry.target.id))
             .filter(|entry| self.may_be_sent_to(&target.service, entry.key, now));
-        let costs = candidates.map(|entry| {
+        let versions = self.rollouts.version_use(&target.service, None, now);
+        let candidates = versions.select(candidates.collect(), |_| true);
+        let costs = candidates.into_iter().map(|entry| {
             let load = self.believed_load(&entry.target.id, entry.key, &peer_load, demand, now);
             let candidate = Candidate {
                 work: load.work,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! names and the calls to the store and to engines are supplied by an adapter,
 //! so this module does not depend on the wire formats of one platform.
 
+mod active_rollout;
 mod admission;
 mod body;
 mod body_pace;
@@ -44,11 +45,18 @@
 mod refusal;
 mod resumption;
 mod rollout;
+mod rollout_plan;
+mod rollout_report;
+mod rollout_share;
+mod rollout_use;
+mod rollouts;
 mod room;
 mod routing;
 mod send_budget;
+mod send_meter;
 mod sent;
 mod service_rates;
+mod service_rollout;
 mod settings;
 mod shared_state;
 mod speed_table;
@@ -63,6 +71,7 @@
 mod target_limits;
 mod target_speed;
 mod target_statements;
+mod version_outcomes;
 mod wait_queue;
 mod whole_body;
 
@@ -122,10 +131,15 @@
         parse_event_id,
     },
     rollout::{Rollout, RolloutOrder, RolloutState},
+    rollout_plan::{Capacity, RolloutMoment, RolloutStep, RolloutVerdict, VerdictCause},
+    rollout_report::{OrderId, RolloutDecision, RolloutReport},
+    rollout_share::{Preference, ShareCredit, VersionUse},
+    rollouts::{ReportTo, Rollouts},
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
+    send_meter::{SendMeter, VersionSend},
     service_rates::ServiceRates,
-    settings::{Bounds, GatewayListen, GatewaySettings, StoreSettings},
+    settings::{Bounds, GatewayListen, GatewaySettings, RolloutSettings, StoreSettings},
     shared_state::{PeerLoad, SharedState},
     speed_table::{SpeedSummary, SpeedTable, SpeedTracker},
     start::Start,
@@ -139,6 +153,7 @@
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
+    version_outcomes::{OutcomeSums, OutcomeTable, Outcomes, ReportScope, RouteOutcomes, Side},
     wait_queue::{HeldNumber, RELEASE_WINDOW, WaitQueue},
 };
 use self::{
@@ -180,6 +195,7 @@
     pub suspects: Suspects,
     pub statements: StatementTracker,
     pub speeds: SpeedTracker,
+    pub rollouts: Rollouts,
 }
 
 /// Open connections of each port.
@@ -204,6 +220,7 @@
     suspects: Suspects,
     statements: StatementTracker,
     speeds: SpeedTracker,
+    rollouts: Rollouts,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -245,7 +262,10 @@
         crate::metrics::install();
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
-        let trackers = Trackers::default();
+        let trackers = Trackers {
+            rollouts: Rollouts::new(settings.rollouts.as_ref(), &settings.name, &settings.zone),
+            ..Trackers::default()
+        };
         let memory = MemoryPools::new(settings.memory_mb);
         let control_started = spawn_control(
             store,
@@ -268,6 +288,7 @@
             suspects: trackers.suspects,
             statements: trackers.statements,
             speeds: trackers.speeds,
+            rollouts: trackers.rollouts,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -23,6 +23,8 @@
     model::ZoneName,
     peer_wire::{Answer, ConfigStatement, Fetch, Incarnation, Message, Packet, Query, Update},
     peers::{DaemonInfo, DaemonName, QUERY_INTERVAL, REMOTE_QUERY_INTERVAL, REPORT_PERIOD},
+    rollout_report::RolloutReport,
+    rollouts::ReportTo,
 };
 use crate::{
     clock::{self, BootTime},
@@ -223,6 +225,7 @@
         self.report_suspects(now).await;
         self.report_statements(now).await;
         self.report_speeds(now).await;
+        self.report_rollouts(now).await;
     }
 
     /// Detects that this process stood still.
@@ -337,6 +340,56 @@
         }
     }
 
+    /// Reports the responses of versions to the leader of this daemon's zone, or to those of
+    /// other zones if this daemon leads its zone; verdicts and steps to all.
+    async fn report_rollouts(&self, now: BootTime) {
+        let reports = {
+            let control = self.control.borrow();
+            let leads = control.peers.is_zone_leader(now);
+            control.rollouts.reports(leads, now)
+        };
+        for (to, report) in reports {
+            let to = {
+                let peers = &self.control.borrow().peers;
+                match to {
+                    ReportTo::Leader => peers.zone_peers_to_query(now),
+                    ReportTo::OtherLeaders => peers.remote_peers_to_query(now),
+                    ReportTo::All => {
+                        let mut all = peers.zone_peers(now);
+                        all.extend(peers.remote_peers_to_query(now));
+                        all
+                    }
+                }
+            };
+            for peer in to {
+                self.send(peer, Message::Rollouts(vec![report.clone()]))
+                    .await;
+            }
+        }
+    }
+
+    /// Takes reports on rollouts. Those that change what this daemon knows are passed on at
+    /// once, and a sender that knows less is told.
+    async fn merge_rollouts(
+        &self,
+        packet: (&str, Incarnation, &str),
+        reports: &[RolloutReport],
+        from: SocketAddr,
+    ) {
+        let now = clock::now();
+        let (name, incarnation, zone) = packet;
+        let (rollouts, leads) = {
+            let control = self.control.borrow();
+            (control.rollouts.clone(), control.peers.is_zone_leader(now))
+        };
+        if rollouts.merge(reports, (name, incarnation), zone, now) {
+            self.send(from, Message::Rollouts(rollouts.news(now))).await;
+        }
+        if rollouts.has_news(leads) {
+            self.report_rollouts(now).await;
+        }
+    }
+
     /// Sends a message to this daemon's zone, and to the leaders of other zones if this
     /// daemon leads its zone.
     async fn send_to_zones(&self, message: &Message, now: BootTime) {
@@ -479,7 +532,7 @@
         self.record_activity(now);
         let info = DaemonInfo {
             address: from,
-            zone: packet.zone,
+            zone: packet.zone.clone(),
         };
         let is_accepted = {
             let peers = &mut self.control.borrow_mut().peers;
@@ -539,6 +592,10 @@
             Message::Speeds(reports) => {
                 self.control.borrow().speeds.table().merge(&reports, now);
             }
+            Message::Rollouts(reports) => {
+                let sender = (&*packet.from, packet.incarnation, &*packet.zone);
+                self.merge_rollouts(sender, &reports, from).await;
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -5,6 +5,7 @@
 use super::{
     load::Work,
     model::{Change, Topic},
+    rollout_report::RolloutReport,
     send_budget::SendCounts,
 };
 use crate::platform::Revision;
@@ -70,6 +71,8 @@
     ConfigStatement(ConfigStatement),
     /// Speeds of targets that differ from what is usual.
     Speeds(Vec<SpeedReport>),
+    /// How far rollouts are, and the responses of both versions.
+    Rollouts(Vec<RolloutReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
 
 use super::{
     Gateway,
@@ -17,11 +18,12 @@
     load::Work,
     model::{RepeatPolicy, Target},
     refusal::Refusal,
+    rollout_use::record_plain,
     send_budget::RepeatReason,
     sent::SendOutcome,
     whole_body::BodyError,
 };
-use crate::clock;
+use crate::clock::{self, BootTime};
 
 /// Maximum size of a plain response, in bytes: the default limit on the bodies of
 /// callers' requests.
@@ -166,6 +168,19 @@
         let _reservation = self.loads.reserve(&target.id, work);
         let now = clock::now();
         let req = self.request_for(job, admitted, target, &SendHeaders::default(), now);
+        let mut meter = self.meter(admitted, target, now);
+        let outcome = self.exchange_plain(job, target, req, now).await;
+        record_plain(meter.as_mut(), &outcome);
+        outcome
+    }
+
+    async fn exchange_plain(
+        &self,
+        job: &Job,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        now: BootTime,
+    ) -> SendOutcome<Response<Bytes>> {
         let exchange = match Exchange::open(target.address, req).await {
             Ok(exchange) => exchange,
             Err(e @ ExchangeError::Connect { .. }) => {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -114,6 +114,14 @@
     Broken(Box<str>),
 }
 
+impl RunEnd {
+    /// Returns whether the engine broke the response off. A run that ends for another reason,
+    /// such as the deadline or the memory of this daemon, does not.
+    fn is_broken(&self) -> bool {
+        matches!(self, Self::Disconnected(_) | Self::Silent(_))
+    }
+}
+
 /// A copy of a run from which the run can be resumed.
 pub(super) struct RunCopy {
     pub target: Arc<Target>,
@@ -167,7 +175,7 @@
             let reading = self.read_run(&job, &mut run, &mut delivered, &tx, &mut copy);
             let run_end = tokio::time::timeout(time_left, reading).await;
             let run_end = run_end.unwrap_or(RunEnd::Broken("deadline".into()));
-            self.record_run_end(&job, &run, &delivered, &run_end);
+            self.record_run_end(&job, &mut run, &delivered, &run_end);
             let is_silent = matches!(run_end, RunEnd::Silent(_));
             let copy = match run_end {
                 RunEnd::Whole => {
@@ -218,7 +226,10 @@
         }
     }
 
-    fn record_run_end(&self, job: &Job, run: &Run, delivered: &Delivered, run_end: &RunEnd) {
+    fn record_run_end(&self, job: &Job, run: &mut Run, delivered: &Delivered, run_end: &RunEnd) {
+        // A target that leaves breaks its runs whatever its version.
+        let is_leaving = self.shared.fleet().is_leaving(&run.target);
+        run.record_version_outcome(run_end.is_broken() && !is_leaving);
         metrics::counter!("bluebell_gateway_runs", "end" => <&str>::from(run_end)).increment(1);
         let (id, target, events) = (&job.info.request_id, &run.target.id, delivered.events);
         match run_end {
@@ -291,11 +302,11 @@
             let lacks_copy = || {
                 ready
                     .as_ref()
-                    .is_none_or(|copy| !fleet.accepts_new_work(&copy.target))
+                    .is_none_or(|copy| !self.accepts_run(&fleet, &copy.target))
             };
             if preparing.is_none()
                 && attempts < MAX_COPY_ATTEMPTS
-                && fleet.is_leaving(&run.target)
+                && (fleet.is_leaving(&run.target) || self.moves_runs(&fleet, &run.target))
                 && lacks_copy()
             {
                 attempts += 1;
@@ -389,6 +400,7 @@
                 delivered.may_clear = false;
                 job.record_begun();
             }
+            run.record_first_event(now);
             if let Some((tokens, sent)) = run.pending_prompt.take() {
                 run.reservation.record_prefilled();
                 let waited = now.saturating_sub(sent);
@@ -418,7 +430,7 @@
     /// of the backup accepts new work, or else a copy made now.
     fn prepare_copy(&self, fleet: &Fleet, job: &Job, run: &Run) -> CopyFuture {
         if let Some(copy) = self.backup_copy(job, run)
-            && fleet.accepts_new_work(&copy.target)
+            && self.accepts_run(fleet, &copy.target)
         {
             return Box::pin(preconnect(copy));
         }
@@ -473,6 +485,7 @@
         };
         let mut tried = vec![run.target.id.clone()];
         let mut destinations = Vec::new();
+        let versions = self.rollouts.version_use(&job.service, None, clock::now());
         for _ in 0..MAX_DESTINATIONS {
             let in_zone = self.choose_in_zone(
                 fleet,
@@ -480,7 +493,10 @@
                 &tried,
                 &job.demand(admitted.route.objective),
             );
-            let in_any_zone = || self.choose(fleet, job, &admitted, &tried).map(|c| c.target);
+            let in_any_zone = || {
+                let choice = self.choose(fleet, job, &admitted, &tried, &versions);
+                choice.map(|c| c.target)
+            };
             let Some(destination) = in_zone.or_else(in_any_zone) else {
                 break;
             };
@@ -579,6 +595,9 @@
         if !fleet.accepts_resumed_runs(target, drain_time, now) {
             return Err("the copy's target takes no work".into());
         }
+        if !self.is_version_allowed(&fleet, target, now) {
+            return Err("the copy's target has a version that takes no work".into());
+        }
         if !self.may_be_sent_to(&job.service, target_key(&target.id), now) {
             return Err("the copy's target wants no requests".into());
         }
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -72,8 +72,11 @@
         let limits = config.services.get(&job.service)?.engine.as_ref()?;
         let settings = self.settings();
         let peer_load = self.shared.peer_load();
+        // Room at a version that gets only a share says little of this request.
+        let versions = self.rollouts.version_use(&job.service, None, now);
         let (ids, targets) = fleet
             .available_targets(&job.service)
+            .filter(|entry| versions.allows(entry.version.as_deref()))
             .map(|entry| {
                 let target = &entry.target;
                 let (mut work, _) = self.loads.get(&target.id, now);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -41,6 +41,21 @@
     pub sends_priority: bool,
     /// Service bounds that operators promise.
     pub bounds: Bounds,
+    /// Bounds of rollouts; `None` on deployments without rollouts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<RolloutSettings>,
+}
+
+/// Bounds of rollouts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct RolloutSettings {
+    /// Share of the requests of a service that a bad version may receive.
+    pub exposure_share: f64,
+    /// Requests that a bad version may receive in addition to that.
+    pub exposure_slack: f64,
+    /// Maximum time from the 50th bad response of a bad version until it receives no more
+    /// requests, in milliseconds.
+    pub rollback_ms: u64,
 }
 
 /// Addresses to listen on.
@@ -154,6 +169,7 @@
                 retry_extra: 58.0,
                 retry_window_s: 10.0,
             },
+            rollouts: None,
         }
     }
 
