--- a/src/gateway/rollout_plan.rs
+++ b/src/gateway/rollout_plan.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::version_outcomes::{OutcomeSums, Outcomes, RouteOutcomes, Side};
+use super::version_outcomes::{OutcomeSums, Outcomes, RouteOutcomes, Side, TIME_BUCKETS};
 
 /// Part of the permitted exposure that daemons use. The rest covers the rounding of the shares
 /// of hundreds of daemons that have few requests each.
@@ -48,9 +48,9 @@
 const SUFFICIENT_BAD: u32 = 50;
 /// Weight of the overall share in that of a zone, in responses.
 const ZONE_PRIOR: f64 = 10.0;
-/// Smallest part of the responses by which the new version is slower than twice the times of
-/// the old one, if it counts as slow. Engines of the same version differ by less.
-const MIN_SLOW_PART: f64 = 0.15;
+/// Smallest part of the responses by which the new version has to be slower to count as slow:
+/// each target of a good version is slow for up to a seventh of the time.
+const MIN_SLOW_PART: f64 = 0.2;
 
 /// Step of a rollout.
 #[derive(
@@ -97,8 +97,10 @@
     BadResponses,
     /// It has too many bad responses on one route.
     BadOnRoute,
-    /// It takes too long on one route.
+    /// It takes too long on all routes together.
     Slow,
+    /// It takes too long on one route.
+    SlowOnRoute,
     /// It has answered nothing.
     NoAnswers,
     /// The store says that it was rolled back.
@@ -243,10 +245,19 @@
             if is_worse(new.counts, on_route) {
                 return verdict(VerdictCause::BadOnRoute, old.counts, new.counts);
             }
-            if is_slower(&old.times, &new.times) {
-                return verdict(VerdictCause::Slow, old.counts, new.counts);
+            if is_slower(&[(*old, *new)]) {
+                return verdict(VerdictCause::SlowOnRoute, old.counts, new.counts);
             }
         }
+        let routes: Vec<_> = self
+            .sums
+            .routes
+            .iter()
+            .map(|(_, [o, n])| (*o, *n))
+            .collect();
+        if is_slower(&routes) {
+            return verdict(VerdictCause::Slow, old, new);
+        }
         if self.is_unanswered() && self.age >= self.time_limit.mul_f64(LATEST_ANSWER) {
             return verdict(VerdictCause::NoAnswers, old, new);
         }
@@ -294,16 +305,29 @@
     part(share, expected) + part(1.0 - share, 1.0 - expected)
 }
 
-/// Returns whether the new version takes more than twice the times of the old one: a one-sided
-/// Kolmogorov-Smirnov test of its times against those of the old version, moved by one bucket.
-fn is_slower(old: &[u32], new: &[u32]) -> bool {
+/// Returns whether the new version takes longer than the old one by more than targets of one
+/// version differ: a one-sided Kolmogorov-Smirnov test of its times against those of the old
+/// version, moved by one bucket. Several routes are compared each by itself, since the versions
+/// may have different parts of them, and weighted by the responses of the new version.
+fn is_slower(routes: &[(RouteOutcomes, RouteOutcomes)]) -> bool {
     let sum = |times: &[u32]| f64::from(times.iter().sum::<u32>());
-    let (all_old, all_new) = (sum(old), sum(new));
-    if all_old.min(all_new) < f64::from(SUFFICIENT_RESPONSES) {
+    let comparable: Vec<_> = routes
+        .iter()
+        .filter(|(old, _)| sum(&old.times) >= f64::from(SUFFICIENT_RESPONSES))
+        .collect();
+    let all_old: f64 = comparable.iter().map(|(old, _)| sum(&old.times)).sum();
+    let all_new: f64 = comparable.iter().map(|(_, new)| sum(&new.times)).sum();
+    if all_new < f64::from(SUFFICIENT_RESPONSES) {
         return false;
     }
-    let excess = |i: usize| sum(&old[..i]) / all_old - sum(&new[..=i]) / all_new;
-    let largest = (1..new.len()).map(excess).fold(0.0, f64::max);
+    let excess = |i: usize| -> f64 {
+        let on_route = |(old, new): &&(RouteOutcomes, RouteOutcomes)| {
+            let part_old = sum(&old.times[..i]) / sum(&old.times);
+            (part_old * sum(&new.times) - sum(&new.times[..=i])) / all_new
+        };
+        comparable.iter().map(on_route).sum()
+    };
+    let largest = (1..TIME_BUCKETS).map(excess).fold(0.0, f64::max);
     let size = all_old * all_new / (all_old + all_new);
     largest >= MIN_SLOW_PART.max((CERTAINTY / (2.0 * size)).sqrt())
 }
--- a/src/gateway/rollout_share.rs
+++ b/src/gateway/rollout_share.rs
@@ -68,7 +68,7 @@
 /// Which versions one request may go to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VersionUse {
-    /// Versions that get nothing.
+    /// Versions that get nothing; an empty name stands for targets that state none.
     pub excluded: Vec<Box<str>>,
     /// Version of the order, and which side of it the request goes to; `None` without an
     /// order.
@@ -79,7 +79,8 @@
     /// Returns whether the request may go to a target of this version.
     #[must_use]
     pub fn allows(&self, version: Option<&str>) -> bool {
-        if version.is_some_and(|v| self.excluded.iter().any(|e| **e == *v)) {
+        let name = version.unwrap_or_default();
+        if self.excluded.iter().any(|e| **e == *name) {
             return false;
         }
         let Some((new, preference)) = &self.order else {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -113,9 +113,8 @@
         };
         state.is_complete |= fleet.is_complete;
         for known in fleet.targets.values() {
-            let Some(version) = &known.version else {
-                continue;
-            };
+            // Without one, a target counts as of a version of its own.
+            let version = known.version.as_deref().unwrap_or_default();
             let service = &known.target.service;
             if !state.services.contains_key(service) {
                 state
--- a/src/gateway/version_outcomes.rs
+++ b/src/gateway/version_outcomes.rs
@@ -11,13 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::peer_wire::{Incarnation, TargetKey};
-use crate::clock;
 
 /// Number of buckets of the histogram of times.
-pub const TIME_BUCKETS: usize = 12;
-/// Upper bound of the first bucket, in milliseconds. Each further bound is twice the one
-/// before; the last bucket has none.
-const FIRST_BOUND_MS: u64 = 4;
+pub const TIME_BUCKETS: usize = 24;
+/// Upper bound of the first bucket, in milliseconds. Each further bound is the square root of
+/// two times the one before, more than targets of the same version differ; the last bucket has
+/// none.
+const FIRST_BOUND_MS: f64 = 4.0;
+const BUCKETS_PER_DOUBLING: f64 = 2.0;
 /// Maximum number of routes that one daemon counts separately.
 const MAX_OWN_ROUTES: usize = 8;
 /// Maximum number of routes and zones in a sum over several daemons.
@@ -171,10 +172,17 @@
 }
 
 fn bucket(time: Duration) -> usize {
-    let ms = clock::millis(time);
-    (0..TIME_BUCKETS - 1)
-        .find(|i| ms < FIRST_BOUND_MS << i)
-        .unwrap_or(TIME_BUCKETS - 1)
+    let doublings = (time.as_secs_f64() * 1e3 / FIRST_BOUND_MS).log2();
+    if doublings < 0.0 {
+        return 0;
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the logarithm of a duration is small, and not negative here"
+    )]
+    let above_first = (doublings * BUCKETS_PER_DOUBLING) as usize;
+    (1 + above_first).min(TIME_BUCKETS - 1)
 }
 
 /// Who has counted what a report says.
--- a/tests/rollouts/fleet.rs
+++ b/tests/rollouts/fleet.rs
@@ -1,5 +1,11 @@
 //! A fleet of daemons without a network: each has its own state of rollouts and its own delayed
 //! view of the store, and exchanges reports with a delay.
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "counts and times of a simulation are small"
+)]
 
 use std::{
     cmp::Reverse,
