Tell a broken target from a bad version

Change: reports carry which new targets have responded and which had bad responses, as sets of 64 bits that are united. Fewer than 50 bad responses that are all of one target among several are no evidence.

--- a/src/gateway/rollout_plan.rs
+++ b/src/gateway/rollout_plan.rs
@@ -237,12 +237,14 @@
         let (old, new) = (self.sums.total(Side::Old), self.sums.total(Side::New));
         let verdict = |cause, old, new| Some(RolloutVerdict { cause, old, new });
         let expected = expected_by_zone(self.sums, old, new);
-        if is_worse(new, expected) {
+        // A target that crashes or is broken says nothing of its version.
+        let is_one_target = self.sums.is_one_target_bad() && new.bad < SUFFICIENT_BAD;
+        if !is_one_target && is_worse(new, expected) {
             return verdict(VerdictCause::BadResponses, old, new);
         }
         for (_, [old, new]) in &self.sums.routes {
             let on_route = likely_share(old.counts).max(expected);
-            if is_worse(new.counts, on_route) {
+            if !is_one_target && is_worse(new.counts, on_route) {
                 return verdict(VerdictCause::BadOnRoute, old.counts, new.counts);
             }
             if is_slower(&[(*old, *new)]) {
--- a/src/gateway/rollout_use.rs
+++ b/src/gateway/rollout_use.rs
@@ -35,6 +35,7 @@
             version: known.and_then(|k| k.version.as_deref()),
             route: target_key(&admitted.route.name),
             zone: target_key(&target.zone),
+            target: target_key(&target.id),
             objective: admitted.route.objective,
             is_comparable: is_near && known.is_some_and(|k| k.cold_until <= now),
         };
--- a/src/gateway/send_meter.rs
+++ b/src/gateway/send_meter.rs
@@ -21,6 +21,8 @@
     pub route: TargetKey,
     /// Hash of the target's zone.
     pub zone: TargetKey,
+    /// Hash of the target's id.
+    pub target: TargetKey,
     /// Latency objective of the route.
     pub objective: Duration,
     /// Whether the time can be compared with that of the other version: the target is warm
@@ -51,6 +53,7 @@
     side: Side,
     route: TargetKey,
     zone: TargetKey,
+    target: TargetKey,
     is_counted: bool,
     is_bad: bool,
 }
@@ -71,6 +74,7 @@
             side,
             route: send.route,
             zone: send.zone,
+            target: send.target,
             is_counted: false,
             is_bad: false,
         }
@@ -104,13 +108,13 @@
     }
 
     fn count(&mut self, responses: u32, is_bad: bool) {
-        let (side, route, zone) = (self.side, self.route, self.zone);
+        let (side, route, zone, target) = (self.side, self.route, self.zone, self.target);
         let bad = u32::from(is_bad);
         self.is_counted = true;
         self.is_bad |= is_bad;
         self.with_order(|active| {
             let own = &mut active.table.own;
-            own.record_response(side, route, zone, Outcomes { responses, bad });
+            own.record_response(side, route, zone, target, Outcomes { responses, bad });
         });
     }
 
--- a/src/gateway/version_outcomes.rs
+++ b/src/gateway/version_outcomes.rs
@@ -60,6 +60,9 @@
 pub struct OutcomeSums {
     /// Requests sent.
     pub sends: [u32; 2],
+    /// Targets of the new version that have responded, and those that had bad responses, as
+    /// one bit of 64 for each, which two targets may share.
+    pub targets: [u64; 2],
     /// Responses by the hash of the route's name.
     pub routes: Vec<(TargetKey, [RouteOutcomes; 2])>,
     /// Responses by the hash of the target's availability zone.
@@ -78,8 +81,14 @@
         side: Side,
         route: TargetKey,
         zone: TargetKey,
+        target: TargetKey,
         response: Outcomes,
     ) {
+        if side == Side::New {
+            let bit = 1 << (target % u64::BITS);
+            self.targets[0] |= bit;
+            self.targets[1] |= if response.bad > 0 { bit } else { 0 };
+        }
         let on_route = &mut entry(&mut self.routes, route, MAX_OWN_ROUTES)[side as usize];
         combine(&mut on_route.counts, response, u32::saturating_add);
         let in_zone = &mut entry(&mut self.zones, zone, MAX_KEYS)[side as usize];
@@ -102,6 +111,13 @@
         total
     }
 
+    /// Returns whether all bad responses of the new version are of one of its targets, while
+    /// others have responded.
+    #[must_use]
+    pub fn is_one_target_bad(&self) -> bool {
+        self.targets[0].count_ones() > 1 && self.targets[1].is_power_of_two()
+    }
+
     /// Publishes the metrics of a rollout.
     pub(super) fn record_metrics(&self, service: &str, share: f64) {
         let service = service.to_owned();
@@ -130,8 +146,9 @@
     }
 
     fn merge(&mut self, other: &Self, f: fn(u32, u32) -> u32) {
-        for side in 0..2 {
-            self.sends[side] = f(self.sends[side], other.sends[side]);
+        for i in 0..2 {
+            self.sends[i] = f(self.sends[i], other.sends[i]);
+            self.targets[i] |= other.targets[i];
         }
         for (key, sides) in &other.routes {
             let own = entry(&mut self.routes, *key, MAX_KEYS);
--- a/tests/gateway_rollout_orders.rs
+++ b/tests/gateway_rollout_orders.rs
@@ -87,6 +87,7 @@
         version: Some(version),
         route: 1,
         zone: 2,
+        target: 3,
         objective: Duration::from_millis(300),
         is_comparable: true,
     }
@@ -615,6 +616,7 @@
             Side::Old,
             1,
             2,
+            3,
             Outcomes {
                 responses: 1,
                 bad: 0,
@@ -649,7 +651,7 @@
         let mut sums = OutcomeSums::default();
         for (side, bad) in [(Side::Old, old), (Side::New, new)] {
             let responses = 20_000;
-            sums.record_response(side, 1, 2, Outcomes { responses, bad });
+            sums.record_response(side, 1, 2, 3, Outcomes { responses, bad });
         }
         moment(&sums).verdict().map(|verdict| verdict.cause)
     };
@@ -658,6 +660,23 @@
     assert_eq!(with_bad(50, 50), None);
 }
 
+#[test]
+fn one_target_that_fails_among_others_is_no_bad_version() {
+    let cause = |bad_targets: &[u32]| {
+        let mut sums = OutcomeSums::default();
+        for target in 0..3 {
+            let bad = if bad_targets.contains(&target) { 10 } else { 0 };
+            let responses = 30;
+            sums.record_response(Side::New, 1, 2, target, Outcomes { responses, bad });
+        }
+        let (responses, bad) = (1_000, 0);
+        sums.record_response(Side::Old, 1, 2, 9, Outcomes { responses, bad });
+        moment(&sums).verdict().map(|verdict| verdict.cause)
+    };
+    assert_eq!(cause(&[1]), None);
+    assert_eq!(cause(&[1, 2]), Some(VerdictCause::BadResponses));
+}
+
 proptest! {
     /// Reports arrive in any order and number.
     #[test]
@@ -671,7 +690,7 @@
                 next.record_send(Side::New);
                 let bad = u32::from(i % 2 == 0);
                 let route = u32::try_from(source).unwrap_or_default();
-                next.record_response(Side::New, route, 2, Outcomes { responses: 1, bad });
+                next.record_response(Side::New, route, 2, 3, Outcomes { responses: 1, bad });
                 next.record_time(Side::New, route, Duration::from_millis(20));
                 states.push(next);
             }
@@ -703,7 +722,7 @@
             let all = f64::from(all_old) * all;
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small")]
             let (responses, bad) = (all as u32, (all * share) as u32);
-            sums.record_response(side, 1, 2, Outcomes { responses, bad });
+            sums.record_response(side, 1, 2, 3, Outcomes { responses, bad });
         }
         prop_assert_eq!(moment(&sums).verdict(), None);
     }
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -194,6 +194,16 @@
     });
 }
 
+#[test]
+fn a_good_version_is_completed_though_one_of_its_first_targets_crashes() {
+    // Long requests, of which many break off.
+    assert_completed(|daemons| Scenario {
+        crash_one_ms: Some(4_500),
+        rate: 300.0,
+        ..Scenario::new(daemons, |_| (20.0, false))
+    });
+}
+
 #[test]
 fn a_good_version_is_completed_though_a_zone_fails() {
     let behaviour = |visit: Visit| {
--- a/tests/rollouts/fleet.rs
+++ b/tests/rollouts/fleet.rs
@@ -117,6 +117,8 @@
     pub cold_ms: u64,
     /// Time of a crash of all targets, old and new.
     pub crash_ms: Option<u64>,
+    /// Time of a crash of the new target that runs most requests, which does not come back.
+    pub crash_one_ms: Option<u64>,
     /// Time from which the store takes no writes and tells nothing.
     pub store_lost_ms: Option<u64>,
     /// Times between which the first half of the daemons stand still.
@@ -138,6 +140,7 @@
             cut_off: 0,
             cold_ms: 0,
             crash_ms: None,
+            crash_one_ms: None,
             store_lost_ms: None,
             pause_ms: None,
             change_ms: None,
@@ -337,7 +340,10 @@
         self.deliver(now_ms);
         self.end_requests(now_ms);
         if self.scenario.crash_ms == Some(now_ms) {
-            self.crash_all();
+            self.crash(|_| true);
+        }
+        if self.scenario.crash_one_ms == Some(now_ms) {
+            self.crash_one(now_ms);
         }
         for i in 0..self.daemons.len() {
             if self.is_paused(i, now_ms) {
@@ -576,6 +582,7 @@
             version: known.version.as_deref(),
             route: target_key(&format!("route-{route}")),
             zone: target_key(&known.target.zone),
+            target: known.key,
             objective: OBJECTIVE,
             is_comparable: known.cold_until <= now,
         };
@@ -665,15 +672,27 @@
         }
     }
 
-    /// All targets crash at once, and their requests break off.
-    fn crash_all(&mut self) {
-        for (_, mut run) in std::mem::take(&mut self.running) {
+    /// Targets crash, and their requests break off.
+    fn crash(&mut self, is_hit: impl Fn(&str) -> bool) {
+        let lost = self.running.extract_if(|_, run| is_hit(&run.target));
+        for (_, mut run) in lost.collect::<Vec<_>>() {
+            self.remove_load(&run.target);
             if let Some(meter) = &mut run.meter {
                 meter.record_broken();
             }
         }
-        self.load.clear();
-        self.busy.clear();
+    }
+
+    fn crash_one(&mut self, now_ms: u64) {
+        let new = self.load.iter().filter(|(id, _)| id.starts_with(NEW));
+        let Some((id, _)) = new.max_by_key(|(_, count)| **count) else {
+            return;
+        };
+        let id = id.clone();
+        self.crash(|target| *target == *id);
+        let mut fleet = self.store[self.store.len() - 1].1.clone();
+        fleet.targets.remove(&id);
+        self.store.push((now_ms, fleet));
     }
 
     fn remove_load(&mut self, target: &str) {
