Count the times of late requests that a deadline ends, and none of resumed runs

Cause: a request whose deadline is shortly after the objective could end between two ticks without a trace, so that a version that hangs looks unused; and a run that goes on from a copy has its first event sooner than a new one.

Change: a send that ends without a response counts in the times if it was late by then; the times of runs from a copy, or after some events, are not counted.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -251,7 +251,8 @@
     ) -> SendOutcome<Run> {
         let now = clock::now();
         let req = self.request_for(job, admitted, target, send_headers, now);
-        let mut meter = self.meter(admitted, target, now);
+        let is_from_start = send_headers.copy_from.is_none() && send_headers.last_event.is_none();
+        let mut meter = self.meter(admitted, target, is_from_start, now);
         let opened = match tcp {
             Some(tcp) => Exchange::open_over(tcp, target.address, req).await,
             None => Exchange::open(target.address, req).await,
--- a/src/gateway/rollout_use.rs
+++ b/src/gateway/rollout_use.rs
@@ -16,11 +16,13 @@
 
 impl Gateway {
     /// Counts a send to a target and returns the meter of its response; `None` without a
-    /// rollout of the service.
+    /// rollout of the service. The time of a run that goes on from a copy, or after some events,
+    /// is not counted.
     pub(super) fn meter(
         &self,
         admitted: &Admitted,
         target: &Target,
+        is_from_start: bool,
         now: BootTime,
     ) -> Option<SendMeter> {
         if !self.rollouts.is_enabled() {
@@ -37,7 +39,7 @@
             zone: target_key(&target.zone),
             target: target_key(&target.id),
             objective: admitted.route.objective,
-            is_comparable: is_near && known.is_some_and(|k| k.cold_until <= now),
+            is_comparable: is_from_start && is_near && known.is_some_and(|k| k.cold_until <= now),
         };
         self.rollouts.start(&send, now)
     }
--- a/src/gateway/send_meter.rs
+++ b/src/gateway/send_meter.rs
@@ -8,7 +8,7 @@
     rollouts::Rollouts,
     version_outcomes::{Outcomes, Side},
 };
-use crate::clock::BootTime;
+use crate::clock::{self, BootTime};
 
 /// A request as it is sent to a target; names are given by their hashes.
 #[derive(Clone, Copy, Debug)]
@@ -125,9 +125,16 @@
 
 impl Drop for SendMeter {
     fn drop(&mut self) {
-        let id = self.id;
+        let (id, side, route) = (self.id, self.side, self.route);
         self.with_order(|active| {
-            active.open.remove(&id);
+            let Some(open) = active.open.remove(&id).filter(|open| !open.is_late) else {
+                return;
+            };
+            // Ended by the caller or a deadline, but late by then.
+            let time = clock::now().saturating_sub(open.sent_at);
+            if time > open.objective {
+                active.table.own.record_time(side, route, time);
+            }
         });
     }
 }
--- a/tests/gateway_rollout_orders.rs
+++ b/tests/gateway_rollout_orders.rs
@@ -19,6 +19,7 @@
 };
 use fleet::{NEW, OLD, SERVICE, at, order, settings, target};
 use proptest::prelude::*;
+use rustix::time::{ClockId, clock_gettime};
 
 const ZONE: &str = "zone-1";
 
@@ -431,6 +432,26 @@
     );
 }
 
+/// A version that hangs would otherwise look unused where deadlines are short.
+#[test]
+fn a_request_that_a_deadline_ends_counts_in_the_times_if_it_was_late() {
+    let rollouts = daemon("daemon-1");
+    let fleet = with_order(fleet_of(&[OLD, NEW], 2), 10, None);
+    tick(&rollouts, &fleet, 0, 200);
+    let time = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).expect("seconds since boot");
+    let now = Duration::from_secs(secs + 1);
+    drop(rollouts.start(&send(NEW), now.saturating_sub(Duration::from_millis(1_900))));
+    drop(rollouts.start(&send(NEW), now));
+    let sums = rollouts.sums(SERVICE).expect("an order");
+    assert_eq!(sums.total(Side::New), Outcomes::default());
+    let times = sums
+        .routes
+        .iter()
+        .map(|(_, [_, new])| new.times.iter().sum::<u32>());
+    assert_eq!(times.sum::<u32>(), 1);
+}
+
 fn report_of(rollouts: &Rollouts, leads: bool, ms: u64) -> RolloutReport {
     let reports = rollouts.reports(leads, at(ms));
     reports.first().expect("a report").1.clone()
