--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! names and the calls to the store and to engines are supplied by an adapter,
 //! so this module does not depend on the wire formats of one platform.
 
+mod active_rollout;
 mod admission;
 mod body;
 mod body_pace;
@@ -50,14 +51,20 @@
 mod resumption;
 mod rollout;
 mod rollout_orders;
+mod rollout_plan;
+mod rollout_report;
+mod rollout_share;
 mod rollout_status;
+mod rollout_use;
 mod rollout_writer;
 mod rollouts;
 mod room;
 mod routing;
 mod send_budget;
+mod send_meter;
 mod sent;
 mod service_rates;
+mod service_rollout;
 mod settings;
 mod share_use;
 mod shared_state;
@@ -75,6 +82,7 @@
 mod target_speed;
 mod target_statements;
 mod target_versions;
+mod version_outcomes;
 mod wait_queue;
 mod whole_body;
 
@@ -145,10 +153,14 @@
         parse_event_id,
     },
     rollout::{Rollout, RolloutOrder, RolloutState},
-    rollout_writer::{RolloutAnswer, RolloutCall, RolloutStatusWrite, RolloutStep, RolloutWriter},
-    rollouts::{RolloutDecision, Rollouts},
+    rollout_plan::{Capacity, RolloutMoment, RolloutStep, RolloutVerdict, VerdictCause},
+    rollout_report::{OrderId, RolloutDecision, RolloutReport},
+    rollout_share::{Preference, ShareCredit, VersionUse},
+    rollout_writer::{RolloutAnswer, RolloutCall, RolloutStatusWrite, RolloutWriter, StatusStep},
+    rollouts::{ReportTo, Rollouts},
     routing::Denied,
     send_budget::{RepeatReason, SendBudget, SendCounts, SendHistory, SendTracker},
+    send_meter::{SendMeter, VersionSend},
     service_rates::ServiceRates,
     settings::{Bounds, GatewayListen, GatewaySettings, RolloutSettings, StoreSettings},
     share_use::DemandTracker,
@@ -166,6 +178,7 @@
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
+    version_outcomes::{OutcomeSums, OutcomeTable, Outcomes, ReportScope, RouteOutcomes, Side},
     wait_queue::{HeldNumber, RELEASE_WINDOW, WaitQueue},
 };
 use self::{
@@ -235,6 +248,7 @@
     statements: StatementTracker,
     speeds: SpeedTracker,
     demand: DemandTracker,
+    rollouts: Rollouts,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -281,7 +295,10 @@
         crate::metrics::install();
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
-        let trackers = Trackers::default();
+        let trackers = Trackers {
+            rollouts: Rollouts::new(settings.rollouts.as_ref(), &settings.name, &settings.zone),
+            ..Trackers::default()
+        };
         let memory = MemoryPools::new(settings.memory_mb);
         let control_started = spawn_control(
             store,
@@ -305,6 +322,7 @@
             statements: trackers.statements,
             speeds: trackers.speeds,
             demand: trackers.demand,
+            rollouts: trackers.rollouts,
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -27,6 +27,8 @@
         Query, Update,
     },
     peers::{DaemonInfo, DaemonName, QUERY_INTERVAL, REMOTE_QUERY_INTERVAL, REPORT_PERIOD},
+    rollout_report::RolloutReport,
+    rollouts::ReportTo,
 };
 use crate::{
     clock::{self, BootTime},
@@ -230,6 +232,7 @@
         self.report_statements(now).await;
         self.report_speeds(now).await;
         self.report_demand(now).await;
+        self.report_rollouts(now).await;
     }
 
     /// Detects that this process stood still.
@@ -363,6 +366,34 @@
         }
     }
 
+    /// Reports the responses of versions to the leader of this daemon's zone, or to those of
+    /// other zones if this daemon leads its zone; verdicts and steps to all.
+    async fn report_rollouts(&self, now: BootTime) {
+        let reports = {
+            let control = self.control.borrow();
+            let leads = control.peers.is_zone_leader(now);
+            control.rollouts.reports(leads, now)
+        };
+        for (to, report) in reports {
+            let to = {
+                let peers = &self.control.borrow().peers;
+                match to {
+                    ReportTo::Leader => peers.zone_peers_to_query(now),
+                    ReportTo::OtherLeaders => peers.remote_peers_to_query(now),
+                    ReportTo::All => {
+                        let mut all = peers.zone_peers(now);
+                        all.extend(peers.remote_peers_to_query(now));
+                        all
+                    }
+                }
+            };
+            for peer in to {
+                self.send(peer, Message::Rollouts(vec![report.clone()]))
+                    .await;
+            }
+        }
+    }
+
     /// Adds a report of the demand of customers, and passes it on if it is new.
     async fn receive_demand(&self, from: &str, zone: &str, report: DemandReport, now: BootTime) {
         let is_passed_on = {
@@ -385,6 +416,28 @@
         few.copied().collect()
     }
 
+    /// Takes reports on rollouts. Those that change what this daemon knows are passed on at
+    /// once, and a sender that knows less is told.
+    async fn merge_rollouts(
+        &self,
+        packet: (&str, Incarnation, &str),
+        reports: &[RolloutReport],
+        from: SocketAddr,
+    ) {
+        let now = clock::now();
+        let (name, incarnation, zone) = packet;
+        let (rollouts, leads) = {
+            let control = self.control.borrow();
+            (control.rollouts.clone(), control.peers.is_zone_leader(now))
+        };
+        if rollouts.merge(reports, (name, incarnation), zone, now) {
+            self.send(from, Message::Rollouts(rollouts.news(now))).await;
+        }
+        if rollouts.has_news(leads) {
+            self.report_rollouts(now).await;
+        }
+    }
+
     /// Sends a message to this daemon's zone, and to the leaders of other zones if this
     /// daemon leads its zone.
     async fn send_to_zones(&self, message: &Message, now: BootTime) {
@@ -592,6 +645,10 @@
                 self.receive_demand(&packet.from, &packet.zone, report, now)
                     .await;
             }
+            Message::Rollouts(reports) => {
+                let sender = (&*packet.from, packet.incarnation, &*packet.zone);
+                self.merge_rollouts(sender, &reports, from).await;
+            }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
                 let to_forward = self.control.borrow_mut().apply_updates(&updates);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -5,6 +5,7 @@
 use super::{
     load::Work,
     model::{Change, Topic},
+    rollout_report::RolloutReport,
     send_budget::SendCounts,
 };
 use crate::platform::Revision;
@@ -72,6 +73,8 @@
     Speeds(Vec<SpeedReport>),
     /// Demand of customers for services that are short of room.
     CustomerDemand(DemandReport),
+    /// How far rollouts are, and the responses of both versions.
+    Rollouts(Vec<RolloutReport>),
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -8,7 +8,7 @@
 use super::{
     control::Control,
     feed::Store,
-    rollout_writer::{RolloutAnswer, RolloutCall, RolloutStep, RolloutWriter},
+    rollout_writer::{RolloutAnswer, RolloutCall, RolloutWriter, StatusStep},
 };
 use crate::clock;
 
@@ -36,7 +36,7 @@
     }
 }
 
-fn due(writer: &mut RolloutWriter, control: &Control) -> Vec<RolloutStep> {
+fn due(writer: &mut RolloutWriter, control: &Control) -> Vec<StatusStep> {
     let (fleet, now) = (control.fleet(), clock::now());
     if fleet.rollouts.is_empty() {
         // Without an order, neither decisions nor ranks are worked out.
@@ -46,7 +46,7 @@
     writer.due(fleet, &decisions, control.peers.writer_rank(now), now)
 }
 
-async fn call(store: Store, step: RolloutStep) -> (RolloutStep, RolloutAnswer) {
+async fn call(store: Store, step: StatusStep) -> (StatusStep, RolloutAnswer) {
     let call = match &step.call {
         RolloutCall::Read(service) => (store.read_rollout)(service.clone()),
         RolloutCall::Write(write) => (store.write_rollout_status)(write.clone()),
@@ -56,7 +56,7 @@
     (step, answer)
 }
 
-fn log_answer(step: &RolloutStep, answer: &RolloutAnswer) {
+fn log_answer(step: &StatusStep, answer: &RolloutAnswer) {
     let RolloutCall::Write(write) = &step.call else {
         log::info!(
             "event=rollout_status_read service={} answer={:?}",
--- a/src/gateway/rollout_writer.rs
+++ b/src/gateway/rollout_writer.rs
@@ -13,7 +13,7 @@
 use super::{
     model::{Change, Fleet},
     rollout::{Rollout, RolloutOrder, RolloutState},
-    rollouts::RolloutDecision,
+    rollout_report::RolloutDecision,
 };
 use crate::{clock::BootTime, platform::Revision};
 
@@ -74,7 +74,7 @@
 
 /// A call, its number and the longest wait for its answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RolloutStep {
+pub struct StatusStep {
     /// Number to record the answer with.
     pub number: u64,
     /// The call.
@@ -115,7 +115,7 @@
         decisions: &[(Box<str>, RolloutDecision)],
         rank: u32,
         now: BootTime,
-    ) -> Vec<RolloutStep> {
+    ) -> Vec<StatusStep> {
         self.pending
             .retain(|service, _| fleet.rollouts.contains_key(service));
         let mut steps = Vec::new();
@@ -131,7 +131,7 @@
             steps.extend(pending.next_call(rank, now).map(|call| {
                 self.last_number += 1;
                 pending.in_progress = Some(self.last_number);
-                RolloutStep {
+                StatusStep {
                     number: self.last_number,
                     call,
                     timeout: pending.timeout,
@@ -143,7 +143,7 @@
     }
 
     /// Records the outcome of a call. The outcome of a call that was superseded is ignored.
-    pub fn record(&mut self, step: &RolloutStep, answer: &RolloutAnswer, now: BootTime) {
+    pub fn record(&mut self, step: &StatusStep, answer: &RolloutAnswer, now: BootTime) {
         if let Some(pending) = self.pending.get_mut(step.call.service())
             && pending.in_progress == Some(step.number)
         {
--- a/tests/gateway_rollout_writer.rs
+++ b/tests/gateway_rollout_writer.rs
@@ -5,7 +5,7 @@
 
 use bluebelldrift::gateway::{
     Change, FeedState, Fleet, Rollout, RolloutAnswer, RolloutCall, RolloutDecision, RolloutOrder,
-    RolloutState, RolloutStep, RolloutWriter, Topic, revision_in_era,
+    RolloutState, RolloutWriter, StatusStep, Topic, revision_in_era,
 };
 use proptest::prelude::*;
 
@@ -67,7 +67,7 @@
         }
     }
 
-    fn due(&mut self, now: Duration) -> Option<RolloutStep> {
+    fn due(&mut self, now: Duration) -> Option<StatusStep> {
         let decisions = self.decision.map(|d| (SERVICE.into(), d));
         let decisions: Vec<_> = decisions.into_iter().collect();
         let mut steps = self.writer.due(&self.fleet, &decisions, self.rank, now);
@@ -76,7 +76,7 @@
     }
 
     /// Returns the write that is due; fails if there is none.
-    fn due_write(&mut self, now: Duration) -> (RolloutStep, RolloutState, u64) {
+    fn due_write(&mut self, now: Duration) -> (StatusStep, RolloutState, u64) {
         let step = self.due(now).expect("a call");
         let RolloutCall::Write(write) = step.call.clone() else {
             panic!("expected a write: {step:?}");
@@ -85,7 +85,7 @@
         (step, write.state, write.revision)
     }
 
-    fn answer(&mut self, step: &RolloutStep, answer: &RolloutAnswer, now: Duration) {
+    fn answer(&mut self, step: &StatusStep, answer: &RolloutAnswer, now: Duration) {
         self.writer.record(step, answer, now);
     }
 }
@@ -501,7 +501,7 @@
             .map(|rank| Daemon { rank, ..Daemon::new(fleet_with(order.clone()), RUNNING) })
             .collect();
         let mut faults = faults.into_iter();
-        let mut answers: Vec<(u64, usize, RolloutStep, RolloutAnswer)> = vec![];
+        let mut answers: Vec<(u64, usize, StatusStep, RolloutAnswer)> = vec![];
         for tick in 0_u64..400 {
             let now = ms(100 * tick);
             let (due, later) = store.late.drain(..).partition::<Vec<_>, _>(|(at, _)| *at <= tick);
