Roll back an order whose version was never there to be tried

Without a target of the new version, an order had no final status: the canary phase never ended. At the time limit it is rolled back (cause not_tried).

--- a/src/gateway/rollout_plan.rs
+++ b/src/gateway/rollout_plan.rs
@@ -103,6 +103,8 @@
     SlowOnRoute,
     /// It has answered nothing.
     NoAnswers,
+    /// The time limit is over, and too few of its targets were there to try it.
+    NotTried,
     /// The store says that it was rolled back.
     Status,
 }
@@ -263,6 +265,9 @@
         if self.is_unanswered() && self.age >= self.time_limit.mul_f64(LATEST_ANSWER) {
             return verdict(VerdictCause::NoAnswers, old, new);
         }
+        if self.step == RolloutStep::Canary && self.age >= self.time_limit {
+            return verdict(VerdictCause::NotTried, old, new);
+        }
         None
     }
 }
