Disconnect callers that read answers very slowly while others find no memory

What callers saw: beside callers that read an answer of 4 MiB at 2 KB/s, another one got no large answer for 20 s; its request ran and ended with 504.

Cause: an answer keeps its memory for as long as its caller makes any progress within 60 s. A few slow readers hold what there is for answers, and those that wait for it reported no shortage.

Change: the progress of a response is followed by the rule for bodies (body_pace). While others find no memory or no connection, a connection whose response has had no progress for 5 s, or is read at less than 16 KiB/s on average after that, is closed. An answer that waits for memory for half a second reports such a shortage. Without one, slow callers are served as before.

--- a/src/gateway/body_pace.rs
+++ b/src/gateway/body_pace.rs
@@ -1,4 +1,4 @@
-//! Decides when the sender of a request body is too slow.
+//! Decides when the sender of a request body is too slow, or the reader of a response.
 //!
 //! Load pattern: many clients send bodies and stop before their end, or send a byte now and
 //! then. Each holds the memory of its body and a connection, so that ordinary callers find
@@ -93,7 +93,8 @@
         is_first
     }
 
-    fn is_recent(&self) -> bool {
+    /// Returns whether there was one a short time ago.
+    pub fn is_recent(&self) -> bool {
         let last = self.0.load(Ordering::Relaxed);
         let age = clock::millis(clock::now()).saturating_sub(last);
         last > 0 && u128::from(age) <= SHORTAGE_TIME.as_millis()
--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    body_pace::PaceLimits,
     connections::{ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict},
     in_flight::InFlightCounter,
     receive_buffer::ReceiveBuffer,
@@ -60,6 +61,12 @@
         expires_at.map(|at| at.saturating_sub(clock::now()))
     }
 
+    /// Returns whether the peer reads a response too slowly.
+    pub fn is_read_too_slowly(&self, limits: &PaceLimits, has_shortage: bool) -> bool {
+        let state = self.state();
+        state.is_read_too_slowly(limits, has_shortage, clock::now())
+    }
+
     fn is_in_request(&self) -> bool {
         self.in_flight.count() > 0
     }
@@ -176,9 +183,16 @@
     }
 
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        let has_progress = matches!(written, Poll::Ready(Ok(len)) if *len > 0);
+        let bytes = match written {
+            Poll::Ready(Ok(len)) => *len,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
         let mut state = self.monitor.state();
-        state.record_write(has_progress, clock::now());
+        let now = clock::now();
+        state.record_write(bytes > 0, now);
+        if bytes > 0 {
+            state.record_written(bytes, now);
+        }
     }
 }
 
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::body_pace::{BodyPace, PaceLimits};
 use crate::clock::BootTime;
 
 /// Share of the process's memory for the heads that connections hold and the buffers of their
@@ -105,6 +106,8 @@
     requests: u32,
     /// Time since which bytes of a response wait to be written.
     writing_since: Option<BootTime>,
+    /// What its caller has read of it since.
+    read_pace: Option<BodyPace>,
 }
 
 impl ConnectionState {
@@ -117,6 +120,7 @@
             head_since: None,
             requests: 0,
             writing_since: None,
+            read_pace: None,
         }
     }
 
@@ -140,10 +144,32 @@
             self.active_at = now;
         }
         self.writing_since.get_or_insert(now);
+        self.read_pace.get_or_insert_with(|| BodyPace::new(now));
+    }
+
+    /// Records how many bytes were written.
+    pub fn record_written(&mut self, bytes: usize, now: BootTime) {
+        if let Some(pace) = &mut self.read_pace {
+            pace.record(bytes, now);
+        }
+    }
+
+    /// Returns whether the peer reads a response too slowly, by the same rule as for a body that
+    /// it sends.
+    #[must_use]
+    pub fn is_read_too_slowly(
+        &self,
+        limits: &PaceLimits,
+        has_shortage: bool,
+        now: BootTime,
+    ) -> bool {
+        let pace = self.read_pace;
+        pace.is_some_and(|pace| pace.is_too_slow(limits, has_shortage, now))
     }
 
     /// Records that all bytes were written.
     pub fn record_flush(&mut self, now: BootTime) {
+        self.read_pace = None;
         if self.writing_since.take().is_some() {
             self.active_at = now;
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -187,7 +187,8 @@
         has_framed_body(self.response.headers())
     }
 
-    /// Reads the whole body, up to `max_bytes`, with memory from `pool`.
+    /// Reads the whole body, up to `max_bytes`, with memory from `pool`. Calls `on_shortage` while
+    /// it waits for memory.
     ///
     /// # Errors
     /// Fails if the body ends early, is larger than `max_bytes` or finds no memory.
@@ -195,9 +196,10 @@
         self,
         max_bytes: usize,
         pool: &MemoryPool,
+        on_shortage: impl Fn(),
     ) -> Result<Response<Bytes>, BodyError> {
         let (head, body) = self.response.into_parts();
-        let body = read_whole(body, max_bytes, pool, Shortage::Wait, || ()).await;
+        let body = read_whole(body, max_bytes, pool, Shortage::Wait, on_shortage).await;
         drop(self.connection);
         Ok(Response::from_parts(head, body?))
     }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -69,7 +69,9 @@
         if !run.exchange.response.status().is_success() {
             let reading = run
                 .exchange
-                .collect(MAX_RESPONSE_BYTES, &self.memory.answers);
+                .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
+                    self.shortages.record();
+                });
             let read = tokio::time::timeout(job.time_left(clock::now()), reading).await;
             return match read {
                 Ok(Ok(res)) => Ok(caller_response(res)),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -15,6 +15,7 @@
 use super::{
     Gateway,
     body::ResponseBody,
+    body_pace::PaceLimits,
     connection_set::{Monitor, MonitoredTcp, OpenConnection},
     connections::{ConnectionTimes, EvictionRule},
     exchange::{enable_dead_peer_detection, log_socket_error},
@@ -33,6 +34,9 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time without progress of a response: twice the longest pause of a caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest pause of a caller that reads a response while others find no room. The request has run,
+/// so it is longer than that of a body: time for several retransmissions.
+const SHORTAGE_READ_PAUSE: Duration = Duration::from_secs(5);
 /// Connections in use stay. Others have some round trips for their first request, also if the
 /// process stands still for a moment.
 const EVICTION: EvictionRule = EvictionRule {
@@ -85,6 +89,11 @@
         idle: limits.idle_timeout,
         write: WRITE_TIMEOUT,
     };
+    let read_limits = PaceLimits {
+        deadline: Duration::MAX,
+        pause: WRITE_TIMEOUT,
+        shortage_pause: SHORTAGE_READ_PAUSE,
+    };
     let (service_gateway, service_monitor) = (gateway.clone(), monitor.clone());
     let service = service_fn(move |req: Request<Incoming>| {
         respond(service_gateway.clone(), service_monitor.clone(), req)
@@ -111,6 +120,10 @@
                 if monitor.time_left(&times).is_some_and(|left| left.is_zero()) {
                     return log_closed(peer, "timeout");
                 }
+                let has_shortage = gateway.shortages.is_recent();
+                if monitor.is_read_too_slowly(&read_limits, has_shortage) {
+                    return log_closed(peer, "read_slow");
+                }
                 if gateway.closes_idle_connections() && monitor.in_flight.count() == 0 {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -182,7 +182,9 @@
             return outcome;
         }
         match exchange
-            .collect(MAX_RESPONSE_BYTES, &self.memory.answers)
+            .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
+                self.shortages.record();
+            })
             .await
         {
             Ok(res) => SendOutcome::Answered(res),
--- a/src/gateway/whole_body.rs
+++ b/src/gateway/whole_body.rs
@@ -14,6 +14,8 @@
 /// Maximum number of bodies that wait for memory; what has arrived of them waits in the
 /// sockets' buffers, some 64 KiB each.
 const MAX_WAITING: usize = 16;
+/// Interval at which a body that waits for memory reports a shortage; a shorter wait is none.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Size up to which a body does not wait for larger ones to go first, in bytes.
 const PASSING_BYTES: usize = 64 * 1024;
 
@@ -47,7 +49,7 @@
 }
 
 /// Reads a body of at most `max_bytes`, with memory from `pool`. Without a declared length,
-/// memory is taken as the body grows, and a shortage fails at once. Calls `on_shortage` before
+/// memory is taken as the body grows, and a shortage fails at once. Calls `on_shortage` when
 /// a body waits for memory.
 pub(crate) async fn read_whole<B>(
     mut body: B,
@@ -63,7 +65,7 @@
     let length = declared_length(&body, max_bytes)?;
     let grant = match own_bytes(length) {
         0 => Some(MemoryGrant::default()),
-        bytes if shortage == Shortage::Wait => pool.take(bytes).await,
+        bytes if shortage == Shortage::Wait => take_at_last(pool, bytes, on_shortage).await,
         bytes if bytes > pool.size() => return Err(BodyError::TooLarge { max_bytes }),
         bytes => take_soon(pool, bytes, on_shortage).await,
     };
@@ -113,6 +115,21 @@
     taking.ok().flatten()
 }
 
+/// Takes memory for a body whose request has run. Calls `on_shortage` now and then while it waits.
+async fn take_at_last(
+    pool: &MemoryPool,
+    bytes: usize,
+    on_shortage: impl Fn(),
+) -> Option<MemoryGrant> {
+    let mut taking = std::pin::pin!(pool.take(bytes));
+    loop {
+        match tokio::time::timeout(REPORT_INTERVAL, taking.as_mut()).await {
+            Ok(taken) => return taken,
+            Err(_) => on_shortage(),
+        }
+    }
+}
+
 /// Returns the declared length, or 0 without one.
 fn declared_length(body: &impl Body, max_bytes: usize) -> Result<usize, BodyError> {
     let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
--- a/tests/gateway_connections.rs
+++ b/tests/gateway_connections.rs
@@ -82,6 +82,37 @@
     assert_eq!(state.expires_at(false, &TIMES), Some(ms(100_000)));
 }
 
+/// Callers that read on very slowly kept the memory of their answers. While others find room, a
+/// pause of an ordinary caller ends nothing.
+#[test]
+fn a_caller_that_reads_on_very_slowly_keeps_its_answer() {
+    let limits = PaceLimits {
+        deadline: Duration::MAX,
+        pause: ms(60_000),
+        shortage_pause: ms(5_000),
+    };
+    let start = || {
+        let mut state = ConnectionState::new(ms(0));
+        state.record_write(true, ms(0));
+        state.record_written(64_000, ms(0));
+        state
+    };
+    let (mut slow, mut mobile, pausing) = (start(), start(), start());
+    for at in (500..20_000).step_by(500) {
+        slow.record_write(true, ms(at));
+        slow.record_written(1_000, ms(at));
+        mobile.record_write(true, ms(at));
+        mobile.record_written(10_000, ms(at));
+    }
+    assert!(slow.is_read_too_slowly(&limits, true, ms(20_000)));
+    assert!(!slow.is_read_too_slowly(&limits, false, ms(20_000)));
+    assert!(!mobile.is_read_too_slowly(&limits, true, ms(20_000)));
+    assert!(!pausing.is_read_too_slowly(&limits, true, ms(4_900)));
+    assert!(pausing.is_read_too_slowly(&limits, true, ms(5_000)));
+    slow.record_flush(ms(20_000));
+    assert!(!slow.is_read_too_slowly(&limits, true, ms(30_000)));
+}
+
 #[test]
 fn a_used_connection_gives_way_before_one_that_never_had_a_request() {
     let mut trickling = ConnectionState::new(ms(5_000));
