Close connections after their response while a new one waits for a place

Cause: connections with a request in progress never give way, and pipelined requests follow each other without a pause. Unread responses wait in the send buffers, so that nothing looks stalled.

Change: while a new connection waits since no other one gives way, responses carry "connection: close". The requests that follow on the connection have not been read and do not run. An ordinary caller connects again.

Ruled out: smaller send buffers, which would keep answers in the memory of the process while they are on their way.

--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -81,6 +84,8 @@
 pub(crate) struct ConnectionSet {
     open: Arc<Mutex<Connections>>,
     freed: Arc<Notify>,
+    /// Whether a new connection waits since no other one gives way.
+    is_blocked: Arc<AtomicBool>,
 }
 
 #[derive(Debug, Default)]
@@ -96,10 +101,12 @@
         while self.lock().by_number.len() >= max {
             if !self.evict(rule) {
                 on_full();
+                self.is_blocked.store(true, Ordering::Relaxed);
                 let freed = self.freed.notified();
                 let _ = tokio::time::timeout(FULL_CHECK_INTERVAL, freed).await;
             }
         }
+        self.is_blocked.store(false, Ordering::Relaxed);
         let mut open = self.lock();
         open.added += 1;
         let (number, monitor) = (open.added, Monitor::new());
@@ -112,6 +119,11 @@
         }
     }
 
+    /// Returns whether a new connection waits since no other one gives way.
+    pub fn is_blocked(&self) -> bool {
+        self.is_blocked.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections.
     pub fn count(&self) -> usize {
         self.lock().by_number.len()
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -159,7 +159,8 @@
     let handling = gateway.handle_request(req, running.progress(), &monitor);
     let mut res = handling.await;
     running.progress().set(Stage::Responding);
-    if gateway.shared.is_stopping() {
+    // Requests that follow on the connection without end would keep new connections out.
+    if gateway.shared.is_stopping() || gateway.ports.callers.is_blocked() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
