--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -18,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    body_pace::PaceLimits,
     connections::{ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict},
     in_flight::InFlightCounter,
     receive_buffer::ReceiveBuffer,
@@ -60,6 +64,12 @@
         expires_at.map(|at| at.saturating_sub(clock::now()))
     }
 
+    /// Returns whether the peer reads a response too slowly.
+    pub fn is_read_too_slowly(&self, limits: &PaceLimits, has_shortage: bool) -> bool {
+        let state = self.state();
+        state.is_read_too_slowly(limits, has_shortage, clock::now())
+    }
+
     fn is_in_request(&self) -> bool {
         self.in_flight.count() > 0
     }
@@ -74,6 +84,8 @@
 pub(crate) struct ConnectionSet {
     open: Arc<Mutex<Connections>>,
     freed: Arc<Notify>,
+    /// Whether a new connection waits since no other one gives way.
+    is_blocked: Arc<AtomicBool>,
 }
 
 #[derive(Debug, Default)]
@@ -89,10 +101,12 @@
         while self.lock().by_number.len() >= max {
             if !self.evict(rule) {
                 on_full();
+                self.is_blocked.store(true, Ordering::Relaxed);
                 let freed = self.freed.notified();
                 let _ = tokio::time::timeout(FULL_CHECK_INTERVAL, freed).await;
             }
         }
+        self.is_blocked.store(false, Ordering::Relaxed);
         let mut open = self.lock();
         open.added += 1;
         let (number, monitor) = (open.added, Monitor::new());
@@ -105,6 +119,11 @@
         }
     }
 
+    /// Returns whether a new connection waits since no other one gives way.
+    pub fn is_blocked(&self) -> bool {
+        self.is_blocked.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections.
     pub fn count(&self) -> usize {
         self.lock().by_number.len()
@@ -176,9 +195,16 @@
     }
 
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        let has_progress = matches!(written, Poll::Ready(Ok(len)) if *len > 0);
+        let bytes = match written {
+            Poll::Ready(Ok(len)) => *len,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
         let mut state = self.monitor.state();
-        state.record_write(has_progress, clock::now());
+        let now = clock::now();
+        state.record_write(bytes > 0, now);
+        if bytes > 0 {
+            state.record_written(bytes, now);
+        }
     }
 }
 
