Bound the memory of request bodies in the product's own daemon

What callers saw: 40 callers of `bluebelldrift run` whose bodies of 4 MiB stop a byte before their end took the process to 184,332 KiB, in chunks 185,612 KiB. Nothing bounded their number.

Cause: each body is read whole within its own limit, and kept until request_timeout (30 s).

Change: bodies of more than 8 KiB take memory from limits.max_bodies_bytes (256 MiB by default, at least one body of the largest size) before they are read: their declared length, or that of the largest body. Without it the request is refused with 429, a time to come back, and has not run.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use hyper::body::Body;
 use viz::{IntoResponse, Request, RequestExt, Response, Router, StatusCode};
 
 use crate::{
@@ -23,6 +24,7 @@
     drain,
     engine::EngineClient,
     footprint::MemoryReservations,
+    gateway::{MemoryGrant, MemoryPool, SMALL_BYTES},
     generate,
     http::{self, HttpClient},
     metrics,
@@ -62,6 +64,8 @@
     pub resume_keys: ResumeKeys,
     /// Memory that the runs of this daemon are expected to use on each target.
     pub reservations: Arc<MemoryReservations>,
+    /// Memory for request bodies.
+    pub bodies: MemoryPool,
     /// Prompt prefixes that each engine is believed to have cached.
     pub prefixes: Arc<PrefixHints>,
     /// Number of requests being served.
@@ -83,6 +87,12 @@
             budget: RetryBudget::new(clock::now()),
             resume_keys: ResumeKeys::new(&settings.keys.resume),
             reservations: Arc::default(),
+            bodies: MemoryPool::new(
+                settings
+                    .limits
+                    .max_bodies_bytes
+                    .max(settings.limits.max_body_bytes),
+            ),
             prefixes: Arc::default(),
             active_requests: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
@@ -184,6 +194,7 @@
         ));
     };
     let limits = &state.settings.limits;
+    let mut memory = take_body_memory(state, req)?;
     let body = http::read_body(req, limits.max_body_bytes, limits.request_timeout).await;
     let body = body.map_err(|e| {
         let kind = match e {
@@ -193,6 +204,11 @@
         };
         Refusal::not_run(kind, e.to_string())
     })?;
+    let body = if memory.bytes() > 0 && memory.try_resize(&state.bodies, body.len()) {
+        memory.attach(body)
+    } else {
+        body
+    };
     let context = RequestContext {
         id,
         customer,
@@ -202,6 +218,27 @@
     Ok((context, body))
 }
 
+/// Takes memory for the body of a request: its declared length, or that of the largest one.
+///
+/// # Errors
+/// Other bodies take the memory.
+fn take_body_memory(state: &ServerState, req: &Request) -> Result<MemoryGrant, Refusal> {
+    let limits = &state.settings.limits;
+    let declared = req.body().size_hint().exact();
+    let length = declared.and_then(|length| usize::try_from(length).ok());
+    let length = length.unwrap_or(limits.max_body_bytes);
+    // Too large a body is refused as it is read.
+    if length <= SMALL_BYTES || length > limits.max_body_bytes {
+        return Ok(MemoryGrant::default());
+    }
+    state.bodies.try_take(length).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::NoRoom,
+            "other bodies take the memory of this daemon",
+        )
+    })
+}
+
 /// Refuses new work while the daemon has no configuration, or has a stale one that
 /// the `cut_off` setting does not let it use.
 fn check_ready(view: &View, settings: &Settings) -> Result<(), Refusal> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -149,6 +149,10 @@
     /// Open connections from one IP address.
     #[schemars(range(min = 1))]
     pub max_connections_per_peer: u32,
+    /// Bytes of all request bodies of more than 8 KiB that are read or held at the same time; at
+    /// least one of the largest size fits.
+    #[schemars(range(min = 1024))]
+    pub max_bodies_bytes: usize,
     /// Bytes buffered for one slow caller, or for one whole delivery.
     #[schemars(range(min = 1024))]
     pub max_buffer_bytes: usize,
@@ -168,6 +172,7 @@
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
             max_connections_per_peer: 4096,
+            max_bodies_bytes: 256 * 1024 * 1024,
             max_buffer_bytes: 4 * 1024 * 1024,
             request_timeout: Duration::from_secs(30),
             service_timeout: Duration::from_secs(30),
