Review: stand-ins formatted, ports below those of outgoing connections

Cause: the stand-ins were not formatted, and their free ports could be taken by an outgoing connection before the gateway bound them. Change: rustfmt, another choice of ports; what is checked is the same.

--- a/review/case6.rs
+++ b/review/case6.rs
@@ -71,13 +71,20 @@
                     return Ok(true);
                 };
                 let handle = format!("h-{run}");
-                copy_to(&text_of(&body, "target"), &format!("{}/{handle}", server.address))?;
+                copy_to(
+                    &text_of(&body, "target"),
+                    &format!("{}/{handle}", server.address),
+                )?;
                 println!("copied run={run} created={made}");
                 let answer = format!("{{\"handle\":\"{handle}\",\"created\":{made}}}");
                 write_json(tcp, 200, &answer)?;
             }
             "/bluebelldrift/report" => {
-                let runs: Vec<String> = memory.lock().unwrap().runs.iter()
+                let runs: Vec<String> = memory
+                    .lock()
+                    .unwrap()
+                    .runs
+                    .iter()
                     .map(|(run, made)| format!("[\"{run}\",400,{made},5]"))
                     .collect();
                 let answer = format!(
@@ -101,8 +108,16 @@
 }
 
 /// Runs a request and writes its events.
-fn stream(memory: &Mutex<Memory>, request: &Message, tcp: &mut TcpStream, is_framed: bool) -> io::Result<bool> {
-    let run = request.header("bluebelldrift-request-id").unwrap_or("-").to_owned();
+fn stream(
+    memory: &Mutex<Memory>,
+    request: &Message,
+    tcp: &mut TcpStream,
+    is_framed: bool,
+) -> io::Result<bool> {
+    let run = request
+        .header("bluebelldrift-request-id")
+        .unwrap_or("-")
+        .to_owned();
     let mut first = 1;
     if let Some(copy) = request.header("kv-from") {
         if !memory.lock().unwrap().copies.remove(copy) {
@@ -114,7 +129,9 @@
             )?;
             return Ok(true);
         }
-        let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse::<u64>().ok());
         first = last.unwrap_or(0) + 1;
     }
     println!("run={run} begins at event {first}");
@@ -132,8 +149,18 @@
     written.map(|()| is_framed)
 }
 
-fn write_events(memory: &Mutex<Memory>, run: &str, first: u64, tcp: &mut TcpStream, is_framed: bool) -> io::Result<()> {
-    let framing = if is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
+fn write_events(
+    memory: &Mutex<Memory>,
+    run: &str,
+    first: u64,
+    tcp: &mut TcpStream,
+    is_framed: bool,
+) -> io::Result<()> {
+    let framing = if is_framed {
+        "Transfer-Encoding: chunked\r\n"
+    } else {
+        ""
+    };
     write!(
         tcp,
         "HTTP/1.1 200 OK\r\nBluebelldrift-Request-Id: {run}\r\nBluebelldrift-Response-Seal: seal-{run}\r\n\
@@ -174,12 +201,19 @@
 fn call(engine: SocketAddr, path: &str, body: &str) -> io::Result<Option<Message>> {
     let mut tcp = TcpStream::connect_timeout(&engine, Duration::from_secs(1))?;
     tcp.set_read_timeout(Some(Duration::from_secs(1)))?;
-    write!(tcp, "POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    write!(
+        tcp,
+        "POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
     read_message(&mut BufReader::new(tcp), false)
 }
 
 fn text_of(json: &str, key: &str) -> String {
-    value_of(json, key).unwrap_or("").trim_matches('"').to_owned()
+    value_of(json, key)
+        .unwrap_or("")
+        .trim_matches('"')
+        .to_owned()
 }
 
 // ---------------------------------------------------------------- play
@@ -192,7 +226,12 @@
 
 impl Engine {
     /// Starts the process of an engine, whose output goes to the record.
-    fn spawn(id: &str, framing: &str, record: &Record, ended: &Arc<Mutex<HashSet<String>>>) -> io::Result<Self> {
+    fn spawn(
+        id: &str,
+        framing: &str,
+        record: &Record,
+        ended: &Arc<Mutex<HashSet<String>>>,
+    ) -> io::Result<Self> {
         let mut child = Command::new(std::env::current_exe()?)
             .args(["engine", id, framing])
             .stdin(Stdio::null())
@@ -201,17 +240,30 @@
         let mut output = BufReader::new(child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?);
         let mut line = String::new();
         output.read_line(&mut line)?;
-        let address = line.trim().rsplit(' ').next().unwrap_or("").parse().map_err(io::Error::other)?;
+        let address = line
+            .trim()
+            .rsplit(' ')
+            .next()
+            .unwrap_or("")
+            .parse()
+            .map_err(io::Error::other)?;
         let (record, ended, name) = (record.clone(), ended.clone(), id.to_owned());
         thread::spawn(move || {
             for line in output.lines().map_while(Result::ok) {
                 if let Some(run) = line.strip_suffix(" has ended whole") {
-                    ended.lock().unwrap().insert(run.trim_start_matches("run=").to_owned());
+                    ended
+                        .lock()
+                        .unwrap()
+                        .insert(run.trim_start_matches("run=").to_owned());
                 }
                 record.line(&format!("{name}: {line}"));
             }
         });
-        Ok(Self { id: id.to_owned(), address, child })
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            child,
+        })
     }
 
     fn entry(&self, sequence: u64, state: &str) -> String {
@@ -270,7 +322,11 @@
         for _ in 0..beats as u32 {
             sequence += 1;
             for engine in &engines {
-                let state = if leaving == Some(engine.id.as_str()) { "draining" } else { "ready" };
+                let state = if leaving == Some(engine.id.as_str()) {
+                    "draining"
+                } else {
+                    "ready"
+                };
                 store.put("servers", &engine.id, &engine.entry(sequence, state));
             }
             thread::sleep(Duration::from_secs_f64(seconds / beats));
@@ -307,7 +363,9 @@
             ));
         }
     }
-    record.say(&format!("{broken} of {STREAMS} streams break the rule ORDER"));
+    record.say(&format!(
+        "{broken} of {STREAMS} streams break the rule ORDER"
+    ));
     ExitCode::from(u8::from(broken > 0))
 }
 
@@ -341,7 +399,9 @@
         Err(e) => answer.error = e.to_string(),
     }
     let text = String::from_utf8_lossy(&body);
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    let ids = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
     answer.events = ids.collect();
     answer
 }
--- a/review/case7.rs
+++ b/review/case7.rs
@@ -59,7 +59,11 @@
     let record = Record::create(&format!("{folder}/record.txt"));
     let temporary = Temporary::new();
     let store = Store::start();
-    store.put("config", "main", &config(1).replace("\"timeout-ms\":1200", "\"timeout-ms\":2000"));
+    store.put(
+        "config",
+        "main",
+        &config(1).replace("\"timeout-ms\":1200", "\"timeout-ms\":2000"),
+    );
     let link = Arc::new(Link(Mutex::new((Instant::now(), 0.0))));
     let number = Arc::new(AtomicUsize::new(0));
     let failing: Handler = Arc::new(move |server, request, tcp| {
@@ -68,14 +72,24 @@
             return sound(server, request, tcp);
         }
         let id = request.header("bluebelldrift-request-id").unwrap_or("-");
-        server.record.line(&format!("{} begins interim responses without end for {id}", server.id));
+        server.record.line(&format!(
+            "{} begins interim responses without end for {id}",
+            server.id
+        ));
         let sent = send_without_end(tcp, &link);
-        server.record.line(&format!("{} was left by the caller of {id}: {sent:?}", server.id));
+        server.record.line(&format!(
+            "{} was left by the caller of {id}: {sent:?}",
+            server.id
+        ));
         Ok(false)
     });
     let mut servers = Vec::new();
     for i in 0..SERVERS {
-        let handler = if has_trouble && i == 0 { failing.clone() } else { Arc::new(sound) };
+        let handler = if has_trouble && i == 0 {
+            failing.clone()
+        } else {
+            Arc::new(sound)
+        };
         let server = Server::start(&format!("i-app{i}"), &record, handler);
         server.list(&store, "app", ZONES[i % ZONES.len()], 6);
         servers.push(server);
@@ -94,12 +108,17 @@
         let (to, lines) = (gateway.callers, record.clone());
         clients.push(thread::spawn(move || {
             let id = format!("req-{number:03}");
-            let (method, path, body) = if number % 3 == 0 { ("GET", "/look/a", "") } else { ("POST", "/book/a", "x") };
+            let (method, path, body) = if number % 3 == 0 {
+                ("GET", "/look/a", "")
+            } else {
+                ("POST", "/book/a", "x")
+            };
             lines.line(&format!("client sends {id} {method} {path}"));
             let answer = send(to, method, path, &id, CLIENT_MS, "", body);
             let by = String::from_utf8_lossy(&answer.body).trim().to_owned();
             lines.line(&format!(
-                "client {id}: status={} after {} ms {by} {}", answer.status, answer.took_ms, answer.error
+                "client {id}: status={} after {} ms {by} {}",
+                answer.status, answer.took_ms, answer.error
             ));
             answer
         }));
@@ -119,9 +138,19 @@
         return ExitCode::from(1);
     }
     let unanswered = answers.iter().filter(|a| a.took_ms > TIMEOUT_MS).count();
-    let late = answers.iter().filter(|a| a.took_ms > TIMEOUT_MS + 500).count();
-    let sound_late = answers.iter().filter(|a| a.status == 200 && a.took_ms > TIMEOUT_MS).count();
-    let mut served: Vec<u128> = answers.iter().filter(|a| a.status == 200).map(|a| a.took_ms).collect();
+    let late = answers
+        .iter()
+        .filter(|a| a.took_ms > TIMEOUT_MS + 500)
+        .count();
+    let sound_late = answers
+        .iter()
+        .filter(|a| a.status == 200 && a.took_ms > TIMEOUT_MS)
+        .count();
+    let mut served: Vec<u128> = answers
+        .iter()
+        .filter(|a| a.status == 200)
+        .map(|a| a.took_ms)
+        .collect();
     served.sort_unstable();
     record.say(&format!(
         "{} requests; served {}, half of them within {} ms, the slowest after {} ms; {sound_late} answers of sound \
@@ -131,14 +160,21 @@
         served.get(served.len() / 2).copied().unwrap_or(0),
         served.last().copied().unwrap_or(0)
     ));
-    let arrived: Vec<usize> = servers.iter().map(|s| s.arrived.load(Ordering::Relaxed)).collect();
+    let arrived: Vec<usize> = servers
+        .iter()
+        .map(|s| s.arrived.load(Ordering::Relaxed))
+        .collect();
     record.line(&format!("arrivals by server: {arrived:?}"));
     record.say(&format!(
         "CONFIG: {unanswered} requests were unanswered at their route's timeout-ms, {late} of them half a second later"
     ));
     // "Eight or more of them, and over a quarter."
     let is_broken = late >= 8 && 4 * late > unanswered;
-    record.say(if is_broken { "the rule is broken" } else { "the rule holds" });
+    record.say(if is_broken {
+        "the rule is broken"
+    } else {
+        "the rule holds"
+    });
     ExitCode::from(u8::from(is_broken))
 }
 
--- a/review/case8.rs
+++ b/review/case8.rs
@@ -48,7 +48,10 @@
 /// Answers without a length: the end of the connection ends the body.
 fn run_server(id: &str) {
     let handler: Handler = Arc::new(|_, request, tcp| {
-        let id = request.header("bluebelldrift-request-id").unwrap_or("-").to_owned();
+        let id = request
+            .header("bluebelldrift-request-id")
+            .unwrap_or("-")
+            .to_owned();
         println!("runs {id}");
         write!(
             tcp,
@@ -86,14 +89,25 @@
         let mut output = BufReader::new(child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?);
         let mut line = String::new();
         output.read_line(&mut line)?;
-        let address = line.trim().rsplit(' ').next().unwrap_or("").parse().map_err(io::Error::other)?;
+        let address = line
+            .trim()
+            .rsplit(' ')
+            .next()
+            .unwrap_or("")
+            .parse()
+            .map_err(io::Error::other)?;
         let (record, name) = (record.clone(), id.to_owned());
         thread::spawn(move || {
             for line in output.lines().map_while(Result::ok) {
                 record.line(&format!("{name}: {line}"));
             }
         });
-        Ok(Self { id: id.to_owned(), zone, address, child })
+        Ok(Self {
+            id: id.to_owned(),
+            zone,
+            address,
+            child,
+        })
     }
 
     fn write_entry(&self, store: &Store, sequence: usize) {
@@ -125,7 +139,10 @@
     let store = Store::start();
     store.put("config", "main", &config(1));
     let spawn = |i: usize| Process::spawn(&format!("i-app{i}"), ZONES[i % ZONES.len()], &record);
-    let Ok(mut servers) = (0..SERVERS).map(spawn).collect::<io::Result<Vec<Process>>>() else {
+    let Ok(mut servers) = (0..SERVERS)
+        .map(spawn)
+        .collect::<io::Result<Vec<Process>>>()
+    else {
         return could_not_run(&record, "a server did not start");
     };
     for server in &servers {
@@ -169,18 +186,27 @@
         let (to, lines) = (gateway.callers, record.clone());
         clients.push(thread::spawn(move || {
             let id = format!("req-{number:03}");
-            let (method, path, body) = if number % 3 == 0 { ("GET", "/look/a", "") } else { ("POST", "/book/a", "x") };
+            let (method, path, body) = if number % 3 == 0 {
+                ("GET", "/look/a", "")
+            } else {
+                ("POST", "/book/a", "x")
+            };
             lines.line(&format!("client sends {id} {method} {path}"));
             let answer = send(to, method, path, &id, 1_200, "", body);
             lines.line(&format!(
                 "client {id}: status={} bytes={} after {} ms {}",
-                answer.status, answer.body.len(), answer.took_ms, answer.error
+                answer.status,
+                answer.body.len(),
+                answer.took_ms,
+                answer.error
             ));
             (id, method, answer)
         }));
         if has_trouble && down_since.is_none() && crashes.next_if(|at| now > **at).is_some() {
             // At any moment between two requests.
-            thread::sleep(Duration::from_millis(u64::from(began.elapsed().subsec_nanos() / 1_000 % 60)));
+            thread::sleep(Duration::from_millis(u64::from(
+                began.elapsed().subsec_nanos() / 1_000 % 60,
+            )));
             record.line(&format!("{} crashes", servers[0].id));
             servers[0].crash();
             down_since = Some(began.elapsed().as_secs_f64());
@@ -194,7 +220,10 @@
         let whole = whole_body(&id);
         if answer.status == 200 && answer.body != whole.as_bytes() {
             broken += 1;
-            let length = answer.headers.iter().find(|(name, _)| name == "content-length");
+            let length = answer
+                .headers
+                .iter()
+                .find(|(name, _)| name == "content-length");
             record.say(&format!(
                 "MIXED: {method} {id} got 200 with content-length {:?} and {} bytes; the server's whole body has {}",
                 length.map(|(_, value)| value.as_str()),
--- a/review/lab2.rs
+++ b/review/lab2.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for the review's scripts: a store, servers, engines and clients, and the processes
-//! of the project that they meet. Standard library only.
+//! Stand-ins for the cases 6 to 8: a store, servers and clients, and the process of the project that
+//! they meet. Standard library only.
 #![allow(dead_code)]
 use std::{
     collections::{BTreeMap, HashMap},
@@ -8,8 +8,8 @@
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicUsize, Ordering},
         Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -33,7 +33,11 @@
         found.next().map(|(_, v)| v.as_str())
     }
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -82,7 +86,9 @@
     let Some(mut message) = read_head(reader)? else {
         return Ok(None);
     };
-    let length = message.header("content-length").and_then(|l| l.parse::<usize>().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse::<usize>().ok());
     if message.header("transfer-encoding").is_some() {
         let mut body = Vec::new();
         read_chunked(reader, &mut body)?;
@@ -97,11 +103,18 @@
     Ok(Some(message))
 }
 
+/// Returns an address with a port that is free for TCP and UDP. Ports lie below those of outgoing
+/// connections, and none is returned twice.
 pub fn free_address(ip: &str) -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.subsec_nanos() as usize);
+    let _ = NEXT.compare_exchange(0, 1 + nanos, Ordering::Relaxed, Ordering::Relaxed);
     loop {
-        let tcp = TcpListener::bind((ip, 0)).expect("bind a free port");
-        let address = tcp.local_addr().expect("read the address");
-        if UdpSocket::bind(address).is_ok() {
+        let port = 20_000 + NEXT.fetch_add(1, Ordering::Relaxed) % 12_000;
+        let address: SocketAddr = format!("{ip}:{port}").parse().expect("an IP address");
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -185,7 +198,12 @@
         objects.revision += 1;
         let revision = objects.revision;
         objects.live.insert(key, (revision, spec.to_owned()));
-        let event = (revision, kind.to_owned(), object(name, revision, spec), false);
+        let event = (
+            revision,
+            kind.to_owned(),
+            object(name, revision, spec),
+            false,
+        );
         objects.history.push(event);
         self.objects.1.notify_all();
         revision
@@ -196,7 +214,12 @@
         if let Some((_, spec)) = objects.live.remove(&(kind.to_owned(), name.to_owned())) {
             objects.revision += 1;
             let revision = objects.revision;
-            let event = (revision, kind.to_owned(), object(name, revision, &spec), true);
+            let event = (
+                revision,
+                kind.to_owned(),
+                object(name, revision, &spec),
+                true,
+            );
             objects.history.push(event);
             self.objects.1.notify_all();
         }
@@ -231,7 +254,10 @@
         match (method, name) {
             ("GET", "") if query.contains_key("watch") => {
                 let from: u64 = query["watch"].parse().unwrap_or(0);
-                let wait = query.get("wait-ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+                let wait = query
+                    .get("wait-ms")
+                    .and_then(|w| w.parse().ok())
+                    .unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(wait);
                 let mut objects = self.objects.0.lock().unwrap();
                 loop {
@@ -242,7 +268,10 @@
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         let at = objects.revision;
-                        return (200, format!("{{\"events\":[{}],\"at\":{at}}}", events.join(",")));
+                        return (
+                            200,
+                            format!("{{\"events\":[{}],\"at\":{at}}}", events.join(",")),
+                        );
                     }
                     objects = self.objects.1.wait_timeout(objects, left).unwrap().0;
                 }
@@ -250,13 +279,25 @@
             ("GET", "") => {
                 let after = query.get("after").copied().unwrap_or("");
                 let objects = self.objects.0.lock().unwrap();
-                let items = objects.live.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+                let items = objects
+                    .live
+                    .iter()
+                    .filter(|((k, n), _)| k == kind && n.as_str() > after);
                 let items: Vec<String> = items.map(|((_, n), (r, s))| object(n, *r, s)).collect();
                 let at = objects.revision;
-                (200, format!("{{\"items\":[{}],\"has-more\":false,\"at\":{at}}}", items.join(",")))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"has-more\":false,\"at\":{at}}}",
+                        items.join(",")
+                    ),
+                )
             }
             ("POST", "") | ("PUT", _) => {
-                let name = value_of(&body, "name").unwrap_or("\"?\"").trim_matches('"').to_owned();
+                let name = value_of(&body, "name")
+                    .unwrap_or("\"?\"")
+                    .trim_matches('"')
+                    .to_owned();
                 let spec = value_of(&body, "spec").unwrap_or("{}").to_owned();
                 let key = (kind.to_owned(), name.clone());
                 let known = self.objects.0.lock().unwrap().live.get(&key).cloned();
@@ -290,7 +331,10 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = fs::File::create(path).expect("create the record");
-        Self { file: Arc::new(Mutex::new(file)), began: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            began: Instant::now(),
+        }
     }
     pub fn line(&self, text: &str) {
         let at = self.began.elapsed().as_secs_f64();
@@ -364,7 +408,14 @@
         Ok(())
     }
 
-    pub fn entry(&self, service: &str, zone: &str, slots: u32, sequence: u64, state: &str) -> String {
+    pub fn entry(
+        &self,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        sequence: u64,
+        state: &str,
+    ) -> String {
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":{slots},\"state\":\"{state}\",\"cold-remaining-ms\":0,\"sequence\":{sequence},\"born\":1}}",
@@ -375,7 +426,11 @@
     /// Writes the entry of the server every 1.2 s.
     pub fn list(&self, store: &Store, service: &'static str, zone: &'static str, slots: u32) {
         let (server, store) = (self.clone(), store.clone());
-        store.put("servers", &server.id, &server.entry(service, zone, slots, 1, "ready"));
+        store.put(
+            "servers",
+            &server.id,
+            &server.entry(service, zone, slots, 1, "ready"),
+        );
         thread::spawn(move || {
             for sequence in 2.. {
                 thread::sleep(Duration::from_millis(1_200));
@@ -390,7 +445,10 @@
 pub fn sound(server: &Server, request: Message, tcp: &mut TcpStream) -> io::Result<bool> {
     server.runs.fetch_add(1, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(15));
-    let id = request.header("bluebelldrift-request-id").unwrap_or("-").to_owned();
+    let id = request
+        .header("bluebelldrift-request-id")
+        .unwrap_or("-")
+        .to_owned();
     let body = format!("{:<800}", format!("{id} by {}", server.id));
     write!(
         tcp,
@@ -428,7 +486,14 @@
     /// One machine without others.
     pub fn alone() -> Self {
         let peer_port = free_address("127.0.0.1").port();
-        Self { name: "entry-1", ip: "127.0.0.1", zone: "zone-a", memory_mb: 110, seeds: &[], peer_port }
+        Self {
+            name: "entry-1",
+            ip: "127.0.0.1",
+            zone: "zone-a",
+            memory_mb: 110,
+            seeds: &[],
+            peer_port,
+        }
     }
 }
 
@@ -437,7 +502,9 @@
 
 impl Temporary {
     pub fn new() -> Self {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_nanos());
         let path = std::env::temp_dir().join(format!("review-2-{}-{nanos}", std::process::id()));
         fs::create_dir_all(&path).expect("create a temporary folder");
         Self(path.to_string_lossy().into_owned())
@@ -460,15 +527,25 @@
     pub fn new(folder: &str, store: &Store, machine: &Machine) -> Self {
         let listen = |_: u16| free_address(machine.ip);
         let (callers, readiness, metrics) = (listen(1), listen(2), listen(3));
-        let seeds: Vec<String> = machine.seeds.iter().map(|s| format!("\"{s}:8748\"")).collect();
+        let seeds: Vec<String> = machine
+            .seeds
+            .iter()
+            .map(|s| format!("\"{s}:8748\""))
+            .collect();
         let text = format!(
             r#"{{"name":"{}","ip":"{}","zone":"{}","zones":{ZONES},"seeds":[{}],"peer_ports":[{},{}],
 "listen":{{"callers":"{callers}","readiness":"{readiness}","metrics":"{metrics}"}},
 "store":{{"address":"{}","reads_per_second":2000,"heartbeat_ms":1200}},"memory_mb":{},
 "bounds":{{"stop_grace_s":8,"drain_ms":3000,"config_ms":3000,"key_removal_ms":5000,"evacuation_ms":5000,
 "cold_factor":1.5,"cold_extra":5,"retry_share":0.2,"retry_extra":58,"retry_window_s":10}}}}"#,
-            machine.name, machine.ip, machine.zone, seeds.join(","), machine.peer_port,
-            machine.peer_port, store.address, machine.memory_mb
+            machine.name,
+            machine.ip,
+            machine.zone,
+            seeds.join(","),
+            machine.peer_port,
+            machine.peer_port,
+            store.address,
+            machine.memory_mb
         );
         let settings = format!("{folder}/{}.json", machine.name);
         fs::write(&settings, text).expect("write the settings");
@@ -483,7 +560,11 @@
     }
 
     pub fn start(&mut self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("open the log");
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("open the log");
         let child = Command::new("target/release/bluebelldrift-entry")
             .arg("run")
             .env("BLUEBELLDRIFT_NODE_FILE", &self.settings)
@@ -496,7 +577,10 @@
 
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -504,7 +588,10 @@
         let ready = || -> io::Result<u16> {
             let mut tcp = TcpStream::connect_timeout(&self.readiness, Duration::from_secs(1))?;
             tcp.set_read_timeout(Some(Duration::from_secs(1)))?;
-            write!(tcp, "GET /bluebelldrift/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            write!(
+                tcp,
+                "GET /bluebelldrift/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            )?;
             let head = read_head(&mut BufReader::new(tcp))?;
             Ok(head.map_or(0, |h| h.status()))
         };
@@ -530,16 +617,25 @@
 
     /// Returns the resident memory and its peak, in kB, and the processor time in ticks.
     pub fn usage(&self) -> (u64, u64, u64) {
-        let Some(child) = &self.child else { return (0, 0, 0) };
+        let Some(child) = &self.child else {
+            return (0, 0, 0);
+        };
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
         let field = |name: &str| {
             let line = status.lines().find(|l| l.starts_with(name));
-            line.and_then(|l| l.split_whitespace().nth(1)).and_then(|v| v.parse().ok()).unwrap_or(0)
+            line.and_then(|l| l.split_whitespace().nth(1))
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0)
         };
         let stat = fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
         let after = stat.rsplit(')').next().unwrap_or("").to_owned();
         let words: Vec<&str> = after.split_whitespace().collect();
-        let ticks = |i: usize| words.get(i).and_then(|w| w.parse::<u64>().ok()).unwrap_or(0);
+        let ticks = |i: usize| {
+            words
+                .get(i)
+                .and_then(|w| w.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         (field("VmRSS"), field("VmHWM"), ticks(11) + ticks(12))
     }
 }
@@ -565,8 +661,19 @@
     pub error: String,
 }
 
-pub fn request_text(method: &str, path: &str, id: &str, deadline_ms: u64, extra: &str, body: &str) -> String {
-    let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+pub fn request_text(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    extra: &str,
+    body: &str,
+) -> String {
+    let length = if method == "GET" {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nBluebelldrift-Request-Id: {id}\r\n\
          Bluebelldrift-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\n{extra}{length}\r\n{body}"
@@ -575,7 +682,15 @@
 
 /// Sends a request on a new connection and waits for its answer until the time limit of the
 /// client.
-pub fn send(to: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64, extra: &str, body: &str) -> Answer {
+pub fn send(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    extra: &str,
+    body: &str,
+) -> Answer {
     let began = Instant::now();
     let attempt = || -> io::Result<Message> {
         let mut tcp = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
@@ -588,8 +703,20 @@
     let answer = attempt();
     let took_ms = began.elapsed().as_millis();
     match answer {
-        Ok(m) => Answer { status: m.status(), body: m.body, headers: m.headers, took_ms, error: String::new() },
-        Err(e) => Answer { status: 0, body: Vec::new(), headers: Vec::new(), took_ms, error: e.to_string() },
+        Ok(m) => Answer {
+            status: m.status(),
+            body: m.body,
+            headers: m.headers,
+            took_ms,
+            error: String::new(),
+        },
+        Err(e) => Answer {
+            status: 0,
+            body: Vec::new(),
+            headers: Vec::new(),
+            took_ms,
+            error: e.to_string(),
+        },
     }
 }
 
