Review cases 6 and 7: the server of 7 keeps to one entry, the engines of 6 write entries to the end

Cause: the claim of case 7 names the dose of srv_grey, which lasts 6.5 s, but the server was in trouble for 20 s; the engines of case 6 wrote no entries after the drain.

--- a/review/case6.rs
+++ b/review/case6.rs
@@ -316,12 +316,12 @@
         thread::sleep(Duration::from_millis(50));
     }
     let mut sequence = 1;
-    let mut beat = |seconds: f64, leaving: Option<&str>| {
+    let mut beat = |seconds: f64, leaving: Option<&str>, gone: usize| {
         // Each engine writes its entry every 1.2 s.
         let beats = (seconds / 1.2).ceil().max(1.0);
         for _ in 0..beats as u32 {
             sequence += 1;
-            for engine in &engines {
+            for engine in engines.iter().skip(gone) {
                 let state = if leaving == Some(engine.id.as_str()) {
                     "draining"
                 } else {
@@ -332,15 +332,17 @@
             thread::sleep(Duration::from_secs_f64(seconds / beats));
         }
     };
-    beat(1.0, None);
+    beat(1.0, None, 0);
     if has_trouble {
         let leaving = &engines[0];
         record.line(&format!("{} is draining", leaving.id));
-        beat((DRAIN + LITTLE_LONGER).as_secs_f64(), Some(&leaving.id));
+        beat((DRAIN + LITTLE_LONGER).as_secs_f64(), Some(&leaving.id), 0);
         store.remove("servers", &leaving.id);
         record.line(&format!("{} exits", leaving.id));
         let _ = call(leaving.address, "/private/exit", "");
     }
+    // Until all streams have ended.
+    beat(7.0, None, usize::from(has_trouble));
 
     let mut broken = 0;
     for client in clients {
--- a/review/case7.rs
+++ b/review/case7.rs
@@ -21,6 +21,9 @@
 const SERVERS: usize = 3;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const FAILING: (usize, usize) = (9, 20);
+/// Length of an entry of `srv_grey` on the site, and the pause before the next one, in seconds.
+const SPELL: f64 = 6.5;
+const PAUSE: f64 = 3.5;
 /// Bytes a second of the server: a link of 1,000 Mbit/s.
 const LINK: f64 = 125e6;
 /// Requests a second: those of one zone of the site.
@@ -67,6 +70,9 @@
     let link = Arc::new(Link(Mutex::new((Instant::now(), 0.0))));
     let number = Arc::new(AtomicUsize::new(0));
     let failing: Handler = Arc::new(move |server, request, tcp| {
+        if server.record.now() % (SPELL + PAUSE) >= SPELL {
+            return sound(server, request, tcp);
+        }
         let number = number.fetch_add(1, Ordering::Relaxed);
         if (number + 1) * FAILING.0 / FAILING.1 == number * FAILING.0 / FAILING.1 {
             return sound(server, request, tcp);
