HTTP client: a request that cannot be built is an error

What was seen: with a blank, a quote, `<` or a control character in a name, the log said "step=send peer=?: client error (UserAbsoluteUriRequired)", which names neither the peer nor the cause.

Cause: `json_request` replaced a URI that could not be parsed by the default one, `/` without an authority, and left it to the client to fail. A path with a fragment was sent without its end.

Change: requests are built with the builders of `hyper`; a failure is `CallError::Build`, with a log line `event=request_not_built`, and counts as unsent. A path that is not sent whole is a failure too. In the ledger such a request has not run.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -236,7 +236,7 @@
 ) -> Result<(Value, Option<u64>), CtlError> {
     let client = http::new_client(TIMEOUT, None);
     let body = body.map(|b| Bytes::from(b.to_string())).unwrap_or_default();
-    let mut req = http::json_request(method, &cli.server, path, body);
+    let mut req = http::json_request(method, &cli.server, path, body)?;
     if let Ok(value) = format!("Bearer {}", cli.key).parse() {
         req.headers_mut().insert(AUTHORIZATION, value);
     }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -206,7 +206,7 @@
         generation: &GenerationRequest,
     ) -> Result<EngineStream, EngineError> {
         let body = serde_json::to_vec(generation).unwrap_or_default();
-        let req = http::json_request(&Method::POST, address, "/v1/completions", body);
+        let req = http::json_request(&Method::POST, address, "/v1/completions", body)?;
         // A stream occupies its connection for a long time, so reuse would save
         // little and could pick a connection that died silently while idle.
         let res = http::send(&self.unpooled, req).await?;
@@ -224,7 +224,7 @@
         from: u64,
     ) -> Result<EngineStream, EngineError> {
         let path = format!("/v1/generations/{generation}?from={from}");
-        let req = http::json_request(&Method::GET, address, &path, Bytes::new());
+        let req = http::json_request(&Method::GET, address, &path, Bytes::new())?;
         let sending = http::send(&self.unpooled, req);
         let sent = tokio::time::timeout(self.timeout, sending).await;
         let res = sent.unwrap_or_else(|_| {
@@ -243,7 +243,7 @@
     /// See [`EngineError`].
     pub async fn cancel(&self, address: &str, generation: &str) -> Result<(), EngineError> {
         let path = format!("/v1/generations/{generation}");
-        let req = http::json_request(&Method::DELETE, address, &path, Bytes::new());
+        let req = http::json_request(&Method::DELETE, address, &path, Bytes::new())?;
         http::send_request(&self.unpooled, req, self.timeout, MAX_ANSWER_BYTES).await?;
         Ok(())
     }
@@ -265,7 +265,7 @@
     /// # Errors
     /// See [`EngineError`].
     pub async fn load(&self, address: &str) -> Result<LoadReport, EngineError> {
-        let req = http::json_request(&Method::GET, address, "/v1/load", Bytes::new());
+        let req = http::json_request(&Method::GET, address, "/v1/load", Bytes::new())?;
         let res = http::send_request(&self.pooled, req, self.timeout, MAX_ANSWER_BYTES).await?;
         serde_json::from_slice(res.body()).map_err(|_| EngineError::Failed {
             peer: address.into(),
@@ -283,7 +283,7 @@
         after: u64,
     ) -> Result<Vec<CacheEvent>, EngineError> {
         let path = format!("/v1/cache_events?after={after}");
-        let req = http::json_request(&Method::GET, address, &path, Bytes::new());
+        let req = http::json_request(&Method::GET, address, &path, Bytes::new())?;
         let res = http::send_request(&self.pooled, req, self.timeout, MAX_ANSWER_BYTES).await?;
         serde_json::from_slice(res.body()).map_err(|_| EngineError::Failed {
             peer: address.into(),
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -185,8 +185,9 @@
         return Ok(Offer::NotRun);
     }
     log::info!("event=trial_forwarded request={request_id} daemon={daemon}");
+    let sending = async { http::send(&state.services, request_to(request, peer)?).await };
     let sent = tokio::select! {
-        sent = http::send(&state.services, request_to(request, peer)) => sent,
+        sent = sending => sent,
         () = wait_until_dead(state, daemon) => Err(CallError::NoAnswer {
             step: "answer",
             peer: peer.caller_address.clone(),
@@ -203,18 +204,21 @@
 }
 
 /// Returns the request to another daemon.
-fn request_to(request: &TrialRequest, peer: &PeerDaemon) -> hyper::Request<Full<Bytes>> {
+fn request_to(
+    request: &TrialRequest,
+    peer: &PeerDaemon,
+) -> Result<hyper::Request<Full<Bytes>>, CallError> {
     let original = &request.original;
     let waited = clock::now().saturating_sub(request.arrived_at);
     let address = caller_address(&peer.caller_address, peer.address);
     let body = original.body.clone();
-    let mut req = http::json_request(&Method::POST, &address, "/v1/completions", body);
+    let mut req = http::json_request(&Method::POST, &address, "/v1/completions", body)?;
     let headers = req.headers_mut();
     headers.insert(WAITED_HEADER, millis(waited).into());
     if let Some(authorization) = &original.authorization {
         headers.insert(AUTHORIZATION, authorization.clone());
     }
-    req
+    Ok(req)
 }
 
 /// Returns the address of a daemon's caller port. A daemon that listens on all
--- a/src/http.rs
+++ b/src/http.rs
@@ -35,6 +35,8 @@
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     x-bluebell-ran: not-run\r\nconnection: close\r\ncontent-length: 21\r\n\r\n\
     too many connections\n";
+/// Most characters of a path that are logged if no request can be built with it.
+const MAX_LOGGED_PATH_CHARS: usize = 120;
 /// Longest time for sending that response.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -75,6 +77,14 @@
         /// Whether the connection was refused because nothing listens there.
         is_refused: bool,
     },
+    /// The request could not be built, so nothing was sent.
+    #[snafu(display("step=build peer={peer}: {reason}"))]
+    Build {
+        /// Authority that was to receive the request.
+        peer: Box<str>,
+        /// Part that is not valid.
+        reason: Box<str>,
+    },
     /// The request may have arrived, but no complete answer did.
     #[snafu(display("step={step} peer={peer}: {reason}"))]
     NoAnswer {
@@ -91,7 +101,7 @@
     /// Returns whether no byte of the request was sent.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect { .. })
+        matches!(self, Self::Connect { .. } | Self::Build { .. })
     }
 }
 
@@ -439,17 +449,37 @@
 
 /// Returns a request for a client. Its content type is JSON, also if `body` is
 /// empty.
+///
+/// # Errors
+/// Returns [`CallError::Build`], and logs it, if the authority or the path is not valid.
 pub fn json_request(
     method: &hyper::Method,
     authority: &str,
     path: &str,
     body: impl Into<Bytes>,
-) -> hyper::Request<Full<Bytes>> {
-    let mut req = hyper::Request::new(Full::new(body.into()));
-    *req.method_mut() = method.clone();
-    let uri = format!("http://{authority}{path}");
-    *req.uri_mut() = uri.parse().unwrap_or_default();
-    let media = header::HeaderValue::from_static("application/json");
-    req.headers_mut().insert(header::CONTENT_TYPE, media);
-    req
+) -> Result<hyper::Request<Full<Bytes>>, CallError> {
+    let uri = hyper::Uri::builder()
+        .scheme("http")
+        .authority(authority)
+        .path_and_query(path)
+        .build();
+    let built = uri.and_then(|uri| {
+        hyper::Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body.into()))
+    });
+    let reason: Box<str> = match built {
+        // A URI has no fragment, so one in the path is cut off.
+        Ok(req) if req.uri().path_and_query().is_some_and(|p| *p == *path) => return Ok(req),
+        Ok(_) => "the path has a fragment".into(),
+        Err(e) => e.to_string().into(),
+    };
+    let shown: String = path.chars().take(MAX_LOGGED_PATH_CHARS).collect();
+    log::warn!("event=request_not_built peer={authority:?} path={shown:?} reason={reason:?}");
+    Err(CallError::Build {
+        peer: authority.into(),
+        reason,
+    })
 }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -126,7 +126,11 @@
         body["max_tokens"] = max_tokens.into();
     }
     let address = context.address(planned.number);
-    let mut req = http::json_request(&Method::POST, address, "/v1/completions", body.to_string());
+    let Ok(mut req) =
+        http::json_request(&Method::POST, address, "/v1/completions", body.to_string())
+    else {
+        return Ending::Lost;
+    };
     authorize(&mut req, &context.keys[planned.customer]);
     let Ok(res) = http::send(&context.client, req).await else {
         return Ending::Lost;
@@ -230,7 +234,9 @@
     let key = format!("{}-{}", context.run_id, planned.number);
     for attempt in 0..=usize::from(planned.is_repeated) {
         let address = context.address(planned.number + attempt);
-        let mut req = http::json_request(&Method::POST, address, &path, body.clone());
+        let Ok(mut req) = http::json_request(&Method::POST, address, &path, body.clone()) else {
+            return Ending::Lost;
+        };
         if let Ok(key) = key.parse() {
             req.headers_mut().insert("idempotency-key", key);
         }
@@ -246,7 +252,9 @@
 async fn send_status_lookup(context: &RunContext, planned: &PlannedRequest) -> Ending {
     let path = format!("/services/{}/status", context.plain_service);
     let address = context.address(planned.number);
-    let req = http::json_request(&Method::GET, address, &path, bytes::Bytes::new());
+    let Ok(req) = http::json_request(&Method::GET, address, &path, bytes::Bytes::new()) else {
+        return Ending::Lost;
+    };
     match call_plain_service(context, planned, req).await {
         Ok(_) => Ending::Whole,
         Err(ending) => ending,
--- a/src/once.rs
+++ b/src/once.rs
@@ -176,7 +176,7 @@
 
 fn refusal_from(error: &CallError) -> Refusal {
     let ran = match error {
-        CallError::Connect { .. } => Ran::NotRun,
+        CallError::Connect { .. } | CallError::Build { .. } => Ran::NotRun,
         // The response head had already arrived.
         CallError::NoAnswer { step: "read", .. } => Ran::Ran,
         CallError::NoAnswer { .. } => Ran::Unknown,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -246,7 +246,7 @@
         after: Revision,
     ) -> Result<impl Stream<Item = Result<Object, PlatformError>> + use<>, PlatformError> {
         let path = format!("/v1/watch?prefix={prefix}&after={after}");
-        let req = http::json_request(&Method::GET, &self.authority, &path, Bytes::new());
+        let req = http::json_request(&Method::GET, &self.authority, &path, Bytes::new())?;
         let opening = http::send(&self.client, req);
         let res = tokio::time::timeout(self.timeout, opening)
             .await
@@ -298,7 +298,7 @@
         body: Bytes,
     ) -> Result<hyper::Response<Bytes>, CallError> {
         metrics::counter!("bluebell_platform_calls").increment(1);
-        let req = http::json_request(method, &self.authority, path, body);
+        let req = http::json_request(method, &self.authority, path, body)?;
         http::send_request(&self.client, req, self.timeout, MAX_ANSWER_BYTES).await
     }
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -205,7 +205,7 @@
     chosen: &Placement,
 ) -> Result<Outcome, CallError> {
     let address = &chosen.target.address;
-    let mut req = http::json_request(&plain.method, address, &plain.path, plain.body.clone());
+    let mut req = http::json_request(&plain.method, address, &plain.path, plain.body.clone())?;
     if let Some(media) = &plain.media {
         req.headers_mut().insert(CONTENT_TYPE, media.clone());
     }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -158,7 +158,7 @@
         let operator = self.daemons[0].operator_address.to_string();
         let key = Settings::example().keys.operator;
         let mut req =
-            http::json_request(&Method::PUT, &operator, "/v1/records", records.to_string());
+            http::json_request(&Method::PUT, &operator, "/v1/records", records.to_string())?;
         authorize(&mut req, &key);
         let res = http::send_request(&self.client, req, STEP_TIMEOUT, MAX_RESPONSE_BYTES).await?;
         if res.status() == StatusCode::OK {
@@ -225,11 +225,11 @@
         let body = json!({
             "model": GENERATION_SERVICE, "prompt": "[n=4] ready?", "stream": false, "max_tokens": 4,
         });
-        let calls = (0..count).map(|_| {
+        let calls = (0..count).map(|_| async {
             let mut req =
-                http::json_request(&Method::POST, address, "/v1/completions", body.to_string());
+                http::json_request(&Method::POST, address, "/v1/completions", body.to_string())?;
             authorize(&mut req, key);
-            http::send_request(&self.client, req, STEP_TIMEOUT, MAX_RESPONSE_BYTES)
+            http::send_request(&self.client, req, STEP_TIMEOUT, MAX_RESPONSE_BYTES).await
         });
         let answers = futures::future::join_all(calls).await;
         let is_ok = |res: &hyper::Response<bytes::Bytes>| res.status() == StatusCode::OK;
@@ -239,7 +239,10 @@
     /// Returns whether a daemon answers a status lookup of the plain service.
     async fn is_serving(&self, address: &str, key: &str) -> bool {
         let path = format!("/services/{PLAIN_SERVICE}/status");
-        let mut req = http::json_request(&Method::GET, address, &path, bytes::Bytes::new());
+        let Ok(mut req) = http::json_request(&Method::GET, address, &path, bytes::Bytes::new())
+        else {
+            return false;
+        };
         authorize(&mut req, key);
         let result = http::send_request(&self.client, req, STEP_TIMEOUT, MAX_RESPONSE_BYTES).await;
         result.is_ok_and(|res| res.status() == StatusCode::OK)
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -132,7 +132,7 @@
     let body = Bytes::from(serde_json::to_vec(instance).unwrap_or_default());
     let mut retries = 0;
     loop {
-        let req = http::json_request(&Method::POST, platform, "/v1/instances", body.clone());
+        let req = http::json_request(&Method::POST, platform, "/v1/instances", body.clone())?;
         match http::send_request(&client, req, Duration::from_secs(2), 1024).await {
             Ok(res) if res.status().is_success() => return Ok(()),
             Err(e) if retries == REGISTER_RETRIES => return Err(e.into()),
--- a/src/standin/quickstart.rs
+++ b/src/standin/quickstart.rs
@@ -69,7 +69,7 @@
 ) -> Result<String, StandinError> {
     let peer = caller.to_string();
     let body = json!({"model": GENERATION_SERVICE, "prompt": prompt, "stream": true});
-    let mut req = http::json_request(&Method::POST, &peer, "/v1/completions", body.to_string());
+    let mut req = http::json_request(&Method::POST, &peer, "/v1/completions", body.to_string())?;
     authorize(&mut req, CUSTOMER_KEY);
     let res = http::send(&fleet.client, req).await?;
     if res.status() != StatusCode::OK {
@@ -116,7 +116,7 @@
         let peer = daemon.caller_address.to_string();
         let path = format!("/services/{PLAIN_SERVICE}/bookings");
         let body = json!({"truck": "Mo i Rana"}).to_string();
-        let mut req = http::json_request(&Method::POST, &peer, &path, body);
+        let mut req = http::json_request(&Method::POST, &peer, &path, body)?;
         authorize(&mut req, CUSTOMER_KEY);
         let key = hyper::header::HeaderValue::from_static("order-17");
         req.headers_mut().insert("idempotency-key", key);
--- a/tests/invalid_statuses.rs
+++ b/tests/invalid_statuses.rs
@@ -74,14 +74,14 @@
     let client = new_client(Duration::from_secs(5), None);
     for status in STATUSES {
         server.set(status);
-        let req = json_request(&Method::GET, &server.address, "/", "");
+        let req = json_request(&Method::GET, &server.address, "/", "").expect("a request");
         let result = send_request(&client, req, Duration::from_secs(5), 1024).await;
         let is_no_answer = matches!(result, Err(CallError::NoAnswer { .. }));
         assert!(is_no_answer, "{status}: {result:?}");
     }
     for status in ["200", "204", "304", "404", "599"] {
         server.set(status);
-        let req = json_request(&Method::GET, &server.address, "/", "");
+        let req = json_request(&Method::GET, &server.address, "/", "").expect("a request");
         let result = send_request(&client, req, Duration::from_secs(5), 1024).await;
         let res = result.expect("the call is answered");
         assert_eq!(res.status().as_str(), status);
