Lists: a read without progress ends with an error

Cause: a list was read as long as a page named a next one. The pages of the whole read are kept until its last one, and only a failed read is logged and followed by a pause.

A list of 10,000 pages that advances is read whole (tests/gateway_fleet.rs).

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -14,6 +14,7 @@
 
 use super::{
     control::Control,
+    list_progress::ListProgress,
     model::{Batch, Change, Read, Topic},
     peer_wire::Update,
     peers::{DaemonInfo, DaemonName},
@@ -188,10 +189,12 @@
     }
 }
 
-/// Reads all pages of a list.
+/// Reads all pages of a list. See [`ListProgress`] for what bounds it.
 async fn list(topic: Topic, store: &Store) -> Result<Batch, ReadError> {
     let page = |after| with_timeout((store.read)(topic, Read::List { after }), ANSWER_TIMEOUT);
     let first = page(None).await?;
+    let mut progress = ListProgress::default();
+    progress.record_page(first.changes.len(), first.next.as_deref())?;
     let mut all_changes: Vec<Change> = first.changes;
     let mut next = first.next;
     while let Some(after) = next {
@@ -201,6 +204,7 @@
                 reason: "step=list: the store was restored between two pages".into(),
             });
         }
+        progress.record_page(page.changes.len(), page.next.as_deref())?;
         all_changes.extend(page.changes);
         next = page.next;
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod held;
 mod in_flight;
 mod job;
+mod list_progress;
 mod listener;
 mod load;
 mod memory;
@@ -130,6 +131,7 @@
     fleet::FeedState,
     head_fields::{field_memory, max_fields},
     headers::{HeaderNames, RequestInfo, end_to_end},
+    list_progress::ListProgress,
     load::{LoadTracker, Work},
     memory::{MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES},
     model::{
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebelldrift::gateway::{
-    Change, ChangeLog, Config, FeedState, Fleet, Target, Topic, cold_request_quota,
+    Change, ChangeLog, Config, FeedState, Fleet, ListProgress, Target, Topic, cold_request_quota,
 };
 use proptest::prelude::*;
 
@@ -254,3 +254,19 @@
     let with: Vec<_> = Topic::followed(true).collect();
     assert_eq!(postcard::to_stdvec(&with), Ok(vec![4, 0, 1, 2, 3]));
 }
+
+/// Guards against an endless read of a list, and against an end of a long one that advances.
+#[test]
+fn a_list_ends_with_an_error_only_without_progress() {
+    let mut progress = ListProgress::default();
+    for page in 0..10_000 {
+        let name = format!("entry-{page}");
+        progress.record_page(1, Some(&name)).expect("progress");
+    }
+    progress.record_page(1, None).expect("the last page");
+    assert!(progress.record_page(1, Some("entry-7")).is_err());
+    let mut progress = ListProgress::default();
+    let pages = (0..1_000).map(|page| format!("entry-{page}"));
+    let mut results = pages.map(|name| progress.record_page(500, Some(&name)));
+    assert!(results.any(|result| result.is_err()));
+}
