Fleet: an entry that cannot be decoded concerns its own topic only

What was seen: an entry of the kind `config` or `evacuations` that could not be decoded removed the target whose id was its name, and one of `servers` ended the rollout of the service of that name.

Cause: `Change::Unreadable` holds a name, but names are unique within a kind only, and `Fleet::apply` did not know the topic of the changes.

The log line `entry_unreadable` states the topic.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -298,7 +298,7 @@
             self.check_complete(now);
         } else {
             log.push(update.at, &update.changes);
-            self.fleet.apply(&update.changes, feed, now);
+            self.fleet.apply(update.topic, &update.changes, feed, now);
         }
         let has_changes = update.is_whole || !update.changes.is_empty();
         if has_changes {
@@ -330,7 +330,7 @@
     fn adopt_config(&mut self, update: &Update, now: BootTime) -> bool {
         let before = self.fleet.config_revision;
         let feed = self.feeds.entry(Topic::Config).or_default();
-        self.fleet.apply(&update.changes, feed, now);
+        self.fleet.apply(update.topic, &update.changes, feed, now);
         let is_adopted = self.fleet.config_revision != before;
         if is_adopted {
             self.needs_full_config = false;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -83,17 +83,17 @@
 }
 
 impl Fleet {
-    /// Applies a batch of changes in order, and logs those that alter the view.
-    pub fn apply(&mut self, changes: &[Change], feed: &FeedState, now: BootTime) {
+    /// Applies a batch of changes of a topic in order, and logs those that alter the view.
+    pub fn apply(&mut self, topic: Topic, changes: &[Change], feed: &FeedState, now: BootTime) {
         for change in changes {
-            self.apply_change(change, feed, now);
+            self.apply_change(topic, change, feed, now);
         }
     }
 
     /// Applies the complete list of a topic: targets and evacuated zones that it does
     /// not contain are removed from the view.
     pub fn replace(&mut self, topic: Topic, changes: &[Change], feed: &FeedState, now: BootTime) {
-        self.apply(changes, feed, now);
+        self.apply(topic, changes, feed, now);
         match topic {
             Topic::Config => {}
             Topic::Targets => {
@@ -126,7 +126,7 @@
         }
     }
 
-    fn apply_change(&mut self, change: &Change, feed: &FeedState, now: BootTime) {
+    fn apply_change(&mut self, topic: Topic, change: &Change, feed: &FeedState, now: BootTime) {
         match change {
             Change::Config(revision, config) => {
                 let newer = ConfigStamp {
@@ -164,11 +164,13 @@
                 self.return_zone(zone, "watch");
             }
             Change::Unreadable { name, reason } => {
-                log::warn!("event=entry_unreadable name={name:?} reason={reason:?}");
-                if self.targets.contains_key(name) {
-                    self.remove(name, feed, now);
+                log::warn!("event=entry_unreadable topic={topic} name={name:?} reason={reason:?}");
+                // Names are unique within a topic only.
+                match topic {
+                    Topic::Targets => self.remove(name, feed, now),
+                    Topic::Rollouts => self.end_rollout(name, "unreadable"),
+                    Topic::Config | Topic::Evacuations => {}
                 }
-                self.end_rollout(name, "unreadable");
             }
             Change::Rollout(rollout) => self.put_rollout(rollout),
             Change::RolloutGone(service) => self.remove_rollout(service),
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -222,7 +222,7 @@
     ZoneBack(ZoneName),
     /// An entry that cannot be decoded; nothing of its content is used.
     Unreadable {
-        /// Name of the entry.
+        /// Name of the entry; empty if it has none that is readable.
         name: Box<str>,
         /// Error found in the entry.
         reason: Box<str>,
--- a/tests/gateway_config.rs
+++ b/tests/gateway_config.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebelldrift::gateway::{
-    Change, Config, ConfigPatch, Customer, FeedState, Fleet, RepeatPolicy, Route, Service,
+    Change, Config, ConfigPatch, Customer, FeedState, Fleet, RepeatPolicy, Route, Service, Topic,
     replace_with_patches,
 };
 use proptest::prelude::*;
@@ -92,7 +92,7 @@
         let mut fleet = Fleet::default();
         for (change, config) in patched.iter().zip(&chain) {
             prop_assert!(fleet.can_apply(std::slice::from_ref(change)));
-            fleet.apply(std::slice::from_ref(change), &FeedState::default(), at(1));
+            fleet.apply(Topic::Config, std::slice::from_ref(change), &FeedState::default(), at(1));
             let known = fleet.config.as_deref().cloned().expect("a configuration");
             prop_assert_eq!(sorted(known), sorted(config.clone()));
         }
@@ -106,10 +106,10 @@
         .collect();
     let patched = replace_with_patches((0, None), &changes(&chain));
     let mut fleet = Fleet::default();
-    fleet.apply(&patched[..1], &FeedState::default(), at(1));
+    fleet.apply(Topic::Config, &patched[..1], &FeedState::default(), at(1));
     assert!(fleet.can_apply(&patched[1..]));
     assert!(!fleet.can_apply(&patched[2..]));
-    fleet.apply(&patched[2..], &FeedState::default(), at(2));
+    fleet.apply(Topic::Config, &patched[2..], &FeedState::default(), at(2));
     assert_eq!(fleet.config.as_ref().map(|c| c.version), Some(1));
 }
 
@@ -122,7 +122,7 @@
     let mut fleet = Fleet::default();
     for round in 1..3 {
         assert!(fleet.can_apply(&patched));
-        fleet.apply(&patched, &FeedState::default(), at(round));
+        fleet.apply(Topic::Config, &patched, &FeedState::default(), at(round));
         assert_eq!(fleet.config.as_ref().map(|c| c.version), Some(3));
     }
 }
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -4,7 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebelldrift::gateway::{
-    Change, ChangeLog, Config, FeedState, Fleet, ListProgress, Target, Topic, cold_request_quota,
+    Change, ChangeLog, Config, FeedState, Fleet, ListProgress, Rollout, RolloutOrder, Target,
+    Topic, cold_request_quota,
 };
 use proptest::prelude::*;
 
@@ -44,7 +45,12 @@
 fn targets_whose_entries_expired_in_a_store_outage_stay_until_two_seconds_after_it() {
     let feed = feed_restored_at_10_s();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", false), target("b", false)], &feed, at(1_000));
+    fleet.apply(
+        Topic::Targets,
+        &[target("a", false), target("b", false)],
+        &feed,
+        at(1_000),
+    );
     fleet.replace(Topic::Targets, &[target("b", false)], &feed, at(10_000));
     assert_eq!(available_ids(&fleet), ["a", "b"]);
     fleet.expire(at(11_900));
@@ -57,9 +63,9 @@
 fn an_entry_that_returns_within_the_grace_period_keeps_its_target() {
     let feed = feed_restored_at_10_s();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", false)], &feed, at(1_000));
+    fleet.apply(Topic::Targets, &[target("a", false)], &feed, at(1_000));
     fleet.replace(Topic::Targets, &[], &feed, at(10_000));
-    fleet.apply(&[target("a", false)], &feed, at(11_000));
+    fleet.apply(Topic::Targets, &[target("a", false)], &feed, at(11_000));
     fleet.expire(at(20_000));
     assert_eq!(available_ids(&fleet), ["a"]);
 }
@@ -69,8 +75,13 @@
     let mut feed = FeedState::default();
     feed.record_success(at(1_000), at(1_000));
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", false)], &feed, at(1_000));
-    fleet.apply(&[Change::TargetGone("a".into())], &feed, at(2_000));
+    fleet.apply(Topic::Targets, &[target("a", false)], &feed, at(1_000));
+    fleet.apply(
+        Topic::Targets,
+        &[Change::TargetGone("a".into())],
+        &feed,
+        at(2_000),
+    );
     assert!(available_ids(&fleet).is_empty());
 }
 
@@ -78,7 +89,7 @@
 fn a_leaving_target_has_no_grace_period_after_a_store_outage() {
     let feed = feed_restored_at_10_s();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", true)], &feed, at(1_000));
+    fleet.apply(Topic::Targets, &[target("a", true)], &feed, at(1_000));
     fleet.replace(Topic::Targets, &[], &feed, at(10_000));
     assert!(fleet.targets.is_empty());
 }
@@ -87,12 +98,17 @@
 fn runs_are_resumed_at_a_leaving_target_for_half_of_the_drain_bound() {
     let feed = FeedState::default();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", true)], &feed, at(1_000));
+    fleet.apply(Topic::Targets, &[target("a", true)], &feed, at(1_000));
     let known = fleet.targets["a"].target.clone();
     assert!(!fleet.accepts_new_work(&known));
     assert!(fleet.accepts_resumed_runs(&known, at(3_000), at(2_400)));
     assert!(!fleet.accepts_resumed_runs(&known, at(3_000), at(2_600)));
-    fleet.apply(&[Change::ZoneOut("z".into())], &feed, at(1_100));
+    fleet.apply(
+        Topic::Targets,
+        &[Change::ZoneOut("z".into())],
+        &feed,
+        at(1_100),
+    );
     assert!(!fleet.accepts_resumed_runs(&known, at(3_000), at(1_200)));
 }
 
@@ -106,7 +122,12 @@
             ..Config::default()
         })
     };
-    fleet.apply(&[Change::Config(7, config(70))], &feed, at(1));
+    fleet.apply(
+        Topic::Targets,
+        &[Change::Config(7, config(70))],
+        &feed,
+        at(1),
+    );
     fleet.replace(
         Topic::Config,
         &[Change::Config(6, config(60))],
@@ -120,15 +141,54 @@
 fn an_undecodable_entry_removes_only_its_own_target() {
     let feed = FeedState::default();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", false), target("b", false)], &feed, at(1));
+    fleet.apply(
+        Topic::Targets,
+        &[target("a", false), target("b", false)],
+        &feed,
+        at(1),
+    );
     let unreadable = Change::Unreadable {
         name: "a".into(),
         reason: "a test".into(),
     };
-    fleet.apply(&[unreadable], &feed, at(2));
+    fleet.apply(Topic::Targets, &[unreadable], &feed, at(2));
     assert_eq!(available_ids(&fleet), ["b"]);
 }
 
+/// An entry that could not be decoded removed the target, and ended the rollout, of the same name.
+#[test]
+fn an_undecodable_entry_of_another_topic_removes_a_target() {
+    let feed = FeedState::default();
+    let rollout = Change::Rollout(Rollout {
+        order: RolloutOrder {
+            service: "a".into(),
+            version: "v2".into(),
+            time_limit: Duration::from_secs(9),
+        },
+        status: None,
+        revision: 1,
+    });
+    let unreadable = Change::Unreadable {
+        name: "a".into(),
+        reason: "a test".into(),
+    };
+    for topic in Topic::followed(true) {
+        let mut fleet = Fleet::default();
+        fleet.apply(Topic::Targets, &[target("a", false)], &feed, at(1));
+        fleet.apply(
+            Topic::Rollouts,
+            std::slice::from_ref(&rollout),
+            &feed,
+            at(1),
+        );
+        fleet.apply(topic, std::slice::from_ref(&unreadable), &feed, at(2));
+        let has_target = !available_ids(&fleet).is_empty();
+        assert_eq!(has_target, topic != Topic::Targets, "{topic}");
+        let has_rollout = fleet.rollouts.contains_key("a");
+        assert_eq!(has_rollout, topic != Topic::Rollouts, "{topic}");
+    }
+}
+
 proptest! {
     #[test]
     fn a_change_log_returns_every_later_change(
@@ -192,12 +252,22 @@
 fn the_version_of_a_target_is_kept_until_another_one_is_stated() {
     let feed = FeedState::default();
     let mut fleet = Fleet::default();
-    fleet.apply(&[version("a", "v1")], &feed, at(900));
+    fleet.apply(Topic::Targets, &[version("a", "v1")], &feed, at(900));
     assert!(fleet.targets.is_empty());
-    fleet.apply(&[target("a", false), version("a", "v1")], &feed, at(1_000));
-    fleet.apply(&[target("a", true)], &feed, at(2_000));
+    fleet.apply(
+        Topic::Targets,
+        &[target("a", false), version("a", "v1")],
+        &feed,
+        at(1_000),
+    );
+    fleet.apply(Topic::Targets, &[target("a", true)], &feed, at(2_000));
     assert_eq!(version_of(&fleet, "a").as_deref(), Some("v1"));
-    fleet.apply(&[target("a", true), version("a", "v2")], &feed, at(3_000));
+    fleet.apply(
+        Topic::Targets,
+        &[target("a", true), version("a", "v2")],
+        &feed,
+        at(3_000),
+    );
     assert_eq!(version_of(&fleet, "a").as_deref(), Some("v2"));
 }
 
@@ -207,7 +277,12 @@
 fn only_versions_that_others_may_lack_are_forwarded() {
     let feed = FeedState::default();
     let mut fleet = Fleet::default();
-    fleet.apply(&[target("a", false), version("a", "v1")], &feed, at(1_000));
+    fleet.apply(
+        Topic::Targets,
+        &[target("a", false), version("a", "v1")],
+        &feed,
+        at(1_000),
+    );
     let forwarded = |fleet: &Fleet, batch: &[Change]| {
         let mut changes = batch.to_vec();
         fleet.remove_known_versions(&mut changes);
@@ -229,7 +304,12 @@
     let removed = Change::TargetGone("a".into());
     let returned = [removed.clone(), target("a", false), version("a", "v1")];
     assert_eq!(forwarded(&fleet, &returned), 1);
-    fleet.apply(&[removed], &feed_restored_at_10_s(), at(10_500));
+    fleet.apply(
+        Topic::Targets,
+        &[removed],
+        &feed_restored_at_10_s(),
+        at(10_500),
+    );
     assert!(fleet.targets["a"].removal_due_at.is_some());
     assert_eq!(forwarded(&fleet, &renewed), 1);
 }
--- a/tests/gateway_rollout_writer.rs
+++ b/tests/gateway_rollout_writer.rs
@@ -33,7 +33,7 @@
 
 /// Applies changes as a watch returns them.
 fn watch(fleet: &mut Fleet, changes: &[Change]) {
-    fleet.apply(changes, &FeedState::default(), ms(0));
+    fleet.apply(Topic::Rollouts, changes, &FeedState::default(), ms(0));
 }
 
 /// Applies the first list of a restored store.
--- a/tests/gateway_store_era.rs
+++ b/tests/gateway_store_era.rs
@@ -158,8 +158,12 @@
             ..Config::default()
         };
         let change = Change::Config(stamp.revision, Arc::new(config));
-        self.fleet
-            .apply(&[change], &FeedState::default(), Duration::ZERO);
+        self.fleet.apply(
+            Topic::Config,
+            &[change],
+            &FeedState::default(),
+            Duration::ZERO,
+        );
     }
 
     fn list(&mut self, store: &MockStore) {
@@ -244,7 +248,7 @@
     let mut feed = FeedState::default();
     let mut fleet = Fleet::default();
     let out = [Change::ZoneOut("z".into())];
-    fleet.apply(&out, &feed, at(1_000));
+    fleet.apply(Topic::Evacuations, &out, &feed, at(1_000));
     feed.record_new_era(at(10_000));
     fleet.replace(Topic::Evacuations, &[], &feed, at(10_000));
     assert!(!fleet.expire(at(12_000)));
@@ -252,10 +256,10 @@
     assert!(fleet.expire(at(12_300)));
     assert!(fleet.evacuated_zones.is_empty());
 
-    fleet.apply(&out, &feed, at(13_000));
+    fleet.apply(Topic::Evacuations, &out, &feed, at(13_000));
     feed.record_new_era(at(20_000));
     fleet.replace(Topic::Evacuations, &[], &feed, at(20_000));
-    fleet.apply(&out, &feed, at(21_000));
+    fleet.apply(Topic::Evacuations, &out, &feed, at(21_000));
     fleet.expire(at(30_000));
     assert!(fleet.evacuated_zones.contains("z"), "the entry returned");
 
@@ -280,11 +284,11 @@
     };
     let feed = FeedState::default();
     let mut fleet = Fleet::default();
-    fleet.apply(&[entry(true)], &feed, at(1_000));
+    fleet.apply(Topic::Targets, &[entry(true)], &feed, at(1_000));
     let mut restored = [entry(false)];
     fleet.keep_leaving(&mut restored);
     fleet.replace(Topic::Targets, &restored, &feed, at(2_000));
     assert_eq!(fleet.available_targets("s").count(), 0);
-    fleet.apply(&[entry(false)], &feed, at(3_000));
+    fleet.apply(Topic::Targets, &[entry(false)], &feed, at(3_000));
     assert_eq!(fleet.available_targets("s").count(), 1);
 }
