Gateway: a request without one of its headers is not sent

What was seen: by test only. Requests to a target whose id holds a line break ran without the header that names the target: after its address had been taken over, another service would have run them. Requests of a customer with such a name ran as those of nobody. A run would have been resumed from a copy without the copy's name.

Cause: `request_for` left out a header whose value was not valid, and took no names beyond ASCII.

Change: `header_value` decides which texts a header holds exactly; blanks around a value are dropped by recipients. `request_for` fails without such a value, and nothing is sent. Names with blanks, quotes or other scripts are sent as they are.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -256,7 +256,10 @@
         tcp: Option<TcpStream>,
     ) -> SendOutcome<Run> {
         let now = clock::now();
-        let req = self.request_for(job, admitted, target, send_headers, now);
+        let req = match self.request_for(job, admitted, target, send_headers, now) {
+            Ok(req) => req,
+            Err(reason) => return SendOutcome::Unsent(reason),
+        };
         let is_from_start = send_headers.copy_from.is_none() && send_headers.last_event.is_none();
         let mut meter = self.meter(admitted, target, is_from_start, now);
         let opened = match tcp {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -95,6 +95,16 @@
     pub parts: Box<[SubjectKey]>,
 }
 
+/// Returns the value of a header that holds exactly `text`; `None` if there is none. Recipients
+/// drop blanks around a value.
+#[must_use]
+pub fn header_value(text: &str) -> Option<HeaderValue> {
+    let is_exact =
+        !text.is_empty() && !text.starts_with([' ', '\t']) && !text.ends_with([' ', '\t']);
+    let value = is_exact.then(|| HeaderValue::from_bytes(text.as_bytes()));
+    value?.ok()
+}
+
 impl RequestInfo {
     /// Returns the expected number of output tokens: the caller's estimate, but at
     /// most the maximum (at most 1 if no maximum is given). Without an estimate,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Uri, header::HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri, header::HeaderName};
 
 use super::{
     Gateway,
     events::EventId,
-    headers::RequestInfo,
+    headers::{RequestInfo, header_value},
     in_flight::Progress,
     load::Work,
     memory::MemoryGrant,
@@ -151,6 +151,13 @@
         if customer.is_some() && !is_fresh {
             return Err(Refusal::StaleKeys);
         }
+        if let Some(customer) = &customer
+            && header_value(&customer.name).is_none()
+        {
+            // No target could be told whose request it is.
+            log::warn!("event=customer_unusable customer={:?}", customer.name);
+            return Err(Refusal::NoTarget);
+        }
         Ok(Admitted {
             route: route.clone(),
             customer,
@@ -360,7 +367,8 @@
         }
     }
 
-    /// Builds the request that is sent to a target.
+    /// Builds the request that is sent to a target. Fails, with the reason, if a header cannot
+    /// hold its value: without it, the request would be another one.
     pub(crate) fn request_for(
         &self,
         job: &Job,
@@ -368,40 +376,41 @@
         target: &Target,
         send_headers: &SendHeaders,
         now: BootTime,
-    ) -> Request<Full<Bytes>> {
+    ) -> Result<Request<Full<Bytes>>, Box<str>> {
         let names = &self.names;
         let mut req = Request::new(Full::new(job.body.clone()));
         *req.method_mut() = job.method.clone();
         *req.uri_mut() = job.uri.clone();
         let mut headers = job.headers.clone();
-        let mut set = |name: &hyper::header::HeaderName, value: &str| {
-            if let Ok(value) = HeaderValue::from_str(value) {
-                headers.insert(name.clone(), value);
-            }
+        let mut set = |name: &HeaderName, value: &str| -> Result<(), Box<str>> {
+            let invalid = || format!("step=build header={name} value={value:?}");
+            let value = header_value(value).ok_or_else(invalid)?;
+            headers.insert(name.clone(), value);
+            Ok(())
         };
-        set(&names.request_id, &job.info.request_id);
+        set(&names.request_id, &job.info.request_id)?;
         set(
             &names.deadline_ms,
             &clock::millis(job.time_left(now)).to_string(),
-        );
-        set(&names.expect_target, &target.id);
+        )?;
+        set(&names.expect_target, &target.id)?;
         if let Some(customer) = &admitted.customer {
-            set(&names.customer, &customer.name);
+            set(&names.customer, &customer.name)?;
         }
         if let Some(priority) = job.priority.filter(|_| self.settings().sends_priority) {
-            set(&names.priority, &priority.to_string());
+            set(&names.priority, &priority.to_string())?;
         }
         if let Some(backup) = &send_headers.backup {
-            set(&names.backup, backup);
+            set(&names.backup, backup)?;
         }
         if let Some(copy) = &send_headers.copy_from {
-            set(&names.copy_from, copy);
+            set(&names.copy_from, copy)?;
         }
         if let Some(event) = send_headers.last_event {
-            set(&names.last_event, &event.to_string());
+            set(&names.last_event, &event.to_string())?;
         }
         *req.headers_mut() = headers;
-        req
+        Ok(req)
     }
 
     /// Counts a send. First sends are always allowed; a repeated one is taken
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -130,7 +130,7 @@
     feed::{ReadError, Store},
     fleet::FeedState,
     head_fields::{field_memory, max_fields},
-    headers::{HeaderNames, RequestInfo, end_to_end},
+    headers::{HeaderNames, RequestInfo, end_to_end, header_value},
     list_progress::ListProgress,
     load::{LoadTracker, Work},
     memory::{MemoryGrant, MemoryPool, MemoryPools, SMALL_BYTES},
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -171,7 +171,10 @@
         };
         let _reservation = self.loads.reserve(&target.id, work);
         let now = clock::now();
-        let req = self.request_for(job, admitted, target, &SendHeaders::default(), now);
+        let req = match self.request_for(job, admitted, target, &SendHeaders::default(), now) {
+            Ok(req) => req,
+            Err(reason) => return SendOutcome::Unsent(reason),
+        };
         let mut meter = self.meter(admitted, target, true, now);
         let outcome = self.exchange_plain(job, target, req, now).await;
         record_plain(meter.as_mut(), &outcome);
