Supervisor: the panic of a task is logged as a warning

Cause: all restarts of tasks were logged for debugging.

Change: a restart after a panic is a warning; one after an end stays as it was.

--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -57,12 +57,13 @@
         if clock::now().saturating_sub(started_at) > BACKOFF_RESET_AFTER {
             pause = BACKOFF.0;
         }
-        let reason = match ended {
-            Ok(()) => "ended".to_owned(),
-            Err(e) => e.to_string(),
+        let (level, reason) = match ended {
+            Ok(()) => (log::Level::Debug, "ended".to_owned()),
+            Err(e) => (log::Level::Warn, e.to_string()),
         };
         metrics::counter!("bluebell_task_restarts", "task" => name).increment(1);
-        log::debug!(
+        log::log!(
+            level,
             "event=task_restart task={name} reason={reason:?} pause_ms={}",
             pause.as_millis()
         );
