Rollouts: the sum of the slots of targets cannot overflow

What was seen: by test only. Two entries of a service that state 4,294,967,295 slots made the control thread's task for rollouts panic at each tick in a build with checks; without these, the capacity of a version, and that of a service for customers' shares, came out too small.

Cause: slots were added as 32-bit numbers without a bound (`rollout_share.rs`, `share_use.rs`).

Result: two_entries_with_very_many_slots_end_requests_of_their_service failed before ("attempt to add with overflow" at rollout_share.rs:146) and passes.

--- a/src/gateway/rollout_share.rs
+++ b/src/gateway/rollout_share.rs
@@ -143,11 +143,13 @@
             found.has_new |= is_new && is_available;
             found.has_old_work |= !is_new && has_work(known.key);
             if is_available && !is_new {
-                found.capacity.old_slots += known.target.slots;
+                let slots = &mut found.capacity.old_slots;
+                *slots = slots.saturating_add(known.target.slots);
             }
             // All requests may come at once when the old targets are stopped.
             if is_available && is_new && known.cold_until <= now {
-                found.capacity.new_slots += known.target.slots;
+                let slots = &mut found.capacity.new_slots;
+                *slots = slots.saturating_add(known.target.slots);
             }
         }
         found
--- a/src/gateway/share_use.rs
+++ b/src/gateway/share_use.rs
@@ -173,15 +173,15 @@
     fn taken_fraction(&self, fleet: &Fleet, job: &Job, admitted: &Admitted, now: BootTime) -> f64 {
         let settings = self.settings();
         let peer_load = self.shared.peer_load();
-        let (mut requests, mut slots) = (0, 0);
+        let (mut requests, mut slots) = (0_u32, 0_u32);
         for entry in fleet.available_targets(&job.service) {
             let region = settings.region_of(&entry.target.zone);
             let customer = admitted.customer.as_deref();
             if admitted.route.allows_region(customer, region) {
                 let (mut work, _) = self.loads.get(&entry.target.id, now);
                 work.add(peer_load.work.get(&entry.key));
-                requests += work.requests;
-                slots += entry.target.slots;
+                requests = requests.saturating_add(work.requests);
+                slots = slots.saturating_add(entry.target.slots);
             }
         }
         f64::from(requests) / f64::from(slots.max(1))
