Log: text from outside cannot add pairs or lines

What was seen: by test only. A zone, service, version or id with a blank or a line break, and the id of a caller's request, added pairs to a log line or began another line.

Cause: names were put into `key=value` lines as they stood; only errors and values of headers were quoted.

Change: `shown` quotes and escapes a text that is not plain, with the standard library's escaping, and shortens it to 256 characters; all lines of the gateway that hold an id or a name from outside use it. Besides, the logger escapes control characters and line separators in each message. Ordinary names look as before.

--- a/src/gateway/active_rollout.rs
+++ b/src/gateway/active_rollout.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     clock::{self, BootTime},
+    log::shown,
     platform::Revision,
 };
 
@@ -80,8 +81,8 @@
         let id = OrderId::new(&rollout.order, rollout.revision);
         log::info!(
             "event=rollout_order service={} version={} limit_ms={} revision={} state={}",
-            rollout.order.service,
-            rollout.order.version,
+            shown(&rollout.order.service),
+            shown(&rollout.order.version),
             clock::millis(rollout.order.time_limit),
             rollout.revision,
             status_of(rollout).map_or_else(|| "none".to_owned(), |s| s.to_string())
@@ -196,8 +197,8 @@
         log::warn!(
             "event=rollout_verdict service={} version={} cause={} step={} bad={} responses={} \
              old_bad={} old_responses={}",
-            self.order.service,
-            self.order.version,
+            shown(&self.order.service),
+            shown(&self.order.version),
             verdict.cause,
             self.step,
             verdict.new.bad,
@@ -292,8 +293,8 @@
         if (share - self.share).abs() > 0.01 {
             log::info!(
                 "event=rollout_share service={} version={} share={share:.3} step={}",
-                self.order.service,
-                self.order.version,
+                shown(&self.order.service),
+                shown(&self.order.version),
                 self.step
             );
         }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -19,6 +19,7 @@
 use crate::{
     cell,
     clock::{self, BootTime},
+    log::shown,
 };
 
 /// A request's trial. Returned on drop if the request has certainly not run.
@@ -75,12 +76,16 @@
         let (id, subject) = (&job.info.request_id, job.request);
         if let Some(crashes) = held {
             log::info!(
-                "event=suspect_hold request={id} subject={subject:08x} crashes={crashes} targets={targets}"
+                "event=suspect_hold request={id} subject={subject:08x} crashes={crashes} targets={targets}",
+                id = shown(&id)
             );
             return Err(Refusal::Suspect);
         }
         if is_trial {
-            log::warn!("event=suspect_trial request={id} subject={subject:08x}");
+            log::warn!(
+                "event=suspect_trial request={id} subject={subject:08x}",
+                id = shown(&id)
+            );
         }
         let rank_of = |subject| self.rank_for(subject);
         let verdict = job
@@ -90,7 +95,10 @@
         match verdict {
             Verdict::Send => Ok(None),
             Verdict::Trial(subject) => {
-                log::warn!("event=suspect_trial request={id} subject={subject:08x}");
+                log::warn!(
+                    "event=suspect_trial request={id} subject={subject:08x}",
+                    id = shown(&id)
+                );
                 Ok(Some(Trial {
                     suspects: job.suspects.clone(),
                     job_subjects: subjects.clone(),
@@ -99,7 +107,10 @@
                 }))
             }
             Verdict::Hold(subject) => {
-                log::info!("event=suspect_hold request={id} subject={subject:08x}");
+                log::info!(
+                    "event=suspect_hold request={id} subject={subject:08x}",
+                    id = shown(&id)
+                );
                 Err(Refusal::Suspect)
             }
         }
@@ -141,7 +152,11 @@
     pub(super) async fn is_down(&self, job: &Job, target: &Target) -> bool {
         let is_down = is_closed(target.address).await;
         let (id, target) = (&job.info.request_id, &target.id);
-        log::info!("event=cut_off_check request={id} target={target} down={is_down}");
+        log::info!(
+            "event=cut_off_check request={id} target={target} down={is_down}",
+            id = shown(&id),
+            target = shown(&target)
+        );
         is_down
     }
 
@@ -206,7 +221,11 @@
             job.record_early_crash(target, now);
         } else {
             let (id, target) = (&job.info.request_id, &target.id);
-            log::info!("event=crash request={id} target={target} early=false subjects=1");
+            log::info!(
+                "event=crash request={id} target={target} early=false subjects=1",
+                id = shown(&id),
+                target = shown(&target)
+            );
         }
     }
 }
@@ -217,8 +236,9 @@
         let (id, subjects) = (&self.info.request_id, &self.subjects);
         log::info!(
             "event=crash request={id} target={} early=true subjects={}",
-            target.id,
-            subjects.len()
+            shown(&target.id),
+            subjects.len(),
+            id = shown(&id)
         );
         self.suspects
             .with(now, |table| table.record_crash(subjects, now));
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -16,7 +16,7 @@
     peer_wire::{TargetKey, target_key},
     store_era::{ConfigStamp, era_of},
 };
-use crate::{clock::BootTime, platform::Revision};
+use crate::{clock::BootTime, log::shown, platform::Revision};
 
 /// Time after the store is back within which an expired entry may return: targets
 /// write their entries at least every two seconds, plus the delay of one answer.
@@ -157,7 +157,7 @@
             Change::ZoneOut(zone) => {
                 self.lapsed_evacuations.remove(zone);
                 if self.evacuated_zones.insert(zone.clone()) {
-                    log::info!("event=zone_out zone={zone}");
+                    log::info!("event=zone_out zone={zone}", zone = shown(&zone));
                 }
             }
             Change::ZoneBack(zone) => {
@@ -226,13 +226,16 @@
     fn return_zone(&mut self, zone: &ZoneName, source: &str) {
         self.lapsed_evacuations.remove(zone);
         if self.evacuated_zones.remove(zone) {
-            log::info!("event=zone_back zone={zone} source={source}");
+            log::info!(
+                "event=zone_back zone={zone} source={source}",
+                zone = shown(&zone)
+            );
         }
     }
 
     /// Marks an evacuation as ending unless its entry returns.
     fn lapse_evacuation(&mut self, zone: ZoneName, until: BootTime) {
-        log::info!("event=zone_lapsed zone={zone}");
+        log::info!("event=zone_lapsed zone={zone}", zone = shown(&zone));
         self.lapsed_evacuations.entry(zone).or_insert(until);
     }
 
@@ -256,10 +259,10 @@
         if known.is_none_or(|k| *k.target != *target) {
             log::info!(
                 "event=target id={} service={} address={} zone={} draining={} cold_ms={}",
-                target.id,
-                target.service,
+                shown(&target.id),
+                shown(&target.service),
                 target.address,
-                target.zone,
+                shown(&target.zone),
                 target.is_draining,
                 target.cold_for.as_millis()
             );
@@ -293,11 +296,11 @@
             known.said_leaving_at = said_at;
             match said_at {
                 Some(at) => {
-                    log::info!("event=target_says_leaving id={id}");
+                    log::info!("event=target_says_leaving id={id}", id = shown(&id));
                     known.leaving_since = Some(known.leaving_since.unwrap_or(at));
                 }
                 None if !known.target.is_draining => {
-                    log::info!("event=target_back id={id}");
+                    log::info!("event=target_back id={id}", id = shown(&id));
                     known.leaving_since = None;
                 }
                 None => {}
@@ -317,12 +320,12 @@
             .filter(|_| known.leaving_since.is_none());
         match grace {
             Some(until) if known.removal_due_at.is_none() => {
-                log::info!("event=target_lapsed id={id}");
+                log::info!("event=target_lapsed id={id}", id = shown(&id));
                 known.removal_due_at = Some(until);
             }
             Some(_) => {}
             None => {
-                log::info!("event=target_gone id={id}");
+                log::info!("event=target_gone id={id}", id = shown(&id));
                 self.targets.remove(id);
             }
         }
@@ -343,7 +346,7 @@
         self.targets.retain(|id, known| {
             let is_retained = known.removal_due_at.is_none_or(|at| now < at);
             if !is_retained {
-                log::info!("event=target_gone id={id} reason=lapsed");
+                log::info!("event=target_gone id={id} reason=lapsed", id = shown(&id));
             }
             is_retained
         });
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -25,7 +25,10 @@
     send_meter::SendMeter,
     sent::SendOutcome,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Events buffered for a caller that reads slowly: some seconds of a long
 /// response at the rate of an engine under load.
@@ -149,7 +152,9 @@
                     let backup = run.backup.as_ref().map_or("none", |b| &b.target.id);
                     log::info!(
                         "event=stream request={id} target={target} backup={backup} took_ms={}",
-                        took.as_millis()
+                        took.as_millis(),
+                        id = shown(&id),
+                        target = shown(&target)
                     );
                     let status = run.exchange.response.status();
                     if status.is_server_error() && admitted.route.repeat_policy.is_resumable() {
@@ -174,7 +179,10 @@
                     let target = placement.target.clone();
                     let resumed = self.resume_unanswered(job, target, backup, &mut attempts);
                     let run = resumed.await.map_err(|reason| {
-                        log::warn!("event=stream_given_up request={id} events=0 reason={reason:?}");
+                        log::warn!(
+                            "event=stream_given_up request={id} events=0 reason={reason:?}",
+                            id = shown(&id)
+                        );
                         Refusal::Lost
                     })?;
                     return Ok((run, attempts));
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -19,7 +19,10 @@
     refusal::Refusal,
     wait_queue::{HeldNumber, WaitQueue},
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Interval at which the next request of a queue looks for room: a fraction of the intervals
 /// at which reports arrive, and of the time for which a request is held.
@@ -215,8 +218,8 @@
     let held = clock::now().saturating_sub(job.arrived);
     log::info!(
         "event=held request={} service={} priority={} outcome={outcome} held_ms={}",
-        job.info.request_id,
-        job.service,
+        shown(&job.info.request_id),
+        shown(&job.service),
         job.priority.map_or(-1, i16::from),
         clock::millis(held)
     );
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -8,7 +8,10 @@
     },
 };
 
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::FromRepr)]
@@ -154,7 +157,7 @@
     let age = clock::now().saturating_sub(request.began);
     format!(
         "request={} stage={} age_ms={}",
-        request.id,
+        shown(&request.id),
         request.progress.stage(),
         clock::millis(age)
     )
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -27,7 +27,10 @@
     share_use::ShareAccount,
     suspects::SuspectTracker,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Estimated tokens of a generation without token counts: a short prompt and a
 /// short response.
@@ -186,8 +189,8 @@
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
              unread={} closed={} slowness={:.2}",
-            job.info.request_id,
-            placement.target.id,
+            shown(&job.info.request_id),
+            shown(&placement.target.id),
             self.distance(&placement.target.zone),
             placement.cost,
             work.requests,
@@ -439,8 +442,8 @@
         if !is_allowed {
             log::info!(
                 "event=budget_empty request={} service={}",
-                job.info.request_id,
-                job.service
+                shown(&job.info.request_id),
+                shown(&job.service)
             );
         }
         is_allowed
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -200,6 +200,7 @@
 };
 use crate::{
     clock, http,
+    log::shown,
     supervisor::{supervise, supervise_local},
 };
 
@@ -348,7 +349,7 @@
         if **self.gateway.settings.load() == settings {
             return;
         }
-        log::info!("event=settings_changed instance={}", settings.name);
+        log::info!("event=settings_changed instance={}", shown(&settings.name));
         self.gateway.memory.resize(settings.memory_mb);
         self.gateway.settings.store(Arc::new(settings));
     }
@@ -600,7 +601,8 @@
                 let version = self.shared.fleet().config.as_ref().map_or(0, |c| c.version);
                 log::info!(
                     "event=refusal request={id} reason={refusal} config={version} config_age_ms={}",
-                    age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
+                    age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX)),
+                    id = shown(&id)
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
                     .increment(1);
--- a/src/gateway/new_start.rs
+++ b/src/gateway/new_start.rs
@@ -11,7 +11,7 @@
     send_budget::RepeatReason,
     sent::SendOutcome,
 };
-use crate::clock;
+use crate::{clock, log::shown};
 
 /// The starts of a request so far.
 #[derive(Debug, Default)]
@@ -62,7 +62,8 @@
             log::info!(
                 "event=after_break request={id} decision={decision:?} after={:?} starts={}",
                 broken.last_id,
-                attempts.starts
+                attempts.starts,
+                id = shown(&id)
             );
             match (decision, copy.take(), admitted) {
                 (AfterBreak::ResumeFromCopy, Some(copy), _) => {
@@ -164,8 +165,8 @@
             SendOutcome::Answered(run) if run.exchange.response.status().is_success() => {
                 log::info!(
                     "event=stream_restarted request={} target={} after={:?} starts={} took_ms={}",
-                    job.info.request_id,
-                    target.id,
+                    shown(&job.info.request_id),
+                    shown(&target.id),
                     broken.last_id,
                     attempts.starts,
                     took.as_millis()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,7 +27,7 @@
     send_budget::SendCounts,
     start::Start,
 };
-use crate::{cell, clock::BootTime};
+use crate::{cell, clock::BootTime, log::shown};
 
 /// Interval between a daemon's queries to its zone reader. State that depends on time,
 /// such as the load of silent daemons, is updated at the same interval.
@@ -202,8 +202,9 @@
         if self.listed.get(name) != Some(&info) {
             log::info!(
                 "event=daemon name={name} zone={} address={}",
-                info.zone,
-                info.address
+                shown(&info.zone),
+                info.address,
+                name = shown(&name)
             );
             self.listed.insert(name.into(), info);
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,7 +2,7 @@
 //! whole before it is forwarded, so that an idempotent request whose response
 //! breaks off can be sent to another target.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,7 +23,10 @@
     sent::SendOutcome,
     whole_body::BodyError,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Maximum size of a plain response, in bytes: the default limit on the bodies of
 /// callers' requests.
@@ -107,11 +110,7 @@
                 }
                 SendOutcome::Answered(res) => {
                     self.record_served(job, clock::now());
-                    log::info!(
-                        "event=answer request={id} target={target} status={} took_ms={}",
-                        res.status().as_u16(),
-                        took.as_millis()
-                    );
+                    log_answer(id, target, res.status(), took);
                     possible_runs += 1;
                     // An error may come from a target that has not begun to run the request.
                     if !res.status().is_server_error() {
@@ -248,6 +247,16 @@
     }
 }
 
+fn log_answer(id: &str, target: &str, status: StatusCode, took: Duration) {
+    log::info!(
+        "event=answer request={id} target={target} status={} took_ms={}",
+        status.as_u16(),
+        took.as_millis(),
+        id = shown(id),
+        target = shown(target)
+    );
+}
+
 /// Builds the response to the caller from a target's response.
 pub(crate) fn caller_response(res: Response<Bytes>) -> Response<ResponseBody> {
     let (mut head, body) = res.into_parts();
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -31,7 +31,10 @@
     takeover::{Step, Takeover},
     target_speed::GapMeter,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Time limit for a copy in progress once its source is gone: twice the time
 /// that copying a long run takes over a link of a few Gbit/s.
@@ -238,18 +241,30 @@
                 log::info!(
                     "event=stream_end request={id} target={target} events={events} first_ms={} gap_ms={}",
                     first.map_or(0, clock::millis),
-                    clock::millis(delivered.longest_gap)
+                    clock::millis(delivered.longest_gap),
+                    id = shown(&id),
+                    target = shown(&target)
                 );
             }
             RunEnd::Short => {
-                log::info!("event=stream_short request={id} target={target} events={events}");
+                log::info!(
+                    "event=stream_short request={id} target={target} events={events}",
+                    id = shown(&id),
+                    target = shown(&target)
+                );
             }
             RunEnd::CallerLeft => {
-                log::info!("event=caller_left request={id} target={target} events={events}");
+                log::info!(
+                    "event=caller_left request={id} target={target} events={events}",
+                    id = shown(&id),
+                    target = shown(&target)
+                );
             }
             RunEnd::Disconnected(reason) | RunEnd::Silent(reason) | RunEnd::Broken(reason) => {
                 log::warn!(
-                    "event=stream_broken request={id} target={target} events={events} reason={reason:?}"
+                    "event=stream_broken request={id} target={target} events={events} reason={reason:?}",
+                    id = shown(&id),
+                    target = shown(&target)
                 );
                 self.loads.record_failure(target, clock::now());
             }
@@ -451,8 +466,9 @@
             for destination in destinations {
                 log::info!(
                     "event=move request={id} target={} haven={}",
-                    source.id,
-                    destination.id
+                    shown(&source.id),
+                    shown(&destination.id),
+                    id = shown(&id)
                 );
                 let request = CopyRequest {
                     source: source.address,
@@ -559,13 +575,21 @@
                     destination: destination.address,
                 };
                 let answer = (self.engines.stop_run)(request, timeout).await;
-                log::info!("event=stop_run request={id} target={target} answer={answer:?}");
+                log::info!(
+                    "event=stop_run request={id} target={target} answer={answer:?}",
+                    id = shown(&id),
+                    target = shown(&target)
+                );
                 step = takeover.after_stop(answer, clock::now());
             }
             if step == Step::ReadReport {
                 let asked_at = clock::now();
                 let answer = (self.engines.find_run)(source.address, id.clone(), timeout).await;
-                log::info!("event=find_run request={id} target={target} answer={answer:?}");
+                log::info!(
+                    "event=find_run request={id} target={target} answer={answer:?}",
+                    id = shown(&id),
+                    target = shown(&target)
+                );
                 step = takeover.after_report(&answer, asked_at, clock::now());
             }
             match step {
@@ -627,7 +651,8 @@
             Ok(SendOutcome::Answered(run)) if run.exchange.response.status().is_success() => {
                 log::info!(
                     "event=stream_resumed request={id} target={} after={last_id:?} moved={is_moved} took_ms={took}",
-                    target.id
+                    shown(&target.id),
+                    id = shown(&id)
                 );
                 Ok(run)
             }
@@ -679,7 +704,10 @@
 /// Ends a stream without its end.
 async fn give_up(job: &Job, tx: &EventSender, events: u64, reason: &str) {
     let id = &job.info.request_id;
-    log::warn!("event=stream_given_up request={id} events={events} reason={reason:?}");
+    log::warn!(
+        "event=stream_given_up request={id} events={events} reason={reason:?}",
+        id = shown(&id)
+    );
     let reason = reason.into();
     // Fails if the caller has disconnected in the meantime.
     let _ = tx.chunks.send(Err(StreamError { reason })).await;
@@ -713,5 +741,9 @@
 
 fn log_copy_failure(job: &Job, run: &Run, reason: &str) {
     let (id, target) = (&job.info.request_id, &run.target.id);
-    log::warn!("event=copy_failed request={id} target={target} reason={reason:?}");
+    log::warn!(
+        "event=copy_failed request={id} target={target} reason={reason:?}",
+        id = shown(&id),
+        target = shown(&target)
+    );
 }
--- a/src/gateway/rollout_orders.rs
+++ b/src/gateway/rollout_orders.rs
@@ -12,6 +12,7 @@
     rollout::{Rollout, RolloutState},
     store_era::{era_of, revision_in_store},
 };
+use crate::log::shown;
 
 impl RolloutState {
     /// Returns whether a rollout is over.
@@ -91,7 +92,10 @@
     pub(super) fn remove_rollout(&mut self, service: &str) {
         self.lost_rollouts.remove(service);
         if self.rollouts.remove(service).is_some() {
-            log::info!("event=rollout_gone service={service}");
+            log::info!(
+                "event=rollout_gone service={service}",
+                service = shown(&service)
+            );
         }
     }
 
@@ -102,7 +106,10 @@
             .get(service)
             .is_some_and(|known| !known.is_over())
         {
-            log::info!("event=rollout_gone service={service} reason={reason}");
+            log::info!(
+                "event=rollout_gone service={service} reason={reason}",
+                service = shown(&service)
+            );
             self.rollouts.remove(service);
         }
     }
@@ -152,8 +159,8 @@
     let state = rollout.state().map_or("none".into(), |s| s.to_string());
     log::info!(
         "event=rollout_order service={} version={} limit_ms={} state={state} revision={}",
-        rollout.order.service,
-        rollout.order.version,
+        shown(&rollout.order.service),
+        shown(&rollout.order.version),
         rollout.order.time_limit.as_millis(),
         rollout.revision
     );
@@ -162,8 +169,8 @@
 fn log_kept(rollout: &Rollout) {
     log::info!(
         "event=rollout_status_kept service={} version={} state={}",
-        rollout.order.service,
-        rollout.order.version,
+        shown(&rollout.order.service),
+        shown(&rollout.order.version),
         rollout.state().map_or("none".into(), |s| s.to_string())
     );
 }
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -10,7 +10,7 @@
     feed::Store,
     rollout_writer::{RolloutAnswer, RolloutCall, RolloutWriter, StatusStep},
 };
-use crate::clock;
+use crate::{clock, log::shown};
 
 /// Interval between looks at the decisions; short compared with the time within which a status
 /// has to be written.
@@ -60,7 +60,7 @@
     let RolloutCall::Write(write) = &step.call else {
         log::info!(
             "event=rollout_status_read service={} answer={:?}",
-            step.call.service(),
+            shown(&step.call.service()),
             format!("{answer:?}")
         );
         return;
@@ -77,12 +77,16 @@
     if matches!(answer, RolloutAnswer::Written) {
         log::info!(
             "event=rollout_status_written service={service} version={version} state={state} \
-             based_on={based_on}"
+             based_on={based_on}",
+            service = shown(&service),
+            version = shown(&version)
         );
     } else {
         log::warn!(
             "event=rollout_status_failed service={service} version={version} state={state} \
-             based_on={based_on} result={result} reason={reason:?}"
+             based_on={based_on} result={result} reason={reason:?}",
+            service = shown(&service),
+            version = shown(&version)
         );
     }
 }
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -8,7 +8,10 @@
     model::{EngineLimits, Fleet, TargetId},
     refusal::Refusal,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 impl Gateway {
     /// Refuses a streamed request that no target but those of `tried` can begin before its
@@ -43,8 +46,8 @@
                 log::info!(
                     "event=no_room request={} service={} priority={} wait_ms={} left_ms={} \
                      targets={} tokens_per_s={:.0} queued_per_s={:.2} retry_ms={}",
-                    job.info.request_id,
-                    job.service,
+                    shown(&job.info.request_id),
+                    shown(&job.service),
                     job.priority.map_or(-1, i16::from),
                     clock::millis(wait),
                     clock::millis(job.time_left(now)),
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Gateway, job::Job};
-use crate::clock;
+use crate::{clock, log::shown};
 
 /// Outcome of one send of a request to a target.
 #[derive(Debug, strum::IntoStaticStr)]
@@ -43,13 +43,17 @@
             SendOutcome::Answered(_) => {}
             SendOutcome::Unsent(reason) => {
                 log::info!(
-                    "event=unsent request={id} target={target} reason={reason:?} took_ms={took}"
+                    "event=unsent request={id} target={target} reason={reason:?} took_ms={took}",
+                    id = shown(&id),
+                    target = shown(&target)
                 );
                 self.loads.record_unreachable(target, clock::now());
             }
             SendOutcome::NotRun(reason) => {
                 log::info!(
-                    "event=not_run request={id} target={target} reason={reason:?} took_ms={took}"
+                    "event=not_run request={id} target={target} reason={reason:?} took_ms={took}",
+                    id = shown(&id),
+                    target = shown(&target)
                 );
                 self.loads.record_failure(target, clock::now());
                 self.record_declined(job, clock::now());
@@ -58,7 +62,9 @@
             | SendOutcome::CutOff(reason)
             | SendOutcome::Unknown(reason) => {
                 log::warn!(
-                    "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}"
+                    "event=answer_lost request={id} target={target} reason={reason:?} took_ms={took}",
+                    id = shown(&id),
+                    target = shown(&target)
                 );
                 self.loads.record_failure(target, clock::now());
             }
--- a/src/gateway/service_rollout.rs
+++ b/src/gateway/service_rollout.rs
@@ -12,7 +12,7 @@
     active_rollout::ActiveRollout,
     rollout::{Rollout, RolloutState},
 };
-use crate::clock::BootTime;
+use crate::{clock::BootTime, log::shown};
 
 /// Time for which a version that appears beside another one, without an order, gets nothing: the
 /// order is read by another watch and may come later.
@@ -40,8 +40,8 @@
         if let Some(ended) = self.active.take().filter(|a| !a.is_completed) {
             log::info!(
                 "event=rollout_order_gone service={} version={}",
-                ended.order.service,
-                ended.order.version
+                shown(&ended.order.service),
+                shown(&ended.order.version)
             );
             self.banned.insert(ended.order.version);
         }
--- a/src/gateway/share_use.rs
+++ b/src/gateway/share_use.rs
@@ -17,7 +17,10 @@
     peer_wire::target_key,
     refusal::Refusal,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// The [`DemandExchange`] of this daemon. Clones share it.
 #[derive(Clone, Debug, Default)]
@@ -139,8 +142,8 @@
         log::info!(
             "event=customer_share request={} service={} customer={:?} customer_share={:.3} \
              recent={:.2} usual={:.2}",
-            job.info.request_id,
-            job.service,
+            shown(&job.info.request_id),
+            shown(&job.service),
             admitted.customer.as_ref().map_or("", |c| &*c.name),
             limit.kept,
             limit.rate.recent,
--- a/src/gateway/speed_use.rs
+++ b/src/gateway/speed_use.rs
@@ -12,7 +12,7 @@
     placement::GenerationDemand,
     shared_state::PeerLoad,
 };
-use crate::clock::BootTime;
+use crate::{clock::BootTime, log::shown};
 
 /// Number of bytes of an unreadable value that are logged.
 const MAX_LOGGED_BYTES: usize = 40;
@@ -75,9 +75,12 @@
                 let count = self.speeds.table().count_unreadable(now);
                 if let Some(count) = count {
                     let value = value.as_bytes();
-                    let shown = &value[..value.len().min(MAX_LOGGED_BYTES)];
-                    let shown = String::from_utf8_lossy(shown);
-                    log::warn!("event=load_unreadable target={id} value={shown:?} count={count}");
+                    let start = &value[..value.len().min(MAX_LOGGED_BYTES)];
+                    let start = String::from_utf8_lossy(start);
+                    log::warn!(
+                        "event=load_unreadable target={id} value={start:?} count={count}",
+                        id = shown(&id)
+                    );
                 }
             }
         }
@@ -129,7 +132,7 @@
         if let Some(slowness) = change {
             log::info!(
                 "event=target_speed target={} slowness={slowness:.2}",
-                target.id
+                shown(&target.id)
             );
         }
     }
--- a/src/gateway/startup_wait.rs
+++ b/src/gateway/startup_wait.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use super::Gateway;
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 /// Time after the start for which the first configuration is expected any moment. A daemon
 /// without one after that cannot reach the store or another daemon.
@@ -62,7 +65,8 @@
         let waited = clock::now().saturating_sub(arrived);
         log::info!(
             "event=startup_wait request={id} outcome={outcome} waited_ms={}",
-            clock::millis(waited)
+            clock::millis(waited),
+            id = shown(&id)
         );
         metrics::counter!("bluebell_gateway_startup_waits", "outcome" => outcome).increment(1);
     }
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -15,7 +15,10 @@
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_statements::LimitChange,
 };
-use crate::clock::{self, BootTime};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
 
 impl Gateway {
     /// Returns the targets to which one request of a service may not be sent, because of what
@@ -148,16 +151,23 @@
                     log::info!(
                         "event=wait target={id} ms={} shortened={}",
                         clock::millis(kept.unwrap_or(wait)),
-                        kept.is_some()
+                        kept.is_some(),
+                        id = shown(&id)
                     );
                 }
-                Err(value) => log::warn!("event=wait_unreadable target={id} value={value:?}"),
+                Err(value) => log::warn!(
+                    "event=wait_unreadable target={id} value={value:?}",
+                    id = shown(&id)
+                ),
             }
         }
         let limit = match self.names.stated_limit(headers) {
             Ok(limit) => limit,
             Err(value) => {
-                log::warn!("event=limit_unreadable target={id} value={value:?}");
+                log::warn!(
+                    "event=limit_unreadable target={id} value={value:?}",
+                    id = shown(&id)
+                );
                 return;
             }
         };
@@ -168,9 +178,14 @@
             .record_answer(target_key(id), limit, sent_at, now);
         match change {
             Some(LimitChange::Stated(limit)) => {
-                log::info!("event=limit target={id} per_second={limit}");
+                log::info!(
+                    "event=limit target={id} per_second={limit}",
+                    id = shown(&id)
+                );
+            }
+            Some(LimitChange::Ended) => {
+                log::info!("event=limit_ended target={id}", id = shown(&id));
             }
-            Some(LimitChange::Ended) => log::info!("event=limit_ended target={id}"),
             None => {}
         }
     }
--- a/src/gateway/target_versions.rs
+++ b/src/gateway/target_versions.rs
@@ -1,6 +1,7 @@
 //! Applies the versions of targets to this daemon's view of the fleet.
 
 use super::model::{Change, Fleet, TargetId};
+use crate::log::shown;
 
 impl Fleet {
     pub(super) fn put_version(&mut self, id: &TargetId, version: &str) {
@@ -8,7 +9,11 @@
             return;
         };
         if known.version.as_deref() != Some(version) {
-            log::info!("event=target_version id={id} version={version}");
+            log::info!(
+                "event=target_version id={id} version={version}",
+                id = shown(&id),
+                version = shown(&version)
+            );
             known.version = Some(version.into());
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
     lease::{LeaseCall, LeaseRecord},
     log::{
         FLUSH_TIMEOUT as LOG_FLUSH_TIMEOUT, LogError, flush as flush_log, install as install_log,
+        shown,
     },
     membership::{Health, Member, Membership},
     peer::{MessageKey, PeerError, call_peer},
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,6 +4,7 @@
 //! handling never waits for a slow reader.
 
 use std::{
+    fmt::{self, Display, Write as _},
     io::{self, Write},
     sync::{
         Arc,
@@ -29,6 +30,9 @@
 /// Interval between checks whether all lines have been written.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Longest text from outside that is logged whole, in characters.
+const MAX_TEXT_CHARS: usize = 256;
+
 /// Number of lines in the queue or being written.
 static LINES_TO_WRITE: AtomicU64 = AtomicU64::new(0);
 
@@ -41,6 +45,61 @@
     }
 }
 
+/// Text from outside, such as a name or an id, as the value of one pair of a line.
+pub struct Shown<T>(T);
+
+/// Returns a text from outside for a log line: as it is, or quoted and escaped if it could be
+/// taken for more than one value. A long text is shortened.
+pub fn shown<T: AsRef<str>>(text: T) -> Shown<T> {
+    Shown(text)
+}
+
+impl<T: AsRef<str>> Display for Shown<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.as_ref();
+        let end = text.char_indices().nth(MAX_TEXT_CHARS);
+        let start = end.map_or(text, |(end, _)| &text[..end]);
+        let is_plain = |b: u8| b.is_ascii_graphic() && !matches!(b, b'"' | b'\\');
+        if !start.is_empty() && start.bytes().all(is_plain) {
+            f.write_str(start)?;
+        } else {
+            write!(f, "{start:?}")?;
+        }
+        if end.is_some() {
+            f.write_str("...")
+        } else {
+            Ok(())
+        }
+    }
+}
+
+/// Writes a message without line breaks and other control characters, so that it stays one line
+/// whatever text from outside it holds.
+struct OneLine<'a>(&'a fmt::Arguments<'a>);
+
+impl Display for OneLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(Escaper(f), "{}", self.0)
+    }
+}
+
+struct Escaper<'a, 'b>(&'a mut fmt::Formatter<'b>);
+
+impl fmt::Write for Escaper<'_, '_> {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let is_break = |c: char| c.is_control() || matches!(c, '\u{2028}' | '\u{2029}');
+        for part in text.split_inclusive(is_break) {
+            match part.char_indices().next_back() {
+                Some((at, c)) if is_break(c) => {
+                    write!(self.0, "{}{}", &part[..at], c.escape_default())?;
+                }
+                _ => self.0.write_str(part)?,
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Error of setting up logging.
 #[derive(Debug, Snafu)]
 pub enum LogError {
@@ -70,17 +129,18 @@
 /// Returns an error if a level is unknown, the file cannot be opened, the writer
 /// thread cannot be started, or logging is already set up.
 pub fn install(settings: &LogSettings, instance: impl Into<Box<str>>) -> Result<(), LogError> {
-    let instance: Box<str> = instance.into();
+    let instance = shown(instance.into()).to_string();
     let level = settings.level.as_deref().unwrap_or("info");
     let mut dispatch = fern::Dispatch::new()
         .level(parse_level(level)?)
         .level_for("hyper", LevelFilter::Warn)
         .format(move |out, message, record| {
             out.finish(format_args!(
-                "time={} instance={instance} level={} module={} {message}",
+                "time={} instance={instance} level={} module={} {}",
                 humantime::format_rfc3339_millis(SystemTime::now()),
                 record.level(),
                 record.target(),
+                OneLine(message),
             ));
         });
     for (module, level) in &settings.modules {
