--- a/src/http.rs
+++ b/src/http.rs
@@ -85,6 +85,14 @@
         /// Part that is not valid.
         reason: Box<str>,
     },
+    /// An answer arrived whose body is larger than the caller takes.
+    #[snafu(display("step=read peer={peer}: the answer is larger than {max_bytes} bytes"))]
+    AnswerTooLarge {
+        /// Authority of the request's URI.
+        peer: Box<str>,
+        /// Largest body taken.
+        max_bytes: usize,
+    },
     /// The request may have arrived, but no complete answer did.
     #[snafu(display("step={step} peer={peer}: {reason}"))]
     NoAnswer {
@@ -148,7 +156,15 @@
         let body = Limited::new(body, max_body_bytes)
             .collect()
             .await
-            .map_err(|e| no_answer("read", e.to_string()))?;
+            .map_err(|e| {
+                if e.is::<LengthLimitError>() {
+                    return CallError::AnswerTooLarge {
+                        peer: peer.clone(),
+                        max_bytes: max_body_bytes,
+                    };
+                }
+                no_answer("read", e.to_string())
+            })?;
         Ok(hyper::Response::from_parts(head, body.to_bytes()))
     };
     tokio::time::timeout(timeout, exchange)
--- a/src/once.rs
+++ b/src/once.rs
@@ -178,7 +178,7 @@
     let ran = match error {
         CallError::Connect { .. } | CallError::Build { .. } => Ran::NotRun,
         // The response head had already arrived.
-        CallError::NoAnswer { step: "read", .. } => Ran::Ran,
+        CallError::AnswerTooLarge { .. } | CallError::NoAnswer { step: "read", .. } => Ran::Ran,
         CallError::NoAnswer { .. } => Ran::Unknown,
     };
     Refusal::new(RefusalKind::TargetFailed, ran, error.to_string())
