Change log: a largest number of changes

What was seen: by test only. The log that answers other daemons kept the changes of its last 64 batches, however many; with some ten thousand entries of another writer, it and the answers made of it grew without a bound.

Cause: only batches were counted.

Change: at most 20,000 changes are kept, as many as a list may have entries. A daemon that lacks older ones fetches the complete topic, which holds no unreadable entries.

Result: a_change_log_keeps_any_number_of_changes failed before ("the first batch was dropped") and passes.

--- a/src/gateway/change_log.rs
+++ b/src/gateway/change_log.rs
@@ -10,6 +10,9 @@
 /// is further behind receives the complete topic.
 const MAX_BATCHES: usize = 64;
 
+/// Maximum number of changes kept: as many as a list may have entries.
+const MAX_CHANGES: usize = 20_000;
+
 /// The changes of one topic up to a revision.
 ///
 /// Invariant: entries are contiguous; each covers the revisions after that of
@@ -22,6 +25,8 @@
     /// Revision up to which the topic is known.
     revision: Revision,
     entries: VecDeque<(Revision, Vec<Change>)>,
+    /// Number of changes in all entries.
+    change_count: usize,
 }
 
 impl ChangeLog {
@@ -44,6 +49,7 @@
             base: at,
             revision: at,
             entries: VecDeque::new(),
+            change_count: 0,
         };
     }
 
@@ -56,11 +62,17 @@
         if changes.is_empty() {
             return;
         }
+        if changes.len() > MAX_CHANGES {
+            self.restart(at);
+            return;
+        }
         self.entries.push_back((at, changes.to_vec()));
-        if self.entries.len() > MAX_BATCHES
-            && let Some((at, _)) = self.entries.pop_front()
+        self.change_count += changes.len();
+        while (self.entries.len() > MAX_BATCHES || self.change_count > MAX_CHANGES)
+            && let Some((at, dropped)) = self.entries.pop_front()
         {
             self.base = at;
+            self.change_count -= dropped.len();
         }
     }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -350,3 +350,35 @@
     let mut results = pages.map(|name| progress.record_page(500, Some(&name)));
     assert!(results.any(|result| result.is_err()));
 }
+
+/// The log kept each change of the last batches, and an answer with all of them was larger than
+/// a message may be.
+#[test]
+fn a_change_log_keeps_any_number_of_changes() {
+    let unreadable = |at: u64| Change::Unreadable {
+        name: format!("odd-{at}").into(),
+        reason: "a test".repeat(40).into(),
+    };
+    let mut log = ChangeLog::default();
+    log.restart(1);
+    for batch in 0..40 {
+        let changes: Vec<_> = (0..2_000)
+            .map(|at| unreadable(batch * 2_000 + at))
+            .collect();
+        log.push(batch + 2, &changes);
+    }
+    assert_eq!(log.revision(), 41);
+    assert!(log.since(1).is_none(), "the first batch was dropped");
+    let latest = log.since(40).expect("the last batch");
+    assert_eq!(latest.len(), 2_000);
+    for known in 1..41 {
+        let kept = log.since(known).map_or(0, |changes| changes.len());
+        assert!(kept <= 20_000, "{kept} changes");
+    }
+    // A batch that is too large by itself is not kept either.
+    let changes: Vec<_> = (0..30_000).map(unreadable).collect();
+    log.push(99, &changes);
+    assert_eq!(log.revision(), 99);
+    assert!(log.since(41).is_none());
+    assert_eq!(log.since(99).map(|changes| changes.len()), Some(0));
+}
