Platform and operator calls: keys and names are escaped

What was seen: by test only. `bluebellctl get Model 'other?x=y'` returned the record `other`, and `withdraw` would have withdrawn it; a key of the platform's store with a blank, `#` or `%` led to another object or to a failed call.

Cause: keys, prefixes and names were put into paths and queries as they stood, and the operator's port and the stand-in of the platform did not decode escapes.

Change: one `escaped` in `http.rs` serves the adapter, the client of the platform and `bluebellctl`; the operator's port and the stand-in decode. A path with a segment of dots is not built into a request, since servers resolve these.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -17,7 +17,7 @@
 use crate::{
     auth::hash_key,
     cli::{CtlCli, CtlCommand, EXIT_BAD_INPUT, EXIT_FAILED, Output, ZoneCommand},
-    http::{self, CallError},
+    http::{self, CallError, escaped},
     operator::{REVISION_HEADER, Rejected},
 };
 
@@ -121,12 +121,16 @@
             name,
             if_revision,
         } => {
-            let path = format!("/v1/records/{kind}/{name}{}", revision_query(*if_revision));
+            let path = format!(
+                "{}{}",
+                record_path(Some(kind), Some(name), None),
+                revision_query(*if_revision)
+            );
             call(&cli, &Method::DELETE, &path, None).await?
         }
         CtlCommand::Status => call(&cli, &Method::GET, "/v1/status", None).await?,
         CtlCommand::Explain { request } => {
-            let path = format!("/v1/explain/{request}");
+            let path = format!("/v1/explain/{}", escaped(request));
             call(&cli, &Method::GET, &path, None).await?
         }
         CtlCommand::Zone { command } => set_zone(&cli, command).await?,
@@ -159,10 +163,11 @@
 fn record_path(kind: Option<&str>, name: Option<&str>, schema: Option<&str>) -> String {
     match (kind, name) {
         (None, _) => "/v1/records".into(),
-        (Some(kind), None) => format!("/v1/records?kind={kind}"),
+        (Some(kind), None) => format!("/v1/records?kind={}", escaped(kind)),
         (Some(kind), Some(name)) => {
-            let schema = schema.map(|s| format!("?schema={s}")).unwrap_or_default();
-            format!("/v1/records/{kind}/{name}{schema}")
+            let schema = schema.map(|s| format!("?schema={}", escaped(s)));
+            let (kind, name) = (escaped(kind), escaped(name));
+            format!("/v1/records/{kind}/{name}{}", schema.unwrap_or_default())
         }
     }
 }
@@ -172,7 +177,7 @@
         ZoneCommand::Drain { zone } => (zone, "out"),
         ZoneCommand::Undrain { zone } => (zone, "serving"),
     };
-    let path = format!("/v1/records/AvailabilityZone/{zone}");
+    let path = record_path(Some("AvailabilityZone"), Some(zone), None);
     let mut attempts = 0;
     loop {
         attempts += 1;
--- a/src/http.rs
+++ b/src/http.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::HashMap,
     convert::Infallible,
+    fmt::Display,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -18,6 +19,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo, TokioTimer},
 };
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, utf8_percent_encode};
 use serde::Serialize;
 use snafu::Snafu;
 use tokio::{
@@ -40,6 +42,25 @@
 /// Longest time for sending that response.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Characters that are escaped in a segment of a path and in a value of a query: all but the
+/// unreserved ones of RFC 3986.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
+/// Returns a text from outside as one segment of a path or one value of a query.
+pub fn escaped(text: &str) -> impl Display {
+    utf8_percent_encode(text, ESCAPED)
+}
+
+/// Returns the text of an escaped segment of a path; `None` if it is not valid Unicode.
+pub(crate) fn unescaped(segment: &str) -> Option<Box<str>> {
+    let text = percent_decode_str(segment).decode_utf8().ok()?;
+    Some(text.into())
+}
+
 /// HTTP client for calls to targets, the platform and other HTTP servers.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -487,6 +508,10 @@
             .body(Full::new(body.into()))
     });
     let reason: Box<str> = match built {
+        // Servers resolve these, also if they are escaped.
+        Ok(req) if req.uri().path().split('/').any(|s| matches!(s, "." | "..")) => {
+            "the path has a segment of dots".into()
+        }
         // A URI has no fragment, so one in the path is cut off.
         Ok(req) if req.uri().path_and_query().is_some_and(|p| *p == *path) => return Ok(req),
         Ok(_) => "the path has a fragment".into(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,7 +82,7 @@
     credits::{Credit, Permit},
     daemon::{Daemon, DaemonError},
     engine::{EngineClient, EngineError, EngineEvent, EngineStream, GenerationRequest, LoadReport},
-    http::{CallError, HttpClient, PortLimits, json_request, new_client, send_request},
+    http::{CallError, HttpClient, PortLimits, escaped, json_request, new_client, send_request},
     lease::{LeaseCall, LeaseRecord},
     log::{
         FLUSH_TIMEOUT as LOG_FLUSH_TIMEOUT, LogError, flush as flush_log, install as install_log,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -242,7 +242,7 @@
     let name: String = req.param("name").ok()?;
     Some(RecordKey {
         kind: kind.parse().ok()?,
-        name: name.into(),
+        name: http::unescaped(&name)?,
     })
 }
 
@@ -448,6 +448,7 @@
 
 fn explain_request(ctx: &OperatorContext, req: &Request) -> Response {
     let request: String = req.param("request").unwrap_or_default();
+    let request = http::unescaped(&request).unwrap_or_default();
     let decisions = ctx.state.decisions.for_request(&request);
     if decisions.is_empty() {
         let reason = "this daemon remembers no such request";
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use snafu::Snafu;
 
-use crate::http::{self, CallError, HttpClient};
+use crate::http::{self, CallError, HttpClient, escaped};
 
 /// Number of a change in the platform's object store, which counts all changes.
 /// It alone orders the versions of the configuration.
@@ -166,7 +166,7 @@
     /// # Errors
     /// Returns an error if the call fails or is answered with an error status.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let path = format!("/v1/objects/{key}");
+        let path = object_path(key);
         let res = self.call(&Method::GET, &path, Bytes::new()).await?;
         match res.status() {
             StatusCode::NOT_FOUND => Ok(None),
@@ -180,7 +180,7 @@
     /// # Errors
     /// Returns an error if the call fails or is answered with an error status.
     pub async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
-        let path = format!("/v1/list?prefix={prefix}");
+        let path = format!("/v1/list?prefix={}", escaped(prefix));
         self.read_json("list", &path).await
     }
 
@@ -191,7 +191,7 @@
     /// # Errors
     /// Returns an error if the call fails or is answered with an error status.
     pub async fn revision(&self, prefix: &str) -> Result<Revision, PlatformError> {
-        let path = format!("/v1/revision?prefix={prefix}");
+        let path = format!("/v1/revision?prefix={}", escaped(prefix));
         self.read_json("revision", &path).await
     }
 
@@ -245,7 +245,7 @@
         prefix: &str,
         after: Revision,
     ) -> Result<impl Stream<Item = Result<Object, PlatformError>> + use<>, PlatformError> {
-        let path = format!("/v1/watch?prefix={prefix}&after={after}");
+        let path = format!("/v1/watch?prefix={}&after={after}", escaped(prefix));
         let req = http::json_request(&Method::GET, &self.authority, &path, Bytes::new())?;
         let opening = http::send(&self.client, req);
         let res = tokio::time::timeout(self.timeout, opening)
@@ -303,12 +303,19 @@
     }
 }
 
+/// Returns the path of an object. The slashes of its key separate segments.
+fn object_path(key: &str) -> String {
+    let segments = key.split('/').map(|s| escaped(s).to_string());
+    let segments: Vec<_> = segments.collect();
+    format!("/v1/objects/{}", segments.join("/"))
+}
+
 fn write_path(key: &str, condition: WriteCondition) -> String {
     let revision = match condition {
         WriteCondition::Absent => 0,
         WriteCondition::AtRevision(revision) => revision,
     };
-    format!("/v1/objects/{key}?if_revision={revision}")
+    format!("{}?if_revision={revision}", object_path(key))
 }
 
 fn parse_write_result(
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -168,7 +168,7 @@
             let shared = shared.clone();
             move |req: Request| {
                 let name: String = req.param("name").unwrap_or_default();
-                change_instance(&shared, name.into(), None);
+                change_instance(&shared, http::unescaped(&name).unwrap_or_default(), None);
                 async move { Ok(empty_response(StatusCode::OK)) }
             }
         })
@@ -217,7 +217,8 @@
 
 fn key_of(req: &Request) -> Box<str> {
     let path = req.uri().path();
-    path.strip_prefix("/v1/objects/").unwrap_or_default().into()
+    let key = path.strip_prefix("/v1/objects/").unwrap_or_default();
+    http::unescaped(key).unwrap_or_default()
 }
 
 /// Returns a query parameter, or `None` if it is missing or malformed.
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -123,3 +123,27 @@
     assert_eq!(wrong.status.code(), Some(1), "{wrong:?}");
     assert!(String::from_utf8_lossy(&wrong.stderr).contains("operator key"));
 }
+
+/// Another record was read, or withdrawn.
+#[test]
+fn a_name_that_no_record_has_leads_to_a_record() {
+    let fleet = Fleet::with_daemons(1);
+    let model = record("Model", "other", &json!({"context_tokens": 10}));
+    run_json(&fleet, &["apply", "-f", "-"], &model.to_string());
+    for name in [
+        "other?x=y",
+        "other#x",
+        "oth%65r",
+        "./other",
+        "other ",
+        "other\n",
+        "x/../other",
+    ] {
+        for command in ["get", "withdraw"] {
+            let missing = run_ctl(&fleet, &[command, "Model", name], "");
+            assert_eq!(missing.status.code(), Some(1), "{name:?}: {missing:?}");
+        }
+    }
+    let stored = run_json(&fleet, &["get", "Model", "other"], "");
+    assert_eq!(stored["spec"]["context_tokens"], json!(10));
+}
