Platform: one odd instance does not hide the others

What was seen: by test only. An entry of the instance list with an unknown role or state made the whole list unreadable, again at each read.

Cause: the list was decoded as a whole.

Change: entries are decoded one by one; each read logs one line with the number of those that cannot be, and the first reason.

Result: an_odd_instance_hides_the_other_instances failed before ("unknown variant `printer`") and passes.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,7 +10,10 @@
 use serde_json::Value;
 use snafu::Snafu;
 
-use crate::http::{self, CallError, HttpClient, escaped};
+use crate::{
+    http::{self, CallError, HttpClient, escaped},
+    log::shown,
+};
 
 /// Number of a change in the platform's object store, which counts all changes.
 /// It alone orders the versions of the configuration.
@@ -195,12 +198,23 @@
         self.read_json("revision", &path).await
     }
 
-    /// Reads the instance list, which lags behind the actual instances.
+    /// Reads the instance list, which lags behind the actual instances. Entries that cannot be
+    /// decoded are left out.
     ///
     /// # Errors
     /// Returns an error if the call fails or is answered with an error status.
     pub async fn instances(&self) -> Result<Vec<Instance>, PlatformError> {
-        self.read_json("instances", "/v1/instances").await
+        let entries: Vec<Value> = self.read_json("instances", "/v1/instances").await?;
+        let decoded = entries.into_iter().map(Instance::deserialize);
+        let (instances, errors): (Vec<_>, Vec<_>) = decoded.partition(Result::is_ok);
+        if let Some(Err(first)) = errors.first() {
+            let (count, first) = (errors.len(), first.to_string());
+            log::warn!(
+                "event=instances_unreadable count={count} first={}",
+                shown(first)
+            );
+        }
+        Ok(instances.into_iter().flatten().collect())
     }
 
     /// Writes `value` if `condition` holds.
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -9,6 +9,7 @@
 };
 
 use bluebelldrift::Platform;
+use serde_json::json;
 
 /// Longest wait for a request.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -52,3 +53,31 @@
     let line = line.recv_timeout(WAIT_TIMEOUT).expect("the request line");
     assert_eq!(line, "GET /v1/revision?prefix=a%26prefix%3Db HTTP/1.1");
 }
+
+/// One entry of another writer hid all instances.
+#[tokio::test]
+async fn an_odd_instance_hides_the_other_instances() {
+    let sound = |name: &str| {
+        json!({"name": name, "zone": "z", "address": "127.0.0.1:1", "state": "live",
+            "role": "daemon"})
+    };
+    let mut other_role = sound("role");
+    other_role["role"] = json!("printer");
+    let mut other_state = sound("state");
+    other_state["state"] = json!(7);
+    let list = json!([
+        other_role,
+        sound("a"),
+        null,
+        "text",
+        other_state,
+        {},
+        sound("b")
+    ]);
+    let (address, line) = answer_one(list.to_string());
+    let platform = Platform::new(address, WAIT_TIMEOUT);
+    let instances = platform.instances().await.expect("a list");
+    let names: Vec<_> = instances.iter().map(|i| &*i.name).collect();
+    assert_eq!(names, ["a", "b"]);
+    line.recv_timeout(WAIT_TIMEOUT).expect("the request");
+}
