--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -164,7 +164,7 @@
                 self.return_zone(zone, "watch");
             }
             Change::Unreadable { name, reason } => {
-                log::warn!("event=entry_unreadable topic={topic} name={name:?} reason={reason:?}");
+                log::warn!("event=entry_unreadable name={name:?} reason={reason:?} topic={topic}");
                 // Names are unique within a topic only.
                 match topic {
                     Topic::Targets => self.remove(name, feed, now),
--- a/src/http.rs
+++ b/src/http.rs
@@ -51,6 +51,7 @@
     .remove(b'~');
 
 /// Returns a text from outside as one segment of a path or one value of a query.
+#[must_use]
 pub fn escaped(text: &str) -> impl Display {
     utf8_percent_encode(text, ESCAPED)
 }
