--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -157,7 +157,7 @@
         if let Some(customer) = &customer
             && header_value(&customer.name).is_none()
         {
-            // No target could be told whose request it is.
+            // No header can state whose request it is.
             log::warn!("event=customer_unusable customer={:?}", customer.name);
             return Err(Refusal::NoTarget);
         }
