--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -35,6 +35,7 @@
 };
 use crate::{
     clock::{self, BootTime},
+    log::shown,
     platform::Revision,
 };
 
@@ -45,6 +46,9 @@
 /// that refuses only this topic, or daemons without rollouts, must not keep it from serving.
 const MAX_ROLLOUTS_WAIT: Duration = Duration::from_secs(3);
 
+/// Time within which a change of the configuration has to be in force, unless set.
+const DEFAULT_CONFIG_BOUND: Duration = Duration::from_secs(3);
+
 /// State of the control thread.
 pub(crate) struct Control {
     fleet: Fleet,
@@ -85,6 +89,10 @@
     is_reader_decided: bool,
     /// Whether the last read of the configuration succeeded.
     is_store_up: watch::Sender<bool>,
+    /// Time within which a change of the configuration has to be in force.
+    config_bound: Duration,
+    /// Time since which the configuration is older than that; `None` if it is not.
+    config_stale_since: Option<BootTime>,
 }
 
 /// What follows from the comparison of two daemons' configurations.
@@ -145,9 +153,17 @@
             is_reader: watch::channel(false).0,
             is_reader_decided: false,
             is_store_up: watch::channel(true).0,
+            config_bound: DEFAULT_CONFIG_BOUND,
+            config_stale_since: None,
         }
     }
 
+    /// Sets the time within which a change of the configuration has to be in force.
+    pub fn with_config_bound(mut self, bound: Duration) -> Self {
+        self.config_bound = bound;
+        self
+    }
+
     /// Follows rollouts too.
     pub fn with_rollouts(mut self) -> Self {
         self.has_rollouts = true;
@@ -226,7 +242,9 @@
             update.changes = replace_with_patches(known, &update.changes);
             self.fleet.remove_known_versions(&mut update.changes);
         }
+        let before = self.fleet.config_stamp();
         let has_changes = self.apply_update(&update, now);
+        self.log_config_source(before, "store", now.saturating_sub(sent));
         if update.topic == Topic::Config && self.revision(Topic::Config) <= update.at {
             self.confirm_config(sent);
         }
@@ -379,9 +397,29 @@
         self.shared.confirm_config(sent);
     }
 
+    /// Logs where a new configuration came from, and the age of this daemon's knowledge until
+    /// then.
+    fn log_config_source(&self, before: ConfigStamp, source: &str, took: Duration) {
+        let stamp = self.fleet.config_stamp();
+        if stamp == before {
+            return;
+        }
+        let confirmed = self.config_confirmed_at;
+        let age = confirmed.map(|at| clock::now().saturating_sub(at));
+        log::info!(
+            "event=config_source version={} before={} source={source} took_ms={} age_before_ms={:?}",
+            stamp.version,
+            before.version,
+            clock::millis(took),
+            age.map(clock::millis),
+            source = shown(&source)
+        );
+    }
+
     /// Applies updates from another daemon. Returns those to forward to other daemons.
-    pub fn apply_updates(&mut self, updates: &[Update]) -> Vec<Update> {
+    pub fn apply_updates(&mut self, from: &str, updates: &[Update]) -> Vec<Update> {
         let now = clock::now();
+        let before = self.fleet.config_stamp();
         let mut to_forward = Vec::new();
         for update in updates {
             let last_change = self
@@ -395,6 +433,7 @@
                 });
             }
         }
+        self.log_config_source(before, from, Duration::ZERO);
         self.confirm_awaited();
         to_forward
     }
@@ -426,7 +465,7 @@
             let feed = self.feeds.entry(Topic::Targets).or_default();
             feed.restored_at = feed.restored_at.max(now.checked_sub(since_recovery));
         }
-        let to_forward = self.apply_updates(&answer.updates);
+        let to_forward = self.apply_updates(from, &answer.updates);
         let config_age = answer.config_age_ms.map(Duration::from_millis);
         if let Some(sent) = config_age.and_then(|age| queried_at.checked_sub(age)) {
             self.awaited_confirmation = Some((answer.config_revision, sent));
@@ -659,6 +698,30 @@
         self.rollouts.tick(&self.fleet, has_work, now);
     }
 
+    /// Logs when the configuration gets older than it may be, and when it is confirmed again.
+    fn check_config_age(&mut self, age: Option<Duration>, now: BootTime) {
+        let is_stale = age.is_some_and(|age| age > self.config_bound);
+        if self.config_stale_since.is_some() == is_stale {
+            return;
+        }
+        self.config_stale_since = is_stale.then_some(now);
+        let version = self.fleet.config_stamp().version;
+        let age = age.map(clock::millis).unwrap_or_default();
+        let is_reader = *self.is_reader.borrow();
+        let reads_for_us = self.peers.zone_reader(now);
+        if is_stale {
+            log::warn!(
+                "event=config_stale version={version} age_ms={age} is_reader={is_reader} \
+                 reads_for_us={reads_for_us:?}"
+            );
+        } else {
+            log::info!(
+                "event=config_current version={version} age_ms={age} is_reader={is_reader} \
+                 reads_for_us={reads_for_us:?}"
+            );
+        }
+    }
+
     /// Updates all state that depends on time.
     pub fn tick(&mut self) {
         let now = clock::now();
@@ -680,6 +743,7 @@
             *current = is_reader;
             is_changed
         });
+        self.check_config_age(config_age, now);
         self.shared
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -188,7 +188,7 @@
         let work = &placement.work;
         log::info!(
             "event=placed request={} target={} distance={} cost={:.2} requests={} tokens={} \
-             unread={} closed={} slowness={:.2}",
+             unread={} closed={} slowness={:.2} config={} config_age_ms={}",
             shown(&job.info.request_id),
             shown(&placement.target.id),
             self.distance(&placement.target.zone),
@@ -197,7 +197,9 @@
             work.tokens,
             work.pending_prompt_tokens,
             placement.closed,
-            placement.slowness
+            placement.slowness,
+            fleet.config_stamp().version,
+            self.config_age_ms()
         );
         self.record_placement(fleet, &placement.target, now);
         Some(placement)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -437,6 +437,7 @@
         .build()?;
     let identity = identity(settings)?;
     let window = settings.send_budget().window;
+    let config_bound = settings.config_bound();
     let has_rollouts = settings.rollouts.is_some();
     let (started_tx, started_rx) = oneshot::channel();
     let run_control = move || {
@@ -445,7 +446,8 @@
         if identity.has_seeds() {
             peers = peers.with_seeds();
         }
-        let mut control = Control::new(peers, trackers, window, shared);
+        let mut control =
+            Control::new(peers, trackers, window, shared).with_config_bound(config_bound);
         if has_rollouts {
             control = control.with_rollouts();
         }
@@ -531,6 +533,12 @@
             .map_or_else(CallerLimits::default, |c| c.limits)
     }
 
+    /// Returns the age of the configuration for the log; -1 until one has been confirmed.
+    fn config_age_ms(&self) -> i64 {
+        let age = self.shared.config_age(clock::now());
+        age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
+    }
+
     /// Returns how many connections each port may have.
     fn connection_bounds(&self) -> ConnectionBounds {
         let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
@@ -596,12 +604,10 @@
                 if refusal == Refusal::NoMemory {
                     self.shortages.record();
                 }
-                // `None` until a configuration has been confirmed; logged as -1.
-                let age = self.shared.config_age(clock::now());
-                let version = self.shared.fleet().config.as_ref().map_or(0, |c| c.version);
+                let version = self.shared.fleet().config_stamp().version;
                 log::info!(
                     "event=refusal request={id} reason={refusal} config={version} config_age_ms={}",
-                    age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX)),
+                    self.config_age_ms(),
                     id = shown(&id)
                 );
                 metrics::counter!("bluebell_gateway_refusals", "reason" => refusal.to_string())
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -651,7 +651,10 @@
             }
             Message::Answer(answer) => self.handle_answer(&packet.from, answer, from).await,
             Message::Updates(updates) => {
-                let to_forward = self.control.borrow_mut().apply_updates(&updates);
+                let to_forward = self
+                    .control
+                    .borrow_mut()
+                    .apply_updates(&packet.from, &updates);
                 self.forward_received(to_forward).await;
             }
         }
@@ -740,7 +743,8 @@
             Ok(updates) => {
                 log::info!("event=fetched peer={from} topics={}", updates.len());
                 self.fetched_at.set(clock::now());
-                let to_forward = self.control.borrow_mut().apply_updates(&updates);
+                let source = from.to_string();
+                let to_forward = self.control.borrow_mut().apply_updates(&source, &updates);
                 self.forward_received(to_forward).await;
             }
             Err(e) => log::warn!("event=fetch_failed error={:?}", e.to_string()),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -247,6 +247,12 @@
         self.region_of(&self.zone)
     }
 
+    /// Returns the time within which a change of the configuration has to be in force.
+    #[must_use]
+    pub fn config_bound(&self) -> Duration {
+        Duration::from_millis(self.bounds.config_ms)
+    }
+
     /// Returns the maximum age of the last confirmed read of the configuration at
     /// which keys are still accepted.
     ///
