--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,6 +16,7 @@
     change_log::ChangeLog,
     config_patch::replace_with_patches,
     demand_exchange::Surroundings,
+    fallback_read::ConfigBound,
     fleet::FeedState,
     load::{LoadTracker, Work},
     model::{Change, Fleet, Topic},
@@ -46,9 +47,6 @@
 /// that refuses only this topic, or daemons without rollouts, must not keep it from serving.
 const MAX_ROLLOUTS_WAIT: Duration = Duration::from_secs(3);
 
-/// Time within which a change of the configuration has to be in force, unless set.
-const DEFAULT_CONFIG_BOUND: Duration = Duration::from_secs(3);
-
 /// State of the control thread.
 pub(crate) struct Control {
     fleet: Fleet,
@@ -89,8 +87,10 @@
     is_reader_decided: bool,
     /// Whether the last read of the configuration succeeded.
     is_store_up: watch::Sender<bool>,
-    /// Time within which a change of the configuration has to be in force.
-    config_bound: Duration,
+    /// Time of the newest watch of the configuration that its first lane sent.
+    pub config_watched_at: BootTime,
+    /// Notified when this daemon begins to read the store for others.
+    term_began: Arc<Notify>,
     /// Time since which the configuration is older than that; `None` if it is not.
     config_stale_since: Option<BootTime>,
 }
@@ -153,17 +153,12 @@
             is_reader: watch::channel(false).0,
             is_reader_decided: false,
             is_store_up: watch::channel(true).0,
-            config_bound: DEFAULT_CONFIG_BOUND,
+            config_watched_at: BootTime::ZERO,
+            term_began: Arc::default(),
             config_stale_since: None,
         }
     }
 
-    /// Sets the time within which a change of the configuration has to be in force.
-    pub fn with_config_bound(mut self, bound: Duration) -> Self {
-        self.config_bound = bound;
-        self
-    }
-
     /// Follows rollouts too.
     pub fn with_rollouts(mut self) -> Self {
         self.has_rollouts = true;
@@ -232,6 +227,8 @@
         feed.record_success(sent, now);
         if update.topic == Topic::Config {
             self.is_store_up.send_replace(true);
+            self.peers.record_config_read(true, now);
+            self.shared.record_store_failure(None);
         }
         let last_change = self
             .change_logs
@@ -266,9 +263,50 @@
         feed.record_failure(clock::now());
         if topic == Topic::Config {
             self.is_store_up.send_replace(false);
+            self.record_config_failure();
         }
     }
 
+    /// Records that a read of the configuration failed, or a call that was to precede one.
+    pub fn record_config_failure(&mut self) {
+        let now = clock::now();
+        self.peers.record_config_read(false, now);
+        self.shared.record_store_failure(Some(now));
+    }
+
+    /// Returns the time within which a change of the configuration has to be in force, and what
+    /// follows from it.
+    pub fn config_bound(&self) -> ConfigBound {
+        self.peers.fallback().bound()
+    }
+
+    /// Returns the age of the configuration; `None` before the first confirmation.
+    pub fn config_age(&self, now: BootTime) -> Option<Duration> {
+        self.config_confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns when this daemon reads the configuration for itself unless it is confirmed until
+    /// then; `None` while it has just started.
+    pub fn config_read_due(&self, now: BootTime) -> Option<BootTime> {
+        self.peers.config_read_due(self.config_age(now), now)
+    }
+
+    /// Begins to read the store for others, after a read of this daemon for itself.
+    pub fn begin_term(&mut self) {
+        let now = clock::now();
+        if self.peers.follows_store(now) {
+            return;
+        }
+        self.peers.begin_term(now);
+        self.decide_reader(now);
+        self.term_began.notify_one();
+    }
+
+    /// Returns the handle that is notified when this daemon begins to read the store for others.
+    pub fn term_began(&self) -> Arc<Notify> {
+        self.term_began.clone()
+    }
+
     /// Applies an update if it continues from the known revision. Returns whether it
     /// changed anything.
     fn apply_update(&mut self, update: &Update, now: BootTime) -> bool {
@@ -698,9 +736,27 @@
         self.rollouts.tick(&self.fleet, has_work, now);
     }
 
+    /// Decides whether this daemon follows all topics of the store.
+    fn decide_reader(&mut self, now: BootTime) {
+        let is_reader = self.peers.follows_store(now);
+        let is_first_decision = !std::mem::replace(&mut self.is_reader_decided, true);
+        self.is_reader.send_if_modified(|current| {
+            let is_changed = *current != is_reader;
+            if is_changed || is_first_decision {
+                log::info!(
+                    "event=reader is_reader={is_reader} reads_for_us={:?} for_others={}",
+                    self.peers.zone_reader(now),
+                    self.peers.fallback().is_in_term(now)
+                );
+            }
+            *current = is_reader;
+            is_changed
+        });
+    }
+
     /// Logs when the configuration gets older than it may be, and when it is confirmed again.
     fn check_config_age(&mut self, age: Option<Duration>, now: BootTime) {
-        let is_stale = age.is_some_and(|age| age > self.config_bound);
+        let is_stale = age.is_some_and(|age| age > self.config_bound().max_age());
         if self.config_stale_since.is_some() == is_stale {
             return;
         }
@@ -729,21 +785,9 @@
         if self.fleet.expire(now) || is_completed {
             self.shared.publish(self.fleet.clone());
         }
-        let config_age = self.config_confirmed_at.map(|at| now.saturating_sub(at));
-        let is_reader = self.peers.is_reader(config_age, now);
-        let is_first_decision = !std::mem::replace(&mut self.is_reader_decided, true);
-        self.is_reader.send_if_modified(|current| {
-            let is_changed = *current != is_reader;
-            if is_changed || is_first_decision {
-                log::info!(
-                    "event=reader is_reader={is_reader} reads_for_us={:?}",
-                    self.peers.zone_reader(now)
-                );
-            }
-            *current = is_reader;
-            is_changed
-        });
-        self.check_config_age(config_age, now);
+        self.peers.extend_term(now);
+        self.decide_reader(now);
+        self.check_config_age(self.config_age(now), now);
         self.shared
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -7,7 +7,7 @@
 //! daemons. The complete topic is read only if the store no longer holds the
 //! history since that revision.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 use tokio::sync::mpsc;
@@ -21,15 +21,25 @@
     rollout_writer::{RolloutAnswer, RolloutStatusWrite},
     store_era::{era_of, mark_written_in_era},
 };
-use crate::{clock, platform::Revision};
+use crate::{
+    clock::{self, BootTime},
+    platform::Revision,
+};
 
-/// Longest wait of a watch. Two waits and the delay of an answer stay below the
-/// age at which keys are no longer trusted. Shorter waits cost more calls, and a
-/// wait below a second could lie entirely within a gap of the store's watches.
-const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait of a watch of the configuration. A shorter one could lie entirely within a
+/// second in which a store that discards its history sends no changes.
+const CONFIG_WATCH_WAIT: Duration = Duration::from_millis(1_050);
+/// Number of overlapping watches of the configuration. A watch proves what was known when it was
+/// sent, so the age of the configuration reaches the time of one and a half watches.
+const CONFIG_LANES: u32 = 2;
+/// Longest wait of a watch of any other topic.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest delay of an answer beyond the requested wait; a slow store takes up to
 /// a few hundred milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause while a read for this daemon itself is not due, at most: the configuration may be
+/// confirmed, or its zone reader may fail, meanwhile.
+const MAX_READ_DELAY: Duration = Duration::from_millis(200);
 /// Pause after changes, so that the changes that follow arrive in one answer.
 const COALESCE_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest and longest pause after a failed read.
@@ -62,6 +72,9 @@
 /// The calls to the store, supplied by the adapter for the platform.
 #[derive(Clone)]
 pub struct Store {
+    /// Shows whether the store answers this daemon, by a read that the store does not count
+    /// toward its limits.
+    pub probe: Arc<dyn Fn() -> Call<()> + Send + Sync>,
     /// Reads a topic.
     pub read: Arc<dyn Fn(Topic, Read) -> Call<Batch> + Send + Sync>,
     /// Adds this daemon to the list of daemons.
@@ -75,22 +88,46 @@
     pub read_rollout: Arc<dyn Fn(Box<str>) -> BoxFuture<'static, RolloutAnswer> + Send + Sync>,
 }
 
+/// Returns the numbers of the overlapping feeds of a topic.
+pub(crate) fn lanes(topic: Topic) -> std::ops::Range<u32> {
+    0..if topic == Topic::Config {
+        CONFIG_LANES
+    } else {
+        1
+    }
+}
+
 /// Reads a topic whenever this daemon has to read the store; never returns. Changes to
-/// forward to other daemons go to `to_forward`.
+/// forward to other daemons go to `to_forward`. Of the feeds of a topic, only that of lane 0 reads
+/// the complete topic or looks whether the store is back.
 pub(crate) async fn follow(
     topic: Topic,
+    lane: u32,
     store: Store,
-    control: Rc<std::cell::RefCell<Control>>,
+    control: Rc<RefCell<Control>>,
     to_forward: mpsc::UnboundedSender<Update>,
 ) {
     let mut is_reader = control.borrow().subscribe_is_reader();
     let mut is_store_up = control.borrow().subscribe_is_store_up();
+    let watch_wait = match topic {
+        Topic::Config => CONFIG_WATCH_WAIT,
+        _ => WATCH_WAIT,
+    };
     let mut pause = RETRY_PAUSE.0;
     let mut has_history = true;
-    let mut wait = WATCH_WAIT;
+    let mut wait = watch_wait;
     loop {
         // Cannot fail: `control`, which this task holds, owns the sender.
         let _ = is_reader.wait_for(|is_reader| *is_reader).await;
+        if lane > 0 {
+            let delay = lane_delay(&control.borrow(), lane, clock::now());
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+                continue;
+            }
+        } else if topic == Topic::Config {
+            control.borrow_mut().config_watched_at = clock::now();
+        }
         let from = Some(control.borrow().revision(topic)).filter(|at| has_history && *at > 0);
         let sent = clock::now();
         let read = read_once(topic, &store, from, wait);
@@ -98,25 +135,18 @@
             result = read => result,
             _ = is_reader.wait_for(|is_reader| !*is_reader) => continue,
         };
-        let result = result.and_then(|update| {
-            let known = control.borrow().revision(topic);
-            check_era(update, known)
-        });
-        match result {
-            Ok(update) => {
+        match result.and_then(|update| apply(&control, update, sent, &to_forward)) {
+            Ok(is_changed) => {
                 has_history = true;
-                wait = WATCH_WAIT;
+                wait = watch_wait;
                 pause = RETRY_PAUSE.0;
-                let is_changed = !update.changes.is_empty();
-                let forwarded = control.borrow_mut().apply_read(update, sent);
-                if let Some(forwarded) = forwarded {
-                    // Without a receiver, other daemons get the change by a query.
-                    let _ = to_forward.send(forwarded);
-                }
                 if is_changed {
                     tokio::time::sleep(COALESCE_PAUSE).await;
                 }
             }
+            Err(ReadError::HistoryUnavailable) if lane > 0 => {
+                tokio::time::sleep(watch_wait / 2).await;
+            }
             Err(e) => {
                 if matches!(e, ReadError::HistoryUnavailable) {
                     log::info!("event=history_gone topic={topic}");
@@ -128,16 +158,103 @@
                 }
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(RETRY_PAUSE.1);
-                if topic != Topic::Config {
+                if topic != Topic::Config || lane > 0 {
                     let store_up = is_store_up.wait_for(|is_store_up| *is_store_up);
                     // Retries after a timeout too: the store may answer for this topic only.
                     let _ = tokio::time::timeout(MAX_PROBE_WAIT, store_up).await;
+                    wait = watch_wait;
                 }
             }
         }
     }
 }
 
+/// Returns how long a further watch of the configuration has to wait, so that it is halfway
+/// between two of the first.
+fn lane_delay(control: &Control, lane: u32, now: BootTime) -> Duration {
+    if control.revision(Topic::Config) == 0 {
+        return CONFIG_WATCH_WAIT;
+    }
+    let due = control.config_watched_at + CONFIG_WATCH_WAIT * lane / CONFIG_LANES;
+    due.saturating_sub(now)
+}
+
+/// Applies an answer of the store to a read sent at `sent`. Returns whether it held changes.
+fn apply(
+    control: &RefCell<Control>,
+    update: Update,
+    sent: BootTime,
+    to_forward: &mpsc::UnboundedSender<Update>,
+) -> Result<bool, ReadError> {
+    let known = control.borrow().revision(update.topic);
+    let update = check_era(update, known)?;
+    let has_changes = !update.changes.is_empty();
+    let forwarded = control.borrow_mut().apply_read(update, sent);
+    if let Some(forwarded) = forwarded {
+        // Without a receiver, other daemons get the change by a query.
+        let _ = to_forward.send(forwarded);
+    }
+    Ok(has_changes)
+}
+
+/// Reads the configuration whenever what this daemon has of it gets too old, whether or not others
+/// read for it; never returns. If that succeeds, this daemon reads for others for a while.
+pub(crate) async fn keep_confirmed(
+    store: Store,
+    control: Rc<RefCell<Control>>,
+    to_forward: mpsc::UnboundedSender<Update>,
+) {
+    let mut has_history = true;
+    loop {
+        let now = clock::now();
+        let due = control.borrow().config_read_due(now);
+        let delay = due.map_or(MAX_READ_DELAY, |due| due.saturating_sub(now));
+        if !delay.is_zero() {
+            tokio::time::sleep(delay.min(MAX_READ_DELAY)).await;
+            continue;
+        }
+        let (from, timeout, probes, age) = {
+            let control = control.borrow();
+            let fallback = control.peers.fallback();
+            let from = Some(control.revision(Topic::Config)).filter(|at| has_history && *at > 0);
+            let timeout = fallback.bound().read_timeout();
+            (
+                from,
+                timeout,
+                control.peers.probes_first(),
+                control.config_age(now),
+            )
+        };
+        let read = async {
+            if probes {
+                (store.probe)().await?;
+            }
+            let sent = clock::now();
+            let update = read_once(Topic::Config, &store, from, Duration::ZERO).await?;
+            Ok((update, sent))
+        };
+        let read = with_timeout(read, timeout).await;
+        let applied = read.and_then(|(update, sent)| apply(&control, update, sent, &to_forward));
+        let age_ms = age.map(clock::millis);
+        match applied {
+            Ok(_) => {
+                log::info!("event=fallback_read outcome=ok age_ms={age_ms:?} probed={probes}");
+                has_history = true;
+                control.borrow_mut().begin_term();
+            }
+            Err(ReadError::HistoryUnavailable) => has_history = false,
+            Err(e) => {
+                log::info!(
+                    "event=fallback_read outcome=failed age_ms={age_ms:?} probed={probes} error={:?}",
+                    e.to_string()
+                );
+                control.borrow_mut().record_config_failure();
+            }
+        }
+        metrics::counter!("bluebell_gateway_fallback_reads").increment(1);
+    }
+}
+
 /// Rejects an answer of an era that has ended.
 fn check_era(update: Update, known: Revision) -> Result<Update, ReadError> {
     let (era, known) = (era_of(update.at), era_of(known));
@@ -218,7 +335,10 @@
 }
 
 /// Limits the duration of a call.
-pub(crate) async fn with_timeout<T>(call: Call<T>, timeout: Duration) -> Result<T, ReadError> {
+pub(crate) async fn with_timeout<T>(
+    call: impl Future<Output = Result<T, ReadError>>,
+    timeout: Duration,
+) -> Result<T, ReadError> {
     let result = tokio::time::timeout(timeout, call).await;
     result.unwrap_or_else(|_| {
         Err(ReadError::Failed {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod event_queue;
 mod events;
 mod exchange;
+mod fallback_read;
 mod feed;
 mod fleet;
 mod generation;
@@ -127,6 +128,7 @@
     demand_exchange::{DemandExchange, FORWARDED_TO, Surroundings},
     engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
+    fallback_read::{ConfigBound, FallbackReads, Rank},
     feed::{ReadError, Store},
     fleet::FeedState,
     head_fields::{field_memory, max_fields},
@@ -442,12 +444,12 @@
     let (started_tx, started_rx) = oneshot::channel();
     let run_control = move || {
         let tasks = tokio::task::LocalSet::new();
-        let mut peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now());
+        let mut peers = Peers::new(identity.name.clone(), identity.zone.clone(), clock::now())
+            .with_config_bound(config_bound);
         if identity.has_seeds() {
             peers = peers.with_seeds();
         }
-        let mut control =
-            Control::new(peers, trackers, window, shared).with_config_bound(config_bound);
+        let mut control = Control::new(peers, trackers, window, shared);
         if has_rollouts {
             control = control.with_rollouts();
         }
@@ -467,17 +469,26 @@
     started_rx.await.map_err(io::Error::other)?
 }
 
-/// Starts the tasks of the control thread: one feed for each topic, the writer of
-/// rollouts' status, the exchange of messages with peers, the server that answers fetches, and the
+/// Starts the tasks of the control thread: the feeds of the topics, the reads of the
+/// configuration for this daemon itself, the writer of rollouts' status, the exchange of messages with peers, the server that answers fetches, and the
 /// maintenance of the list of daemons.
 fn start_control(port: Rc<PeerPort>, store: &Store, control: &Rc<RefCell<Control>>) {
     let (updates_tx, updates_rx) = mpsc::unbounded_channel();
     // Shared, so that the exchange of messages still has it after a restart.
     let updates_rx = Rc::new(tokio::sync::Mutex::new(updates_rx));
-    for topic in control.borrow().topics() {
+    let topics = control.borrow().topics();
+    let feeds = topics.flat_map(|topic| feed::lanes(topic).map(move |lane| (topic, lane)));
+    for (topic, lane) in feeds {
         let (store, control, updates_tx) = (store.clone(), control.clone(), updates_tx.clone());
         supervise_local("feed", move || {
-            feed::follow(topic, store.clone(), control.clone(), updates_tx.clone())
+            let (store, control) = (store.clone(), control.clone());
+            feed::follow(topic, lane, store, control, updates_tx.clone())
+        });
+    }
+    {
+        let (store, control, updates_tx) = (store.clone(), control.clone(), updates_tx.clone());
+        supervise_local("fallback_read", move || {
+            feed::keep_confirmed(store.clone(), control.clone(), updates_tx.clone())
         });
     }
     if control.borrow().has_rollouts() {
--- a/src/gateway/peer_port.rs
+++ b/src/gateway/peer_port.rs
@@ -185,6 +185,7 @@
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let changed = self.control.borrow().report_requests();
         let config_gained = self.control.borrow().config_gained();
+        let term_began = self.control.borrow().term_began();
         let mut buf = vec![0; RECEIVE_BYTES];
         loop {
             tokio::select! {
@@ -199,6 +200,7 @@
                     self.query_remote().await;
                 }
                 () = config_gained.notified() => self.answer_waiting().await,
+                () = term_began.notified() => self.announce_reads(clock::now()).await,
                 _ = remote_queries.tick() => self.query_remote().await,
                 Some(update) = to_forward.recv() => self.forward_read(update).await,
                 received = self.udp.recv_from(&mut buf) => match received {
@@ -219,6 +221,13 @@
             .retain(|_, at| now.saturating_sub(*at) < PENDING_QUERY_EXPIRY);
         self.control.borrow_mut().tick();
         let mut to = self.control.borrow().peers.zone_peers_to_query(now);
+        let sources = self.control.borrow().peers.sources_to_query(now);
+        to.extend(
+            sources
+                .into_iter()
+                .filter(|source| !to.contains(source))
+                .collect::<Vec<_>>(),
+        );
         if !self.control.borrow().peers.has_list() {
             to.extend(self.next_seed());
         }
@@ -227,6 +236,7 @@
         let ticks = self.ticks.replace(self.ticks.get().wrapping_add(1));
         if ticks.is_multiple_of(OTHER_ZONES_REPORT_TICKS) {
             self.report_other_zones().await;
+            self.announce_reads(now).await;
         }
         self.report_suspects(now).await;
         self.report_statements(now).await;
@@ -291,6 +301,36 @@
         }
     }
 
+    /// Tells this daemon's zone and the leaders of other zones that it reads the store for others,
+    /// if it does.
+    async fn announce_reads(&self, now: BootTime) {
+        let to = {
+            let peers = &self.control.borrow().peers;
+            if !peers.fallback().is_source(now) {
+                return;
+            }
+            let mut to = peers.zone_peers(now);
+            to.extend(peers.remote_peers_to_query(now));
+            to
+        };
+        for peer in to {
+            self.send(peer, Message::ReadsForOthers).await;
+        }
+    }
+
+    /// Queries a daemon that reads for others at once if it has just begun to.
+    async fn receive_announcement(&self, name: &str, from: SocketAddr, now: BootTime) {
+        let was_known = {
+            let peers = &mut self.control.borrow_mut().peers;
+            let was_known = peers.sources_to_query(now).contains(&from);
+            peers.record_source(name, now);
+            was_known
+        };
+        if !was_known {
+            self.query_all(&[from], false).await;
+        }
+    }
+
     /// Reports the subjects on which targets crashed to this daemon's zone, and to other
     /// zones if this daemon leads its zone.
     async fn report_suspects(&self, now: BootTime) {
@@ -637,6 +677,7 @@
                 let forwards = control.peers.is_zone_leader(now);
                 control.statements.table().merge(&reports, forwards, now);
             }
+            Message::ReadsForOthers => self.receive_announcement(&packet.from, from, now).await,
             Message::ConfigStatement(other) => self.compare_config(other, from).await,
             Message::Speeds(reports) => {
                 self.control.borrow().speeds.table().merge(&reports, now);
--- a/src/gateway/peer_wire.rs
+++ b/src/gateway/peer_wire.rs
@@ -75,6 +75,8 @@
     CustomerDemand(DemandReport),
     /// How far rollouts are, and the responses of both versions.
     Rollouts(Vec<RolloutReport>),
+    /// The sender reads the store for daemons whose zone readers do not.
+    ReadsForOthers,
 }
 
 /// A query from a daemon to another one for the changes that the sender does not have
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,10 @@
 //! and answers its queries. A daemon without a zone reader leads the zone: it reads the
 //! store unless a higher-ranked zone supplies the changes, and it exchanges changes and
 //! load with the leaders of other zones.
+//!
+//! A daemon whose configuration gets old all the same reads for itself, whatever its rank; see
+//! `fallback_read`. If that succeeds, it reads for others for a while and says so to them, and
+//! they query it too.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -21,6 +25,7 @@
 };
 
 use super::{
+    fallback_read::{ConfigBound, FallbackReads, Rank},
     load::Work,
     model::ZoneName,
     peer_wire::{Incarnation, ServiceSendCounts, TargetKey, TargetWork, WorkReport, ZoneLoad},
@@ -50,19 +55,10 @@
 /// How long changes are still forwarded to a silent daemon: five of its reports of
 /// running work may be lost.
 const FOLLOWER_EXPIRY: Duration = Duration::from_secs(2);
-/// Configuration age below which the sender of an answer is a reliable source: two
-/// waits of a watch and the network delays from zone to zone.
-const RELIABLE_CONFIG_AGE: Duration = Duration::from_secs(3);
-/// Age of a daemon's own configuration above which it may have to read the store
-/// besides its zone reader. Keys are trusted slightly longer than this.
-const STALE_CONFIG_AGE: Duration = Duration::from_millis(3_400);
-/// The same age if the zone reader reports that its reads fail or that its configuration
-/// was never confirmed. The store may refuse only that daemon, and a new
-/// configuration has to be in force after three seconds.
-const STALE_CONFIG_AGE_STORE_DOWN: Duration = Duration::from_secs(2);
-/// Number of best-ranked daemons of a zone that read the store once their own
-/// configuration is stale; one of them may be cut off from the store as well.
-const MAX_STORE_READERS_PER_ZONE: usize = 2;
+/// How long a daemon that said that it reads for others is queried: it says so every 400 ms.
+const SOURCE_EXPIRY: Duration = Duration::from_millis(1_200);
+/// Maximum number of such daemons that one daemon queries.
+const MAX_SOURCES: usize = 2;
 /// How long the load of a silent daemon counts: three of its reports may be lost.
 const WORK_EXPIRY: Duration = Duration::from_millis(1_500);
 /// How long a silent daemon counts as one that shares budgets: a paused process
@@ -95,6 +91,9 @@
     /// Whether the last answer said that the daemon's reads of the store fail, or that
     /// its configuration was never confirmed.
     is_store_down: bool,
+    /// Time at which the daemon last said that it reads the store for others because their
+    /// zone readers do not; `None` if it never did.
+    source_at: Option<BootTime>,
     /// Work of this daemon alone.
     work: TargetWork,
     /// Sends of this daemon alone.
@@ -117,6 +116,8 @@
     start: Start,
     /// Time of the newest read of the store's list; `None` before the first one.
     list_read_at: Option<BootTime>,
+    /// Reads of this daemon for itself.
+    fallback: FallbackReads,
 }
 
 impl Peers {
@@ -130,9 +131,23 @@
             states: HashMap::new(),
             start: Start::new(now, false),
             list_read_at: None,
+            fallback: FallbackReads::default(),
         }
     }
 
+    /// Sets the time within which a change of the configuration has to be in force.
+    #[must_use]
+    pub fn with_config_bound(mut self, bound: ConfigBound) -> Self {
+        self.fallback = FallbackReads::new(bound);
+        self
+    }
+
+    /// Returns the reads of this daemon for itself.
+    #[must_use]
+    pub fn fallback(&self) -> &FallbackReads {
+        &self.fallback
+    }
+
     /// Records that the settings name other daemons to ask at the start.
     #[must_use]
     pub fn with_seeds(mut self) -> Self {
@@ -214,6 +229,7 @@
             answered_at: None,
             reliable_answer_at: None,
             is_store_down: false,
+            source_at: None,
             work: TargetWork::new(),
             sends: ServiceSendCounts::new(),
             zone_report: None,
@@ -236,15 +252,41 @@
     /// Records an answer and the sender's configuration age, which is `None` if its
     /// configuration was never confirmed or its reads of the store fail.
     pub fn record_answer(&mut self, name: &str, config_age: Option<Duration>, now: BootTime) {
+        let reliable_age = self.fallback.bound().reliable_age();
         if let Some(state) = self.states.get_mut(name) {
             state.answered_at = Some(now);
             state.is_store_down = config_age.is_none();
-            if config_age.is_some_and(|age| age < RELIABLE_CONFIG_AGE) {
+            if config_age.is_some_and(|age| age < reliable_age) {
                 state.reliable_answer_at = Some(now);
             }
         }
     }
 
+    /// Records that another daemon reads the store for others.
+    pub fn record_source(&mut self, name: &str, now: BootTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.source_at = Some(now);
+        }
+    }
+
+    /// Records the outcome of a read of the configuration by this daemon.
+    pub fn record_config_read(&mut self, succeeded: bool, now: BootTime) {
+        self.fallback.record(succeeded, now);
+    }
+
+    /// Begins to read the store for others after a read of this daemon for itself.
+    pub fn begin_term(&mut self, now: BootTime) {
+        self.fallback.begin_term(now);
+    }
+
+    /// Goes on reading for others as long as the zone reader cannot be relied on.
+    pub fn extend_term(&mut self, now: BootTime) {
+        let reader = self.zone_reader(now);
+        if !reader.is_some_and(|name| self.answers_reliably(name, now)) {
+            self.fallback.extend_term(now);
+        }
+    }
+
     /// Records the running work that another daemon of this daemon's zone reports.
     pub fn record_work_report(&mut self, name: &str, report: WorkReport) {
         if let Some(state) = self.states.get_mut(name) {
@@ -320,38 +362,98 @@
     /// answer. The ranks keep two zones from relying on each other.
     fn has_remote_source(&self, now: BootTime) -> bool {
         let own = zone_rank(&self.zone);
-        let is_reliable = |name: &str| {
-            let answered = self
-                .states
-                .get(name)
-                .and_then(|state| state.reliable_answer_at);
-            answered.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER)
-        };
         let mut listed = self.listed.iter();
-        listed.any(|(name, l)| zone_rank(&l.zone) > own && is_reliable(name))
+        listed.any(|(name, l)| zone_rank(&l.zone) > own && self.answers_reliably(name, now))
+    }
+
+    /// Returns whether a daemon has recently given a reliable answer.
+    fn answers_reliably(&self, name: &str, now: BootTime) -> bool {
+        let state = self.states.get(name);
+        let answered = state.and_then(|state| state.reliable_answer_at);
+        answered.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER)
+    }
+
+    /// Returns the daemons that have recently said that they read for others, those of this
+    /// daemon's zone first.
+    fn sources(&self, now: BootTime) -> Vec<&str> {
+        let is_recent = |state: &PeerState| {
+            let at = state.source_at;
+            at.is_some_and(|at| now.saturating_sub(at) < SOURCE_EXPIRY)
+        };
+        let sources = self.states.iter().filter(|(_, state)| is_recent(state));
+        let listed = sources.filter_map(|(name, _)| self.listed.get_key_value(name));
+        let mut sources: Vec<_> = listed
+            .map(|(name, info)| {
+                let is_in_zone = info.zone == self.zone;
+                (is_in_zone, cell::score(&info.zone, name), &**name)
+            })
+            .collect();
+        sources.sort_unstable_by(|a, b| b.cmp(a));
+        let best = sources.into_iter().take(MAX_SOURCES);
+        best.map(|(_, _, name)| name).collect()
+    }
+
+    /// Returns whether a daemon of this daemon's zone that ranks above it reads for others.
+    fn has_better_source(&self, now: BootTime) -> bool {
+        let sources = self.sources(now);
+        let higher_ranked = self.higher_ranked();
+        let mut better = sources.iter().filter(|name| higher_ranked.contains(*name));
+        better.any(|name| self.answers_reliably(name, now))
     }
 
     /// Returns whether this daemon has to read the store, given the age of its own
     /// configuration; `None` if it was never confirmed.
     ///
     /// It has to if no other daemon reads for it, neither in its zone nor in a
-    /// higher-ranked one. The best-ranked daemons of a zone also read if their own
-    /// configuration has not been confirmed for a while.
+    /// higher-ranked one, and whenever its own configuration has not been confirmed for a while.
     #[must_use]
     pub fn is_reader(&self, config_age: Option<Duration>, now: BootTime) -> bool {
+        let due = self.config_read_due(config_age, now);
+        self.follows_store(now) || due.is_some_and(|due| due <= now)
+    }
+
+    /// Returns whether this daemon follows all topics of the store, because no other daemon
+    /// reads for it or because it reads for others.
+    #[must_use]
+    pub fn follows_store(&self, now: BootTime) -> bool {
         if self.start.waits(self.is_first(), now) {
             return false;
         }
-        if self.is_zone_leader(now) {
-            return !self.has_remote_source(now);
+        let leads = self.is_zone_leader(now) && !self.has_remote_source(now);
+        leads || (self.fallback.is_in_term(now) && !self.has_better_source(now))
+    }
+
+    /// Returns whether a cheap call is to precede this daemon's read for itself.
+    #[must_use]
+    pub fn probes_first(&self) -> bool {
+        self.fallback.probes_first(self.rank())
+    }
+
+    fn rank(&self) -> Rank {
+        let (own, in_zone) = (cell::score(&self.zone, &self.name), self.ranked(&self.zone));
+        Rank {
+            position: in_zone.iter().filter(|(score, _)| *score > own).count(),
+            daemons: in_zone.len() + 1,
+        }
+    }
+
+    /// Returns when this daemon reads the configuration for itself unless it is confirmed until
+    /// then; `None` while it has just started.
+    #[must_use]
+    pub fn config_read_due(&self, config_age: Option<Duration>, now: BootTime) -> Option<BootTime> {
+        if self.start.waits(self.is_first(), now) {
+            return None;
         }
-        let age = config_age.unwrap_or_else(|| now.saturating_sub(self.start.began));
+        let rank = self.rank();
         let reader = self.zone_reader(now).and_then(|name| self.states.get(name));
-        let max_age = match reader {
-            Some(state) if state.is_store_down => STALE_CONFIG_AGE_STORE_DOWN,
-            _ => STALE_CONFIG_AGE,
-        };
-        age > max_age && self.higher_ranked().len() < MAX_STORE_READERS_PER_ZONE
+        let reader_fails = reader.is_some_and(|state| state.is_store_down);
+        Some(match config_age {
+            Some(age) => {
+                let confirmed_at = now.saturating_sub(age);
+                self.fallback.next_read(confirmed_at, rank, reader_fails)
+            }
+            None => self.fallback.first_read(self.start.began, rank),
+        })
     }
 
     /// Returns whether no known daemon ranks above this one, in its zone or in a
@@ -407,6 +509,12 @@
         self.addresses(&higher_ranked[..query_count])
     }
 
+    /// Returns the daemons to query besides because they read for others.
+    #[must_use]
+    pub fn sources_to_query(&self, now: BootTime) -> Vec<SocketAddr> {
+        self.addresses(&self.sources(now))
+    }
+
     /// Returns the daemons of other zones to query when this daemon leads its own zone:
     /// in each zone the best-ranked one that answers and all that rank above it, or, if
     /// none answers, the best two.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,7 +5,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::{memory::MIN_MEMORY_MB, send_budget::SendBudget};
+use super::{fallback_read::ConfigBound, memory::MIN_MEMORY_MB, send_budget::SendBudget};
 use crate::{
     records::Fault,
     settings::{SettingsError, fault},
@@ -249,8 +249,8 @@
 
     /// Returns the time within which a change of the configuration has to be in force.
     #[must_use]
-    pub fn config_bound(&self) -> Duration {
-        Duration::from_millis(self.bounds.config_ms)
+    pub fn config_bound(&self) -> ConfigBound {
+        ConfigBound::new(Duration::from_millis(self.bounds.config_ms))
     }
 
     /// Returns the maximum age of the last confirmed read of the configuration at
--- a/src/gateway/shared_state.rs
+++ b/src/gateway/shared_state.rs
@@ -36,6 +36,9 @@
     /// Send time of the newest read that confirmed the configuration, in milliseconds
     /// since boot; 0 before the first such read.
     config_confirmed_ms: AtomicU64,
+    /// Time at which this daemon's newest read of the configuration failed, in milliseconds since
+    /// boot; 0 if it succeeded or is under way.
+    store_failed_ms: AtomicU64,
     /// Number of daemons that share budgets, this one included.
     daemon_count: AtomicU64,
     /// Load and sends of all other daemons.
@@ -81,6 +84,21 @@
         (confirmed > 0).then(|| now.saturating_sub(Duration::from_millis(confirmed)))
     }
 
+    /// Records that this daemon's newest read of the configuration failed at a time, or that it
+    /// succeeded.
+    pub fn record_store_failure(&self, at: Option<BootTime>) {
+        let ms = at.map_or(0, clock::millis);
+        self.store_failed_ms.store(ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time since this daemon's newest read of the configuration failed; `None` if
+    /// it succeeded.
+    #[must_use]
+    pub fn store_failure_age(&self, now: BootTime) -> Option<Duration> {
+        let failed = self.store_failed_ms.load(Ordering::Relaxed);
+        (failed > 0).then(|| now.saturating_sub(Duration::from_millis(failed)))
+    }
+
     /// Returns the number of daemons that share budgets, this one included.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -28,6 +28,9 @@
     silent: Vec<usize>,
     /// Time of the newest read that confirmed the configuration, by daemon.
     confirmed_at: HashMap<usize, Duration>,
+    /// Reads by daemons for themselves, as the store counts them, and probes, which it does not.
+    fallback_reads: usize,
+    probes: usize,
 }
 
 impl Fleet {
@@ -55,6 +58,8 @@
             cut_off: vec![],
             silent: vec![],
             confirmed_at: HashMap::new(),
+            fallback_reads: 0,
+            probes: 0,
         }
     }
 
@@ -71,13 +76,59 @@
             .collect()
     }
 
-    /// Simulates one round of reads, queries and answers.
-    fn step(&mut self, now: Duration) {
+    /// Simulates the reads that are due. A daemon that reads for itself with success reads for
+    /// others from then on, and tells them.
+    fn read(&mut self, now: Duration) {
         for i in self.readers(now) {
-            if !self.cut_off.contains(&i) {
+            let is_served = !self.cut_off.contains(&i);
+            let peers = &mut self.peers[i].1;
+            let is_fallback = !peers.follows_store(now);
+            if is_fallback && peers.probes_first() {
+                self.probes += 1;
+                self.fallback_reads += usize::from(is_served);
+            } else if is_fallback {
+                self.fallback_reads += 1;
+            }
+            peers.record_config_read(is_served, now);
+            if is_served {
                 self.confirmed_at.insert(i, now);
             }
+            if is_served && is_fallback {
+                self.peers[i].1.begin_term(now);
+                self.announce(i, now);
+            }
+        }
+    }
+
+    /// Delivers the message that a daemon reads for others, the queries that follow and their
+    /// answers.
+    fn announce(&mut self, source: usize, now: Duration) {
+        let (name, peers) = &self.peers[source];
+        if !peers.fallback().is_source(now) {
+            return;
+        }
+        let (name, info) = (name.clone(), daemon_info(source, &self.zones[source]));
+        let mut to = peers.zone_peers(now);
+        to.extend(peers.remote_peers_to_query(now));
+        for address in to {
+            let to = usize::from(address.port()) - 1_000;
+            if !self.silent.contains(&to) {
+                let receiver = &mut self.peers[to].1;
+                receiver.record_datagram(&name, info.clone(), 1, now);
+                receiver.record_source(&name, now);
+                self.answer(to, source, now);
+            }
         }
+    }
+
+    /// Simulates one round of reads, queries and answers.
+    fn step(&mut self, now: Duration) {
+        self.read(now);
+        self.exchange(now);
+    }
+
+    /// Simulates one round of reports, queries and answers.
+    fn exchange(&mut self, now: Duration) {
         for reporter in 0..self.peers.len() {
             self.report_to_zone(reporter, now);
         }
@@ -85,7 +136,10 @@
             if self.silent.contains(&querying) {
                 continue;
             }
+            self.peers[querying].1.extend_term(now);
+            self.announce(querying, now);
             let mut to = self.peers[querying].1.zone_peers_to_query(now);
+            to.extend(self.peers[querying].1.sources_to_query(now));
             if self.peers[querying].1.is_zone_leader(now) {
                 to.extend(self.peers[querying].1.remote_peers_to_query(now));
             }
@@ -135,6 +189,17 @@
         }
     }
 
+    /// Simulates reads at steps of 20 ms, so that daemons that begin one after the other do.
+    fn run_with_fine_reads(&mut self, ms: std::ops::Range<u64>, check: impl Fn(&Self, Duration)) {
+        for now in ms.step_by(20) {
+            self.read(at(now));
+            if now.is_multiple_of(200) {
+                self.exchange(at(now));
+            }
+            check(self, at(now));
+        }
+    }
+
     fn run(&mut self, ms: std::ops::Range<u64>) {
         for now in ms.step_by(200) {
             self.step(at(now));
@@ -228,6 +293,49 @@
     }
 }
 
+/// Guards against daemons that the store serves and that rely on one or two others that it does
+/// not, and against calls that grow with the fleet.
+#[test]
+fn daemons_are_current_while_the_store_refuses_nine_of_ten() {
+    for per_zone in [3, 24] {
+        let mut fleet = Fleet::of(&["a", "b", "c", "d", "e", "f"], per_zone);
+        fleet.run(0..4_000);
+        let first = fleet.readers(at(4_000));
+        let count = fleet.peers.len();
+        fleet.cut_off = (0..count).filter(|i| i % 10 != 7).collect();
+        fleet.cut_off.extend(first);
+        let before = fleet.fallback_reads;
+        fleet.run_with_fine_reads(4_000..12_000, |fleet, now| {
+            for i in 0..count {
+                let age = fleet.config_age(i, now);
+                assert!(age < Some(at(3_000)), "daemon {i} at {now:?}: {age:?}");
+            }
+        });
+        // Two daemons of each zone read without a probe, and one that succeeds supplies its zone.
+        let reads = fleet.fallback_reads - before;
+        assert!(reads <= 6 * 3, "{reads} reads by {count} daemons");
+    }
+}
+
+/// Guards against calls of all daemons, again and again, to a store that is down. Probes are not
+/// counted toward its limits.
+#[test]
+fn few_reads_are_made_while_the_store_is_down_for_all() {
+    for per_zone in [3, 24] {
+        let mut fleet = Fleet::of(&["a", "b", "c", "d", "e", "f"], per_zone);
+        fleet.run(0..4_000);
+        let count = fleet.peers.len();
+        fleet.cut_off = (0..count).collect();
+        fleet.run_with_fine_reads(4_000..12_000, |_, _| {});
+        let (reads, probes) = (fleet.fallback_reads, fleet.probes);
+        assert!(reads <= 6 * 2, "{reads} reads by {count} daemons");
+        assert!(
+            probes <= 6 * count,
+            "{probes} probes by {count} daemons in 8 s"
+        );
+    }
+}
+
 #[test]
 fn few_daemons_call_the_store_while_it_is_down() {
     let mut fleet = Fleet::of(&["x", "y", "z"], 14);
