--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Gateway,
+    config_age::ConfigUse,
     events::EventId,
     headers::{RequestInfo, header_value},
     in_flight::Progress,
@@ -146,9 +147,17 @@
         now: BootTime,
     ) -> Result<Admitted, Refusal> {
         let config = fleet.active_config().ok_or(Refusal::NoConfig)?;
+        let config_use = self.config_use(now);
+        if config_use == ConfigUse::Stale {
+            return Err(Refusal::StaleConfig);
+        }
+        let denied = |denied| match config_use {
+            ConfigUse::Current => Refusal::Denied(denied),
+            _ => Refusal::StaleConfig,
+        };
         let route = config.route(host, path);
-        let route = route.ok_or(Refusal::Denied(Denied::NoRoute))?;
-        let customer = config.customer(route, key).map_err(Refusal::Denied)?;
+        let route = route.ok_or_else(|| denied(Denied::NoRoute))?;
+        let customer = config.customer(route, key).map_err(denied)?;
         let age = self.shared.config_age(now);
         let is_fresh = age.is_some_and(|age| age <= self.settings().max_config_age_for_keys());
         if customer.is_some() && !is_fresh {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod body_pace;
 mod change_log;
 mod cold_limit;
+mod config_age;
 mod config_patch;
 mod connection_set;
 mod connections;
@@ -118,6 +119,7 @@
     body_pace::{BodyPace, PaceLimits},
     change_log::ChangeLog,
     cold_limit::{ColdQuotas, ColdSends, cold_request_quota},
+    config_age::{ConfigUse, config_use},
     config_patch::{ConfigPatch, replace_with_patches},
     connections::{
         ConnectionBounds, ConnectionState, ConnectionTimes, EvictionRule, connection_to_evict,
@@ -664,7 +666,7 @@
         let deadline_ms = info.as_ref().and_then(|info| info.deadline_ms);
         let caller_timeout = deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         if let Some(info) = &info {
-            self.wait_for_first_config(&info.request_id, arrived, caller_timeout)
+            self.wait_for_config(&info.request_id, arrived, caller_timeout)
                 .await;
         }
         let fleet = self.shared.fleet();
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -18,6 +18,9 @@
     NoConfig,
     /// The configuration was last confirmed too long ago to accept a key.
     StaleKeys,
+    /// The configuration was last confirmed too long ago to deny the request by it, or, while the
+    /// store may answer, to serve it; it has not run.
+    StaleConfig,
     /// The request carries no request id.
     NoId,
     /// No route or customer matches.
@@ -86,6 +89,7 @@
         match self {
             Self::NoConfig
             | Self::StaleKeys
+            | Self::StaleConfig
             | Self::Stopping
             | Self::NoTarget
             | Self::Limited
@@ -111,7 +115,7 @@
     fn retry_after(self, jitter: f64) -> Option<Duration> {
         match self {
             Self::NoTarget | Self::Declined => Some(RETRY_AFTER_NO_TARGET.mul_f64(1.0 + jitter)),
-            Self::NoConfig | Self::StaleKeys | Self::Stopping => {
+            Self::NoConfig | Self::StaleKeys | Self::StaleConfig | Self::Stopping => {
                 Some(RETRY_OTHER_DAEMON.mul_f64(1.0 + jitter))
             }
             Self::Limited => Some(RETRY_LIMITED.mul_f64(1.0 + jitter)),
--- a/src/gateway/startup_wait.rs
+++ b/src/gateway/startup_wait.rs
@@ -28,8 +28,12 @@
 /// a process that started at `started`, if its caller waits for `timeout`.
 #[must_use]
 pub fn startup_wait_end(started: BootTime, arrived: BootTime, timeout: Duration) -> BootTime {
-    let longest = timeout.mul_f64(WAIT_FRACTION).min(MAX_WAIT);
-    (arrived + longest).min(started + STARTUP)
+    (arrived + max_wait(timeout)).min(started + STARTUP)
+}
+
+/// Returns how long a request whose caller waits for `timeout` may wait for the configuration.
+pub(super) fn max_wait(timeout: Duration) -> Duration {
+    timeout.mul_f64(WAIT_FRACTION).min(MAX_WAIT)
 }
 
 impl Gateway {
@@ -45,30 +49,39 @@
             return;
         }
         let until = startup_wait_end(self.started_at, arrived, timeout);
-        let outcome = loop {
+        let outcome = self.wait_for(until, || self.has_first_config()).await;
+        let waited = clock::now().saturating_sub(arrived);
+        log::info!(
+            "event=startup_wait request={id} outcome={outcome} waited_ms={}",
+            clock::millis(waited),
+            id = shown(&id)
+        );
+        metrics::counter!("bluebell_gateway_startup_waits", "outcome" => outcome).increment(1);
+    }
+
+    /// Waits until a condition on the configuration holds. Returns the outcome for logs.
+    pub(super) async fn wait_for(
+        &self,
+        until: BootTime,
+        is_met: impl Fn() -> bool,
+    ) -> &'static str {
+        loop {
             let changed = self.shared.changed();
             let left = until.saturating_sub(clock::now());
-            if self.has_first_config() {
-                break "config";
+            if is_met() {
+                return "config";
             }
             if self.shared.is_stopping() {
-                break "stopping";
+                return "stopping";
             }
             if left.is_zero() {
-                break "timeout";
+                return "timeout";
             }
             tokio::select! {
                 () = changed => {}
                 () = tokio::time::sleep(left.min(POLL_INTERVAL)) => {}
             }
-        };
-        let waited = clock::now().saturating_sub(arrived);
-        log::info!(
-            "event=startup_wait request={id} outcome={outcome} waited_ms={}",
-            clock::millis(waited),
-            id = shown(&id)
-        );
-        metrics::counter!("bluebell_gateway_startup_waits", "outcome" => outcome).increment(1);
+        }
     }
 
     fn has_first_config(&self) -> bool {
