--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -1,9 +1,10 @@
-//! Calls to engines other than forwarded requests: copying a run's memory from one engine to
-//! another, and stopping runs.
+//! Connections to targets, and calls to engines other than forwarded requests: copying a run's
+//! memory from one engine to another, and stopping runs.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
+use tokio::net::TcpStream;
 
 /// Error of a failed call to an engine.
 #[derive(Debug, snafu::Snafu)]
@@ -45,9 +46,14 @@
 /// Identifier of a copy, assigned by the engine that made it.
 pub type CopyHandle = Box<str>;
 
+/// Opens a TCP connection to a target.
+pub type Dial = Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync>;
+
 /// Calls to engines, supplied by the platform's adapter.
 #[derive(Clone)]
 pub struct EngineCalls {
+    /// Opens the connections on which requests are forwarded.
+    pub dial: Dial,
     /// Copies a run's memory while the run continues. A second call copies only
     /// what was added since the first.
     pub copy_run: Arc<
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
 use tokio::{net::TcpStream, task::JoinHandle};
 
 use super::{
+    engines::Dial,
     memory::MemoryPool,
     whole_body::{BodyError, Shortage, read_whole},
 };
@@ -113,15 +114,7 @@
 }
 
 impl Exchange {
-    /// Connects to a target, sends a request and waits for the response head.
-    ///
-    /// # Errors
-    /// See [`ExchangeError`].
-    pub async fn open(peer: SocketAddr, req: Request<Full<Bytes>>) -> Result<Self, ExchangeError> {
-        Self::open_over(connect(peer).await?, peer, req).await
-    }
-
-    /// Does the same as [`Exchange::open`] over an established connection.
+    /// Sends a request over an established connection and waits for the response head.
     ///
     /// # Errors
     /// See [`ExchangeError`].
@@ -211,12 +204,12 @@
 }
 
 /// Opens a TCP connection to a target.
-pub(crate) async fn connect(peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
+pub(crate) async fn connect(dial: &Dial, peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
     let connect_error = |reason: String| ExchangeError::Connect {
         peer,
         reason: reason.into(),
     };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer));
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dial(peer));
     let tcp = match connecting.await {
         Ok(connected) => connected.map_err(|e| connect_error(e.to_string()))?,
         Err(_) => return Err(connect_error("timeout".to_owned())),
@@ -237,10 +230,10 @@
 
 /// Returns whether no process listens at a target's address any more. A target that has just
 /// crashed may still accept a connection, so that it is tried twice.
-pub(crate) async fn is_closed(peer: SocketAddr) -> bool {
+pub(crate) async fn is_closed(dial: &Dial, peer: SocketAddr) -> bool {
     for pause in [Duration::ZERO, CLOSE_DELAY] {
         tokio::time::sleep(pause).await;
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dial(peer)).await;
         let error = connecting.ok().and_then(Result::err);
         if error.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
             return true;
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,7 +10,7 @@
     Gateway,
     body::ResponseBody,
     events::EventId,
-    exchange::{Exchange, ExchangeError},
+    exchange::{Exchange, connect},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, Placement, SendHeaders},
@@ -270,15 +270,16 @@
         };
         let is_from_start = send_headers.copy_from.is_none() && send_headers.last_event.is_none();
         let mut meter = self.meter(admitted, target, is_from_start, now);
-        let opened = match tcp {
-            Some(tcp) => Exchange::open_over(tcp, target.address, req).await,
-            None => Exchange::open(target.address, req).await,
+        let connected = match tcp {
+            Some(tcp) => Ok(tcp),
+            None => connect(&self.engines.dial, target.address).await,
         };
-        let exchange = match opened {
+        let tcp = match connected {
+            Ok(tcp) => tcp,
+            Err(e) => return SendOutcome::Unsent(e.to_string().into()),
+        };
+        let exchange = match Exchange::open_over(tcp, target.address, req).await {
             Ok(exchange) => exchange,
-            Err(e @ ExchangeError::Connect { .. }) => {
-                return SendOutcome::Unsent(e.to_string().into());
-            }
             Err(e) if e.is_disconnect() => {
                 record_broken(meter.as_mut());
                 return SendOutcome::Disconnected(e.to_string().into());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -93,7 +93,7 @@
     cell::RefCell,
     io,
     rc::Rc,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -128,7 +128,7 @@
     customer_demand::{ClassKey, DemandMeter},
     customer_shares::{CustomerKey, CustomerRate, Limited, ServiceDemand, is_short, max_min},
     demand_exchange::{DemandExchange, FORWARDED_TO, Surroundings},
-    engines::{CopyHandle, CopyRequest, EngineCallError, EngineCalls, StopAnswer},
+    engines::{CopyHandle, CopyRequest, Dial, EngineCallError, EngineCalls, StopAnswer},
     events::{Event, EventId, EventSplitter, MAX_EVENT_BYTES},
     fallback_read::{ConfigBound, FallbackReads, Rank},
     feed::{ReadError, Store},
@@ -270,6 +270,8 @@
     /// Cancelled when requests that have no response yet are to be answered, because
     /// the process is about to exit.
     final_answers: CancellationToken,
+    /// What the load balancer was last told.
+    was_ready: AtomicBool,
     /// Time at which the process started to serve.
     started_at: clock::BootTime,
     /// Time at which shutdown was requested; `None` before that.
@@ -339,6 +341,7 @@
             connections: InFlightCounter::default(),
             large_buffers: InFlightCounter::default(),
             final_answers: CancellationToken::new(),
+            was_ready: AtomicBool::default(),
             started_at: clock::now(),
             stop_requested_at: Mutex::default(),
         });
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -11,7 +11,7 @@
 use super::{
     Gateway,
     body::ResponseBody,
-    exchange::{Exchange, ExchangeError, has_framed_body},
+    exchange::{Exchange, connect, has_framed_body},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -187,11 +187,12 @@
         req: Request<Full<Bytes>>,
         now: BootTime,
     ) -> SendOutcome<Response<Bytes>> {
-        let exchange = match Exchange::open(target.address, req).await {
+        let tcp = match connect(&self.engines.dial, target.address).await {
+            Ok(tcp) => tcp,
+            Err(e) => return SendOutcome::Unsent(e.to_string().into()),
+        };
+        let exchange = match Exchange::open_over(tcp, target.address, req).await {
             Ok(exchange) => exchange,
-            Err(e @ ExchangeError::Connect { .. }) => {
-                return SendOutcome::Unsent(e.to_string().into());
-            }
             Err(e) if e.is_disconnect() => {
                 return SendOutcome::Disconnected(e.to_string().into());
             }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -15,7 +15,7 @@
 use super::{
     Gateway,
     body::{Chunk, StreamError},
-    engines::{CopyHandle, CopyRequest},
+    engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
     events::EventId,
     exchange::connect,
@@ -448,7 +448,7 @@
         if let Some(copy) = self.backup_copy(job, run)
             && self.accepts_run(fleet, &copy.target)
         {
-            return Box::pin(preconnect(copy));
+            return Box::pin(preconnect(self.engines.dial.clone(), copy));
         }
         let destinations = self.copy_destinations(fleet, job, run);
         let work = Work {
@@ -475,8 +475,10 @@
                     request_id: id.clone(),
                     destination: destination.address,
                 };
-                let (moved, tcp) =
-                    futures::join!((calls.copy_run)(request), connect(destination.address));
+                let (moved, tcp) = futures::join!(
+                    (calls.copy_run)(request),
+                    connect(&calls.dial, destination.address)
+                );
                 match moved {
                     Ok(handle) => {
                         return Ok(RunCopy {
@@ -714,9 +716,9 @@
 }
 
 /// Connects to the engine of a copy before the run has to be resumed there.
-async fn preconnect(copy: RunCopy) -> Result<RunCopy, Box<str>> {
+async fn preconnect(dial: Dial, copy: RunCopy) -> Result<RunCopy, Box<str>> {
     let peer: SocketAddr = copy.target.address;
-    let tcp = connect(peer)
+    let tcp = connect(&dial, peer)
         .await
         .map_err(|e| -> Box<str> { e.to_string().into() })?;
     Ok(RunCopy {
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -1,7 +1,11 @@
 //! Serves the readiness check for the platform's load balancer, and the metrics
 //! for operators, over HTTP.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -52,6 +56,17 @@
 }
 
 impl Gateway {
+    /// Logs what the load balancer is told, at each change.
+    fn log_readiness(&self, is_ready: bool) {
+        let was_ready = self.was_ready.swap(is_ready, Ordering::Relaxed);
+        if was_ready != is_ready {
+            log::info!(
+                "event=readiness is_ready={is_ready} config_age_ms={}",
+                self.config_age_ms()
+            );
+        }
+    }
+
     fn set_connection_gauges(&self) {
         let ports = &self.ports;
         let sets = [
@@ -86,7 +101,9 @@
     let ready = {
         let gateway = gateway.clone();
         move || {
-            if gateway.is_ready() {
+            let is_ready = gateway.is_ready();
+            gateway.log_readiness(is_ready);
+            if is_ready {
                 (StatusCode::OK, "ready\n".to_owned())
             } else {
                 (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
