--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -299,7 +299,9 @@
         }
         self.peers.begin_term(now);
         self.decide_reader(now);
-        self.term_began.notify_one();
+        if self.peers.fallback().is_in_term(now) {
+            self.term_began.notify_one();
+        }
     }
 
     /// Returns the handle that is notified when this daemon begins to read the store for others.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -32,6 +32,8 @@
 /// Number of overlapping watches of the configuration. A watch proves what was known when it was
 /// sent, so the age of the configuration reaches the time of one and a half watches.
 const CONFIG_LANES: u32 = 2;
+/// Interval at which a further watch looks whether the first one has been sent again.
+const LANE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Longest wait of a watch of any other topic.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest delay of an answer beyond the requested wait; a slow store takes up to
@@ -175,8 +177,18 @@
     if control.revision(Topic::Config) == 0 {
         return CONFIG_WATCH_WAIT;
     }
-    let due = control.config_watched_at + CONFIG_WATCH_WAIT * lane / CONFIG_LANES;
-    due.saturating_sub(now)
+    let elapsed = now.saturating_sub(control.config_watched_at);
+    let offset = CONFIG_WATCH_WAIT * lane / CONFIG_LANES;
+    let is_early = elapsed < offset;
+    // The first one is sent again soon, unless it hangs.
+    let is_late = elapsed > offset + CONFIG_WATCH_WAIT / 4 && elapsed < 2 * CONFIG_WATCH_WAIT;
+    if is_early {
+        offset.saturating_sub(elapsed)
+    } else if is_late {
+        LANE_CHECK_PERIOD
+    } else {
+        Duration::ZERO
+    }
 }
 
 /// Applies an answer of the store to a read sent at `sent`. Returns whether it held changes.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -274,19 +274,31 @@
         self.fallback.record(succeeded, now);
     }
 
-    /// Begins to read the store for others after a read of this daemon for itself.
+    /// Begins to read the store for others after a read of this daemon for itself, unless
+    /// another daemon that reads for it can be relied on.
     pub fn begin_term(&mut self, now: BootTime) {
-        self.fallback.begin_term(now);
+        if !self.has_reliable_reader(now) {
+            self.fallback.begin_term(now);
+        }
     }
 
-    /// Goes on reading for others as long as the zone reader cannot be relied on.
+    /// Goes on reading for others as long as no other daemon that reads for this one can be relied
+    /// on.
     pub fn extend_term(&mut self, now: BootTime) {
-        let reader = self.zone_reader(now);
-        if !reader.is_some_and(|name| self.answers_reliably(name, now)) {
+        if !self.has_reliable_reader(now) {
             self.fallback.extend_term(now);
         }
     }
 
+    /// Returns whether the zone reader, or that of a higher-ranked zone for the leader of a zone,
+    /// can be relied on.
+    fn has_reliable_reader(&self, now: BootTime) -> bool {
+        match self.zone_reader(now) {
+            Some(name) => self.answers_reliably(name, now),
+            None => self.has_remote_source(now),
+        }
+    }
+
     /// Records the running work that another daemon of this daemon's zone reports.
     pub fn record_work_report(&mut self, name: &str, report: WorkReport) {
         if let Some(state) = self.states.get_mut(name) {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -317,6 +317,23 @@
     }
 }
 
+/// Guards against the leader of a zone that reads for others for good, although the zone that it
+/// relies on reads again.
+#[test]
+fn a_leader_stops_reading_for_others_once_its_source_is_back() {
+    let mut fleet = Fleet::of(&["a", "b"], 1);
+    fleet.run(0..4_000);
+    let source = fleet.readers(at(4_000))[0];
+    let leader = 1 - source;
+    fleet.silent.push(source);
+    fleet.run(4_000..5_000);
+    fleet.peers[leader].1.begin_term(at(5_000));
+    assert!(fleet.peers[leader].1.fallback().is_in_term(at(5_000)));
+    fleet.silent.clear();
+    fleet.run(5_000..12_000);
+    assert_eq!(fleet.readers(at(12_000)), [source]);
+}
+
 /// Guards against calls of all daemons, again and again, to a store that is down. Probes are not
 /// counted toward its limits.
 #[test]
