--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,6 +5,7 @@
 use std::{
     borrow::Cow,
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -25,6 +26,7 @@
         WorkReport, ZoneLoad, target_key,
     },
     peers::Peers,
+    reach::Sibling,
     rollouts::Rollouts,
     send_budget::SendTracker,
     share_use::DemandTracker,
@@ -87,6 +89,10 @@
     is_reader_decided: bool,
     /// Whether the last read of the configuration succeeded.
     is_store_up: watch::Sender<bool>,
+    /// Port at which daemons open connections to targets for others; `None` if they do not.
+    pub tunnel_port: Option<u16>,
+    /// Number of changes of the list of daemons that traffic knows.
+    shared_changes: u64,
     /// Time of the newest watch of the configuration that its first lane sent.
     pub config_watched_at: BootTime,
     /// Notified when this daemon begins to read the store for others.
@@ -153,6 +159,8 @@
             is_reader: watch::channel(false).0,
             is_reader_decided: false,
             is_store_up: watch::channel(true).0,
+            tunnel_port: None,
+            shared_changes: 0,
             config_watched_at: BootTime::ZERO,
             term_began: Arc::default(),
             config_stale_since: None,
@@ -715,6 +723,21 @@
         self.shared.set_peer_load(peer_load);
     }
 
+    /// Publishes the other daemons, if they have changed.
+    fn publish_siblings(&mut self) {
+        let changes = self.peers.list_changes();
+        let is_known = std::mem::replace(&mut self.shared_changes, changes) == changes;
+        let Some(port) = self.tunnel_port.filter(|_| !is_known) else {
+            return;
+        };
+        let siblings = self.peers.listed().map(|(name, info)| Sibling {
+            name: name.clone(),
+            zone: info.zone.clone(),
+            address: SocketAddr::new(info.address.ip(), port),
+        });
+        self.shared.set_siblings(siblings.collect());
+    }
+
     fn own_work(&self) -> TargetWork {
         let all = self.loads.busy_targets().into_iter();
         all.map(|(id, work)| (target_key(&id), work)).collect()
@@ -794,6 +817,7 @@
             .set_daemon_count(self.peers.daemon_count(now).into());
         self.publish_peer_load(now);
         self.tick_rollouts(now);
+        self.publish_siblings();
         let names = self.peers.daemon_names();
         if names.len() != self.shared.daemon_names().len() {
             self.shared.set_daemon_names(names);
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -150,7 +150,13 @@
     /// Returns whether a target whose answer was cut off has crashed: a faulty target may cut
     /// answers and work on.
     pub(super) async fn is_down(&self, job: &Job, target: &Target) -> bool {
-        let is_down = is_closed(&self.engines.dial, target.address).await;
+        let is_down = match self
+            .is_closed_for_others(&job.info.request_id, target)
+            .await
+        {
+            Some(is_closed) => is_closed,
+            None => is_closed(&self.engines.dial, target.address).await,
+        };
         let (id, target) = (&job.info.request_id, &target.id);
         log::info!(
             "event=cut_off_check request={id} target={target} down={is_down}",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -63,6 +63,8 @@
         peer: SocketAddr,
         /// Error of the operating system, or `timeout`.
         reason: Box<str>,
+        /// Whether no process listens at the address, as far as the network says.
+        is_refused: bool,
     },
     /// The connection failed after it was established; the request may have
     /// reached the target.
@@ -205,14 +207,18 @@
 
 /// Opens a TCP connection to a target.
 pub(crate) async fn connect(dial: &Dial, peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
-    let connect_error = |reason: String| ExchangeError::Connect {
+    let connect_error = |reason: String, is_refused| ExchangeError::Connect {
         peer,
         reason: reason.into(),
+        is_refused,
     };
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dial(peer));
     let tcp = match connecting.await {
-        Ok(connected) => connected.map_err(|e| connect_error(e.to_string()))?,
-        Err(_) => return Err(connect_error("timeout".to_owned())),
+        Ok(connected) => connected.map_err(|e| {
+            let is_refused = e.kind() == io::ErrorKind::ConnectionRefused;
+            connect_error(e.to_string(), is_refused)
+        })?,
+        Err(_) => return Err(connect_error("timeout".to_owned(), false)),
     };
     log_socket_error(
         peer,
@@ -221,6 +227,17 @@
     Ok(tcp)
 }
 
+/// Returns whether a connection was refused, as opposed to one that was not answered.
+pub(crate) fn is_refused(error: &ExchangeError) -> bool {
+    matches!(
+        error,
+        ExchangeError::Connect {
+            is_refused: true,
+            ..
+        }
+    )
+}
+
 /// Logs an error of a socket option, without which the connection still works.
 pub(crate) fn log_socket_error(peer: SocketAddr, result: io::Result<()>) {
     if let Err(e) = result {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,7 +10,7 @@
     Gateway,
     body::ResponseBody,
     events::EventId,
-    exchange::{Exchange, connect},
+    exchange::Exchange,
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, Placement, SendHeaders},
@@ -270,9 +270,11 @@
         };
         let is_from_start = send_headers.copy_from.is_none() && send_headers.last_event.is_none();
         let mut meter = self.meter(admitted, target, is_from_start, now);
-        let connected = match tcp {
-            Some(tcp) => Ok(tcp),
-            None => connect(&self.engines.dial, target.address).await,
+        let id = &job.info.request_id;
+        let connected = if let Some(tcp) = tcp {
+            Ok(tcp)
+        } else {
+            self.connect_target(id, admitted, target).await
         };
         let tcp = match connected {
             Ok(tcp) => tcp,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod plain;
 mod priority;
 mod pump;
+mod reach;
 mod readiness;
 mod receive_buffer;
 mod refusal;
@@ -85,6 +86,7 @@
 mod target_speed;
 mod target_statements;
 mod target_versions;
+mod tunnel;
 mod version_outcomes;
 mod wait_queue;
 mod whole_body;
@@ -92,8 +94,9 @@
 use std::{
     cell::RefCell,
     io,
+    net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicBool},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -106,7 +109,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -153,6 +156,7 @@
         plain_cost, sample_other_zones,
     },
     priority::PriorityRange,
+    reach::{MAX_SIBLINGS, ReachTable, Sibling, SiblingTable, Way},
     receive_buffer::max_large_buffers,
     resumption::{
         AfterBreak, BrokenStream, GiveUpReason, InvalidEventId, StreamPosition, after_break,
@@ -200,6 +204,7 @@
     peer_port::{Identity, PeerPort, peer_address},
     refusal::Refusal,
     stop::{IDLE_CLOSE_FRACTION, READ_FRACTION},
+    tunnel::MAX_TUNNELS,
     whole_body::{BodyError, Shortage, read_whole},
 };
 use crate::{
@@ -232,6 +237,16 @@
     pub rollouts: Rollouts,
 }
 
+/// A table that the tasks of the traffic thread share.
+#[derive(Debug, Default)]
+struct SharedTable<T>(Mutex<T>);
+
+impl<T> SharedTable<T> {
+    fn lock(&self) -> MutexGuard<'_, T> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Open connections of each port.
 #[derive(Debug, Default)]
 struct PortConnections {
@@ -256,6 +271,10 @@
     speeds: SpeedTracker,
     demand: DemandTracker,
     rollouts: Rollouts,
+    reach: SharedTable<ReachTable>,
+    siblings: SharedTable<SiblingTable>,
+    /// Permits for connections that are open for other daemons.
+    tunnels: Arc<Semaphore>,
     cold_quotas: ColdQuotas,
     cold_sends: ColdSends,
     in_progress: InFlightRequests,
@@ -301,6 +320,10 @@
         let callers = listen(settings.listen.callers)?;
         let readiness = listen(settings.listen.readiness)?;
         let metrics = listen(settings.listen.metrics)?;
+        let tunnels = match tunnel_address(&settings) {
+            Some(address) => Some(listen(address)?),
+            None => None,
+        };
         crate::metrics::install();
         let shared = Arc::new(SharedState::default());
         let control = CancellationToken::new();
@@ -332,6 +355,9 @@
             speeds: trackers.speeds,
             demand: trackers.demand,
             rollouts: trackers.rollouts,
+            reach: SharedTable::default(),
+            siblings: SharedTable::default(),
+            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
             cold_quotas: ColdQuotas::default(),
             cold_sends: ColdSends::default(),
             in_progress: InFlightRequests::default(),
@@ -347,6 +373,9 @@
         });
         let ports = [Arc::new(callers), Arc::new(readiness), Arc::new(metrics)];
         serve_ports(ports, &gateway);
+        if let Some(tunnels) = tunnels {
+            serve_others(Arc::new(tunnels), &gateway);
+        }
         Ok(Self { gateway, control })
     }
 
@@ -431,6 +460,27 @@
     supervise("metrics_upkeep", never_cancelled, crate::metrics::keep_up);
 }
 
+/// Opens connections to targets for other daemons, and looks for the links to them while
+/// they are cut, until the process ends.
+fn serve_others(tunnels: Arc<TcpListener>, gateway: &Arc<Gateway>) {
+    let never_cancelled = CancellationToken::new();
+    let tunnels_gateway = gateway.clone();
+    supervise("tunnels", never_cancelled.clone(), move || {
+        tunnel::serve_tunnels(tunnels.clone(), tunnels_gateway.clone())
+    });
+    let links_gateway = gateway.clone();
+    supervise("links", never_cancelled, move || {
+        tunnel::probe_links(links_gateway.clone())
+    });
+}
+
+/// Returns the address at which other daemons ask for connections to targets: the last peer
+/// port. `None` if there is only one.
+fn tunnel_address(settings: &GatewaySettings) -> Option<SocketAddr> {
+    let (first, last) = settings.peer_ports;
+    peer_address(&settings.ip, last).filter(|_| first != last)
+}
+
 /// Starts the control thread and waits until its peer port is bound.
 async fn spawn_control(
     store: Store,
@@ -446,6 +496,7 @@
     let window = settings.send_budget().window;
     let config_bound = settings.config_bound();
     let has_rollouts = settings.rollouts.is_some();
+    let tunnel_port = tunnel_address(settings).map(|address| address.port());
     let (started_tx, started_rx) = oneshot::channel();
     let run_control = move || {
         let tasks = tokio::task::LocalSet::new();
@@ -458,6 +509,7 @@
         if has_rollouts {
             control = control.with_rollouts();
         }
+        control.tunnel_port = tunnel_port;
         let control = Rc::new(RefCell::new(control));
         tasks.block_on(&runtime, async move {
             let port = PeerPort::bind(identity, control.clone()).await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -111,6 +111,8 @@
     name: DaemonName,
     zone: ZoneName,
     listed: BTreeMap<DaemonName, DaemonInfo>,
+    /// Number of changes of these.
+    list_changes: u64,
     states: HashMap<DaemonName, PeerState>,
     /// Start of this daemon, at which it began to look for a zone reader.
     start: Start,
@@ -128,6 +130,7 @@
             name: name.into(),
             zone: zone.into(),
             listed: BTreeMap::new(),
+            list_changes: 0,
             states: HashMap::new(),
             start: Start::new(now, false),
             list_read_at: None,
@@ -168,12 +171,30 @@
                 names_this = true;
             } else {
                 names_others = true;
-                self.listed.insert(name, info);
+                self.put_listed(name, info);
             }
         }
         self.start.record_list(names_this, names_others, now);
     }
 
+    fn put_listed(&mut self, name: DaemonName, info: DaemonInfo) {
+        if self.listed.get(&name) != Some(&info) {
+            self.list_changes += 1;
+            self.listed.insert(name, info);
+        }
+    }
+
+    /// Returns the other daemons that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = (&DaemonName, &DaemonInfo)> {
+        self.listed.iter()
+    }
+
+    /// Returns how often these have changed.
+    #[must_use]
+    pub fn list_changes(&self) -> u64 {
+        self.list_changes
+    }
+
     /// Returns the names of all listed daemons, this one included; none before the
     /// store's list has been read.
     #[must_use]
@@ -221,7 +242,7 @@
                 info.address,
                 name = shown(&name)
             );
-            self.listed.insert(name.into(), info);
+            self.put_listed(name.into(), info);
         }
         let state = self.states.entry(name.into()).or_insert_with(|| PeerState {
             incarnation,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -11,7 +11,7 @@
 use super::{
     Gateway,
     body::ResponseBody,
-    exchange::{Exchange, connect, has_framed_body},
+    exchange::{Exchange, has_framed_body},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -175,7 +175,7 @@
             Err(reason) => return SendOutcome::Unsent(reason),
         };
         let mut meter = self.meter(admitted, target, true, now);
-        let outcome = self.exchange_plain(job, target, req, now).await;
+        let outcome = self.exchange_plain(job, admitted, target, req, now).await;
         record_plain(meter.as_mut(), &outcome);
         outcome
     }
@@ -183,11 +183,13 @@
     async fn exchange_plain(
         &self,
         job: &Job,
+        admitted: &Admitted,
         target: &Target,
         req: Request<Full<Bytes>>,
         now: BootTime,
     ) -> SendOutcome<Response<Bytes>> {
-        let tcp = match connect(&self.engines.dial, target.address).await {
+        let id = &job.info.request_id;
+        let tcp = match self.connect_target(id, admitted, target).await {
             Ok(tcp) => tcp,
             Err(e) => return SendOutcome::Unsent(e.to_string().into()),
         };
--- a/src/gateway/shared_state.rs
+++ b/src/gateway/shared_state.rs
@@ -13,7 +13,8 @@
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    load::Work, model::Fleet, peer_wire::TargetKey, peers::DaemonName, send_budget::SendCounts,
+    load::Work, model::Fleet, peer_wire::TargetKey, peers::DaemonName, reach::Sibling,
+    send_budget::SendCounts,
 };
 use crate::clock::{self, BootTime};
 
@@ -46,6 +47,8 @@
     /// Names of all listed daemons, this one included; empty before the list has been
     /// read.
     daemon_names: ArcSwap<Vec<DaemonName>>,
+    /// The other daemons, through which targets may be reached.
+    siblings: ArcSwap<Vec<Sibling>>,
     is_stopping: AtomicBool,
     /// Notified when the fleet changes.
     changed: Notify,
@@ -124,6 +127,17 @@
         self.daemon_names.store(Arc::new(names));
     }
 
+    /// Returns the other daemons, through which targets may be reached.
+    #[must_use]
+    pub fn siblings(&self) -> Arc<Vec<Sibling>> {
+        self.siblings.load_full()
+    }
+
+    /// Records the other daemons, through which targets may be reached.
+    pub fn set_siblings(&self, siblings: Vec<Sibling>) {
+        self.siblings.store(Arc::new(siblings));
+    }
+
     /// Returns the load and sends of all other daemons, as last reported.
     #[must_use]
     pub fn peer_load(&self) -> Arc<PeerLoad> {
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -130,7 +130,21 @@
         let is_of_other = self
             .names
             .is_of_other_request(headers, &job.info.request_id);
-        if is_of_other || res.status() == StatusCode::MISDIRECTED_REQUEST {
+        if !is_of_other {
+            self.record_target_statements(target, res, sent_at);
+        }
+    }
+
+    /// Records what a target states in an answer, to a request of any daemon, that was sent at
+    /// `sent_at`.
+    pub(super) fn record_target_statements<B>(
+        &self,
+        target: &Target,
+        res: &Response<B>,
+        sent_at: BootTime,
+    ) {
+        let headers = res.headers();
+        if res.status() == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
         self.record_stated_load(target, headers, clock::now());
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -251,7 +251,7 @@
     }
 }
 
-async fn write_frame(
+pub(crate) async fn write_frame(
     tcp: &mut TcpStream,
     message_key: &MessageKey,
     peer: SocketAddr,
@@ -273,7 +273,7 @@
         .map_err(|source| PeerError::Io { step, peer, source })
 }
 
-async fn read_frame<T: DeserializeOwned>(
+pub(crate) async fn read_frame<T: DeserializeOwned>(
     tcp: &mut TcpStream,
     message_key: &MessageKey,
     peer: SocketAddr,
