--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -159,8 +159,10 @@
     let handling = gateway.handle_request(req, running.progress(), &monitor);
     let mut res = handling.await;
     running.progress().set(Stage::Responding);
-    // Requests that follow on the connection without end would keep new connections out.
-    if gateway.shared.is_stopping() || gateway.ports.callers.is_blocked() {
+    // Requests that follow on the connection without end would keep new connections out, and the
+    // load balancer leads new ones to daemons that reach targets.
+    let is_blocked = gateway.ports.callers.is_blocked();
+    if gateway.shared.is_stopping() || is_blocked || gateway.is_cut_off() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -45,13 +45,13 @@
 
 impl Gateway {
     /// Returns whether the load balancer should send callers here: a configuration
-    /// is in force and recent enough for its keys to be trusted, and the process was
-    /// not asked to stop.
+    /// is in force and recent enough for its keys to be trusted, targets are reached, and the
+    /// process was not asked to stop.
     fn is_ready(&self) -> bool {
         let age = self.shared.config_age(clock::now());
         let is_fresh = age.is_some_and(|age| age <= self.settings().max_config_age_for_keys());
         let has_config = self.shared.fleet().active_config().is_some();
-        is_fresh && has_config && !self.shared.is_stopping()
+        is_fresh && has_config && !self.is_cut_off() && !self.shared.is_stopping()
     }
 }
 
@@ -61,7 +61,8 @@
         let was_ready = self.was_ready.swap(is_ready, Ordering::Relaxed);
         if was_ready != is_ready {
             log::info!(
-                "event=readiness is_ready={is_ready} config_age_ms={}",
+                "event=readiness is_ready={is_ready} cut_off={} config_age_ms={}",
+                self.is_cut_off(),
                 self.config_age_ms()
             );
         }
@@ -123,6 +124,8 @@
             let age = gateway.shared.config_age(clock::now());
             metrics::gauge!("bluebell_gateway_config_age_seconds")
                 .set(age.map_or(f64::INFINITY, |a| a.as_secs_f64()));
+            let cut_off = if gateway.is_cut_off() { 1.0 } else { 0.0 };
+            metrics::gauge!("bluebell_gateway_cut_off").set(cut_off);
             gateway.set_memory_gauges();
             gateway.set_connection_gauges();
             gateway.set_speed_gauges(clock::now());
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -221,6 +221,12 @@
         }
     }
 
+    /// Returns whether this daemon reaches no target directly, so that callers are served better
+    /// by others.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.reach.lock().is_cut_off(clock::now())
+    }
+
     /// Asks other daemons for a connection to a target, one more at a time, until one opens it.
     async fn open_detour(
         &self,
