--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod customer_demand;
 mod customer_shares;
 mod demand_exchange;
+mod detour;
 mod engines;
 mod event_queue;
 mod events;
@@ -470,7 +471,7 @@
     });
     let links_gateway = gateway.clone();
     supervise("links", never_cancelled, move || {
-        tunnel::probe_links(links_gateway.clone())
+        detour::probe_links(links_gateway.clone())
     });
 }
 
