--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -67,10 +67,7 @@
             return connected.unwrap_or_else(|_| Err(failed("timeout", false)));
         }
         match self.open_detour(id, target, &is_allowed).await {
-            Ok(tcp) => {
-                self.record_detour(target);
-                Ok(tcp)
-            }
+            Ok(tcp) => Ok(tcp),
             Err(DetourError::Refused) => Err(failed("refused to another daemon", true)),
             // The links may be back.
             Err(DetourError::Failed) => {
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -59,6 +59,23 @@
     assert_eq!(reach.way("s", 1, at(3_000)), Way::Direct);
 }
 
+/// Guards against targets that are never tried directly again while requests go on.
+#[test]
+fn targets_that_are_reached_through_others_under_load_are_tried_directly_again() {
+    let mut reach = ReachTable::default();
+    reach.record_failure("s", 1, at(1_000));
+    reach.record_detour("s", 1, 5, at(1_000));
+    let direct = (1_000..4_000).step_by(10).filter(|ms| {
+        let way = reach.way("s", 1, at(*ms));
+        if way == Way::Direct {
+            reach.record_failure("s", 1, at(*ms));
+            reach.record_detour("s", 1, 5, at(*ms));
+        }
+        way == Way::Direct
+    });
+    assert_eq!(direct.collect::<Vec<_>>(), [2_000, 3_000]);
+}
+
 /// A link to one target may be cut while those to others are not.
 #[test]
 fn a_single_target_that_others_reach_is_tried_directly_each_second() {
