--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -164,7 +164,6 @@
                     let store_up = is_store_up.wait_for(|is_store_up| *is_store_up);
                     // Retries after a timeout too: the store may answer for this topic only.
                     let _ = tokio::time::timeout(MAX_PROBE_WAIT, store_up).await;
-                    wait = watch_wait;
                 }
             }
         }
@@ -264,6 +263,8 @@
             }
         }
         metrics::counter!("bluebell_gateway_fallback_reads").increment(1);
+        // An answer that confirms nothing would be asked for again at once.
+        tokio::time::sleep(RETRY_PAUSE.0).await;
     }
 }
 
