--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -97,7 +97,7 @@
     pub config_watched_at: BootTime,
     /// Notified when this daemon begins to read the store for others.
     term_began: Arc<Notify>,
-    /// Time since which the configuration is older than that; `None` if it is not.
+    /// Time since which the configuration is older than it may be; `None` if it is not.
     config_stale_since: Option<BootTime>,
 }
 
