Logs: how answers end, and by what their end is known

No line said whether an answer had a length, chunks or neither, on which way it came, and whether its target was leaving, so that the three hypotheses about answers that end early looked the same in the log. body_end has these for each answer; the metric bluebell_gateway_body_ends counts them.

The way is now kept with the connection (TargetConnection). No decision changes.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, TryFutureExt, stream::FuturesUnordered};
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
 
@@ -17,6 +17,7 @@
     model::Target,
     peer_wire::target_key,
     reach::{Sibling, Way},
+    target_connection::TargetConnection,
     tunnel::{TunnelAnswer, ask_for_tunnel},
 };
 use crate::{clock, log::shown};
@@ -49,7 +50,7 @@
         id: &str,
         admitted: &Admitted,
         target: &Target,
-    ) -> Result<TcpStream, ExchangeError> {
+    ) -> Result<TargetConnection, ExchangeError> {
         let way = self.way_to(target);
         let is_allowed = |zone: &str| {
             let region = self.settings().region_of(zone).to_owned();
@@ -73,7 +74,7 @@
             Err(DetourError::Failed) => {
                 let connected = connect(&self.engines.dial, target.address).await;
                 self.record_direct(target, connected.is_ok());
-                connected
+                connected.map(TargetConnection::direct)
             }
         }
     }
@@ -85,8 +86,9 @@
         id: &str,
         target: &Target,
         is_allowed: &impl Fn(&str) -> bool,
-    ) -> Result<TcpStream, ExchangeError> {
+    ) -> Result<TargetConnection, ExchangeError> {
         let direct = connect(&self.engines.dial, target.address);
+        let direct = direct.map_ok(TargetConnection::direct);
         let mut direct = std::pin::pin!(direct);
         let first = tokio::time::timeout(DETOUR_AFTER, direct.as_mut()).await;
         if let Ok(connected) = first {
@@ -184,7 +186,7 @@
         id: &str,
         target: &Target,
         is_allowed: &impl Fn(&str) -> bool,
-    ) -> Result<TcpStream, DetourError> {
+    ) -> Result<TargetConnection, DetourError> {
         let began = clock::now();
         let siblings = self.shared.siblings();
         let mut candidates = {
@@ -224,7 +226,8 @@
             target = shown(&target.id)
         );
         metrics::counter!("bluebell_gateway_detours", "outcome" => outcome).increment(1);
-        opened.map(|(_, tcp)| tcp).ok_or(error)
+        let opened = opened.map(|(_, tcp)| TargetConnection::through_sibling(tcp));
+        opened.ok_or(error)
     }
 
     /// Asks another daemon for a connection to a target.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,7 +30,10 @@
 
 use super::{
     engines::Dial,
+    framing::Framing,
     memory::MemoryPool,
+    reach::Way,
+    target_connection::TargetConnection,
     whole_body::{BodyError, Shortage, read_whole},
 };
 use crate::http::is_valid_status;
@@ -95,12 +98,23 @@
     }
 }
 
+/// How a response reaches this daemon.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerSource {
+    /// What marks the end of its body.
+    pub framing: Framing,
+    /// Way of its connection.
+    pub way: Way,
+}
+
 /// A response whose body has not been read yet. Dropping it closes the
 /// connection.
 #[derive(Debug)]
-pub struct Exchange {
+pub(crate) struct Exchange {
     /// Response head, and body as it arrives.
     pub response: Response<Incoming>,
+    /// How the response reaches this daemon.
+    pub source: AnswerSource,
     connection: ConnectionTask,
 }
 
@@ -120,11 +134,12 @@
     ///
     /// # Errors
     /// See [`ExchangeError`].
-    pub async fn open_over(
-        tcp: TcpStream,
+    pub(crate) async fn open_over(
+        connection: TargetConnection,
         peer: SocketAddr,
         mut req: Request<Full<Bytes>>,
     ) -> Result<Self, ExchangeError> {
+        let way = connection.way();
         // Status of the last interim response; 0 if there was none.
         let interim = Arc::new(AtomicU16::new(0));
         let interim_seen = interim.clone();
@@ -133,11 +148,12 @@
         });
         if req.body().size_hint().lower() > MAX_UNREAD_BODY_BYTES {
             // The request's deadline bounds the wait instead.
-            log_socket_error(peer, SockRef::from(&tcp).set_tcp_user_timeout(None));
+            let socket = SockRef::from(connection.tcp());
+            log_socket_error(peer, socket.set_tcp_user_timeout(None));
         }
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(tcp))
+            .handshake(TokioIo::new(connection))
             .await;
         let (mut sender, connection) = handshake.context(LostSnafu {
             step: "handshake",
@@ -170,7 +186,9 @@
         // be kept by the caller's connection.
         let headers = std::mem::take(response.headers_mut());
         response.headers_mut().extend(headers);
+        let framing = Framing::of(&response);
         Ok(Self {
+            source: AnswerSource { framing, way },
             response,
             connection,
         })
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Gateway,
+    answer_end::BodyEnd,
     body::ResponseBody,
     events::EventId,
     exchange::Exchange,
@@ -24,6 +25,7 @@
     send_budget::RepeatReason,
     send_meter::SendMeter,
     sent::SendOutcome,
+    target_connection::TargetConnection,
 };
 use crate::{
     clock::{self, BootTime},
@@ -74,12 +76,16 @@
         let starting = tokio::time::timeout(time_left, self.start(&job, admitted));
         let (run, attempts) = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
         if !run.exchange.response.status().is_success() {
+            let (target, source) = (run.target, run.exchange.source);
             let reading = run
                 .exchange
                 .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
                     self.shortages.record();
                 });
             let read = tokio::time::timeout(job.time_left(clock::now()), reading).await;
+            if let Ok(read) = &read {
+                self.record_body_end(&job, &target, source, BodyEnd::of(read));
+            }
             return match read {
                 Ok(Ok(res)) => Ok(caller_response(res)),
                 Ok(Err(_)) => Err(Refusal::Lost),
@@ -272,15 +278,15 @@
         let mut meter = self.meter(admitted, target, is_from_start, now);
         let id = &job.info.request_id;
         let connected = if let Some(tcp) = tcp {
-            Ok(tcp)
+            Ok(TargetConnection::direct(tcp))
         } else {
             self.connect_target(id, admitted, target).await
         };
-        let tcp = match connected {
-            Ok(tcp) => tcp,
+        let connection = match connected {
+            Ok(connection) => connection,
             Err(e) => return SendOutcome::Unsent(e.to_string().into()),
         };
-        let exchange = match Exchange::open_over(tcp, target.address, req).await {
+        let exchange = match Exchange::open_over(connection, target.address, req).await {
             Ok(exchange) => exchange,
             Err(e) if e.is_disconnect() => {
                 record_broken(meter.as_mut());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod active_rollout;
 mod admission;
+mod answer_end;
 mod body;
 mod body_pace;
 mod change_log;
@@ -30,6 +31,7 @@
 mod fallback_read;
 mod feed;
 mod fleet;
+mod framing;
 mod generation;
 mod head_fields;
 mod headers;
@@ -83,6 +85,7 @@
 mod suspect_entry;
 mod suspects;
 mod takeover;
+mod target_connection;
 mod target_limits;
 mod target_speed;
 mod target_statements;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Gateway,
+    answer_end::BodyEnd,
     body::ResponseBody,
     exchange::{Exchange, has_framed_body},
     headers::end_to_end,
@@ -189,11 +190,11 @@
         now: BootTime,
     ) -> SendOutcome<Response<Bytes>> {
         let id = &job.info.request_id;
-        let tcp = match self.connect_target(id, admitted, target).await {
-            Ok(tcp) => tcp,
+        let connection = match self.connect_target(id, admitted, target).await {
+            Ok(connection) => connection,
             Err(e) => return SendOutcome::Unsent(e.to_string().into()),
         };
-        let exchange = match Exchange::open_over(tcp, target.address, req).await {
+        let exchange = match Exchange::open_over(connection, target.address, req).await {
             Ok(exchange) => exchange,
             Err(e) if e.is_disconnect() => {
                 return SendOutcome::Disconnected(e.to_string().into());
@@ -205,12 +206,14 @@
         if let Some(outcome) = outcome {
             return outcome;
         }
-        match exchange
+        let source = exchange.source;
+        let read = exchange
             .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
                 self.shortages.record();
             })
-            .await
-        {
+            .await;
+        self.record_body_end(job, target, source, BodyEnd::of(&read));
+        match read {
             Ok(res) => SendOutcome::Answered(res),
             Err(BodyError::Broken { reason }) => SendOutcome::CutOff(reason),
             Err(e) => SendOutcome::Unknown(e.to_string().into()),
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -14,6 +14,7 @@
 
 use super::{
     Gateway,
+    answer_end::BodyEnd,
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
@@ -340,6 +341,14 @@
                     continue;
                 }
             };
+            let body_end = match &frame {
+                None => Some(BodyEnd::Orderly),
+                Some(Err(_)) => Some(BodyEnd::Broken),
+                Some(Ok(_)) => None,
+            };
+            if let Some(end) = body_end {
+                self.record_body_end(job, &run.target, run.exchange.source, end);
+            }
             let run_end = match frame {
                 None if events.splitter.has_incomplete_event() => {
                     RunEnd::Disconnected("stream ended within an event".into())
