Gateway: transfer coding without chunks does not mark the end of a stream

What callers saw: the beginning of a stream with `Transfer-Encoding: identity` as a whole one, its engine killed (all of the engine's streams, 4 of 12).

Cause: a stream counted as framed if its head had any Transfer-Encoding, but the HTTP client reads to the end of the connection unless the last coding is `chunked`. The check at the end of such streams was left out. The check now asks what the HTTP client does (Framing).

Evidence: answers_with_another_transfer_coding_of_a_killed_engine_look_whole failed for both kinds of plain requests and for streams before, for plain requests after; these are trusted whatever their framing, which is another fault.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -194,12 +194,6 @@
         })
     }
 
-    /// Returns whether the response states where its body ends, by a length or by chunks.
-    /// Without, the end of the connection ends the body, also if the target failed.
-    pub(crate) fn has_framed_body(&self) -> bool {
-        has_framed_body(self.response.headers())
-    }
-
     /// Reads the whole body, up to `max_bytes`, with memory from `pool`. Calls `on_shortage` while
     /// it waits for memory.
     ///
@@ -218,7 +212,7 @@
     }
 }
 
-/// Does the same as [`Exchange::has_framed_body`] for the headers of a response.
+/// Returns whether the headers of a response state where its body ends.
 pub(crate) fn has_framed_body(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -20,6 +20,7 @@
     event_queue::{EventBuffer, EventSender},
     events::EventId,
     exchange::connect,
+    framing::Framing,
     generation::Run,
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
@@ -356,13 +357,13 @@
                 // A caller that has all events gets none.
                 None if delivered.events == 0
                     && delivered.position.last_id().is_none()
-                    && !run.exchange.has_framed_body() =>
+                    && run.exchange.source.framing == Framing::Close =>
                 {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
                 // Without a length, the stream of an engine that crashed between two events
                 // looks whole.
-                None if !run.exchange.has_framed_body()
+                None if run.exchange.source.framing == Framing::Close
                     && !fleet.is_leaving(&run.target)
                     && self.is_down(job, &run.target).await =>
                 {
