Gateway: an answer that ends with its connection is whole only if its target goes on

Cause: the end of a connection was taken for the end of an answer that has neither a length nor chunks. Plain answers were passed on first and looked at afterwards. Streams were looked at first, but not those of targets that leave, and the look asked whether anybody listens at the address, which a successor does as well.

Change: while such an answer is read, a second connection to its target is open. It ends if the process does. At the end of the answer the target is asked on it, with the id that it is expected to have, for its report, which runs nothing and needs no slot; only an answer other than 421 makes the answer whole. Without it, the end counts as a break: an idempotent request goes to another target within the budget, a run goes on from its copy or anew, another caller gets 502, or no end. A target that leaves is no exception. The check of the address stays for the account of crashes.

--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -1,7 +1,38 @@
-//! Records how answers of targets end.
+//! Finds out whether an answer whose end is that of its connection is whole.
+//!
+//! Load pattern: targets write answers with neither a length nor chunks, and are killed, leave or
+//! are replaced at their address meanwhile. Their operating system closes their connections in
+//! order, as after a whole answer. Only the process that wrote the answer tells the two apart: it
+//! goes on after a whole one. A second connection to it, opened while it writes, ends if it does, and
+//! on this connection it says at the end that it is the target that was meant.
 
-use super::{Gateway, exchange::AnswerSource, job::Job, model::Target, whole_body::BodyError};
-use crate::log::shown;
+use std::{convert::Infallible, mem, time::Duration};
+
+use futures::future::BoxFuture;
+use hyper::StatusCode;
+
+use super::{
+    Gateway,
+    exchange::{AnswerSource, Exchange},
+    framing::Framing,
+    job::Job,
+    model::Target,
+    target_connection::TargetConnection,
+    whole_body::BodyError,
+};
+use crate::{
+    clock::{self, BootTime},
+    log::shown,
+};
+
+/// Longest wait for a target's word that it goes on. A target that has just started may be slow to
+/// say that it is another one.
+const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time between the ends of two connections of a process that ends.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+/// Pause after a second connection that ended before the answer. Targets close idle connections,
+/// and refuse new ones beyond some number.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
 
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -26,7 +57,128 @@
     }
 }
 
+/// Why an answer cannot be shown to be whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Doubt {
+    /// The second connection to the target ended, or none could be opened.
+    Ended,
+    /// Another target has its address.
+    Replaced,
+    /// The target says nothing.
+    Silent,
+}
+
+/// A second connection to a target that writes an answer without a length or chunks.
+pub(super) struct Witness<'a> {
+    gateway: &'a Gateway,
+    id: &'a str,
+    target: &'a Target,
+    state: WitnessState<'a>,
+}
+
+enum WitnessState<'a> {
+    /// Nothing is opened: the answer marks its own end.
+    Unneeded,
+    Connecting(BoxFuture<'a, Option<TargetConnection>>),
+    Open(TargetConnection),
+    /// The connection ended at this time; another one is opened after a pause.
+    Ended(BootTime),
+}
+
+impl<'a> Witness<'a> {
+    /// Begins to watch the target of an answer, if the answer's end does not show that it is whole.
+    pub fn new(gateway: &'a Gateway, job: &'a Job, target: &'a Target, framing: Framing) -> Self {
+        let mut witness = Self {
+            gateway,
+            id: &job.info.request_id,
+            target,
+            state: WitnessState::Unneeded,
+        };
+        if framing == Framing::Close {
+            witness.connect();
+        }
+        witness
+    }
+
+    fn connect(&mut self) {
+        let connecting = self.gateway.connect_without_request(self.id, self.target);
+        self.state = WitnessState::Connecting(Box::pin(connecting));
+    }
+
+    /// Keeps the connection open while the answer is read. May be cancelled.
+    pub async fn keep(&mut self) -> Infallible {
+        loop {
+            match &mut self.state {
+                WitnessState::Unneeded => std::future::pending().await,
+                WitnessState::Connecting(connecting) => {
+                    let connected = connecting.await;
+                    let ended = || WitnessState::Ended(clock::now());
+                    self.state = connected.map_or_else(ended, WitnessState::Open);
+                }
+                WitnessState::Open(connection) => {
+                    connection.closed().await;
+                    self.state = WitnessState::Ended(clock::now());
+                }
+                WitnessState::Ended(at) => {
+                    let age = clock::now().saturating_sub(*at);
+                    tokio::time::sleep(RECONNECT_PAUSE.saturating_sub(age)).await;
+                    self.connect();
+                }
+            }
+        }
+    }
+
+    /// Finds out, at the end of an answer, whether the target goes on: then the answer is whole.
+    pub async fn judge(&mut self) -> Result<(), Doubt> {
+        let (gateway, id, target) = (self.gateway, self.id, self.target);
+        let judged = match mem::replace(&mut self.state, WitnessState::Unneeded) {
+            WitnessState::Unneeded => return Ok(()),
+            WitnessState::Open(connection) => gateway.ask_identity(target, connection).await,
+            WitnessState::Ended(at) if clock::now().saturating_sub(at) < CLOSE_DELAY => {
+                Err(Doubt::Ended)
+            }
+            WitnessState::Ended(_) => match gateway.connect_without_request(id, target).await {
+                Some(connection) => gateway.ask_identity(target, connection).await,
+                None => Err(Doubt::Ended),
+            },
+            WitnessState::Connecting(connecting) => match connecting.await {
+                Some(connection) => gateway.ask_identity(target, connection).await,
+                None => Err(Doubt::Ended),
+            },
+        };
+        let doubt = judged.err().map_or("none", <&str>::from);
+        metrics::counter!("bluebell_gateway_end_checks", "doubt" => doubt).increment(1);
+        log::info!(
+            "event=end_check request={} target={} doubt={doubt}",
+            shown(&id),
+            shown(&target.id)
+        );
+        judged
+    }
+}
+
 impl Gateway {
+    /// Asks whoever has the connection whether it is the target. Only an answer counts: a process
+    /// that ends may have accepted the connection, and one that is another target may be slow.
+    async fn ask_identity(
+        &self,
+        target: &Target,
+        connection: TargetConnection,
+    ) -> Result<(), Doubt> {
+        let Target { id, address, .. } = target;
+        let request = (self.engines.identity_request)(id, *address).ok_or(Doubt::Silent)?;
+        let asking = Exchange::open_over(connection, *address, request);
+        match tokio::time::timeout(IDENTITY_TIMEOUT, asking).await {
+            Ok(Ok(exchange)) if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST => {
+                Err(Doubt::Replaced)
+            }
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(Doubt::Ended),
+            Err(_) => Err(Doubt::Silent),
+        }
+    }
+
     /// Logs how an answer of a target ended, and by what its end is known.
     pub(super) fn record_body_end(
         &self,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -166,25 +166,6 @@
         is_down
     }
 
-    /// Finds out in the background whether an answer without a length was whole, and records
-    /// it as begun or as a crash: such an answer also ends if its target crashes.
-    pub(super) fn check_end(
-        self: &Arc<Self>,
-        job: &Arc<Job>,
-        target: &Arc<Target>,
-        sent_at: BootTime,
-    ) {
-        let (gateway, job, target) = (self.clone(), job.clone(), target.clone());
-        tokio::spawn(async move {
-            if gateway.is_down(&job, &target).await {
-                gateway.record_crash(&job, &target, sent_at, true);
-            } else {
-                job.record_begun();
-                job.record_whole();
-            }
-        });
-    }
-
     /// Records that the connection to a target failed before the head of a plain answer. Targets
     /// that lose an answer work on, so whether this one has crashed is found out in the
     /// background.
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -132,6 +132,19 @@
         Some(matches!(detour, Err(DetourError::Refused)))
     }
 
+    /// Opens a connection on which no request of a caller is sent.
+    pub(super) async fn connect_without_request(
+        &self,
+        id: &str,
+        target: &Target,
+    ) -> Option<TargetConnection> {
+        if self.way_to(target) == Way::Direct && !self.is_cut_suspected(target) {
+            let connected = connect(&self.engines.dial, target.address).await;
+            return connected.ok().map(TargetConnection::direct);
+        }
+        self.open_detour(id, target, &|_: &str| true).await.ok()
+    }
+
     pub(super) fn way_to(&self, target: &Target) -> Way {
         let key = target_key(&target.id);
         self.reach.lock().way(&target.service, key, clock::now())
--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -3,7 +3,10 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
+use http_body_util::Full;
+use hyper::Request;
 use tokio::net::TcpStream;
 
 /// Error of a failed call to an engine.
@@ -68,6 +71,9 @@
     /// it is not there. Reports are some hundred milliseconds old.
     pub find_run:
         Arc<dyn Fn(SocketAddr, Box<str>, Duration) -> BoxFuture<'static, StopAnswer> + Send + Sync>,
+    /// Builds a request that the target with this id, at this address, answers without running
+    /// anything, and that any other target answers with 421. `None` if no header can hold the id.
+    pub identity_request: fn(&str, SocketAddr) -> Option<Request<Full<Bytes>>>,
     /// Formats the reference by which a request names the copy it resumes from:
     /// the address of the engine that made or keeps the copy, and the copy's
     /// handle or the run's request id.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,11 +17,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response,
+    Request, Response,
     body::{Body, Incoming},
     client::conn::http1,
     ext::on_informational,
-    header,
 };
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
@@ -212,11 +211,6 @@
     }
 }
 
-/// Returns whether the headers of a response state where its body ends.
-pub(crate) fn has_framed_body(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Opens a TCP connection to a target.
 pub(crate) async fn connect(dial: &Dial, peer: SocketAddr) -> Result<TcpStream, ExchangeError> {
     let connect_error = |reason: String, is_refused| ExchangeError::Connect {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -8,7 +8,6 @@
 
 use super::{
     Gateway,
-    answer_end::BodyEnd,
     body::ResponseBody,
     events::EventId,
     exchange::Exchange,
@@ -18,7 +17,7 @@
     load::{Reservation, Work},
     model::{Target, Tokens},
     new_start::Attempts,
-    plain::{MAX_RESPONSE_BYTES, caller_response},
+    plain::caller_response,
     refusal::Refusal,
     rollout_use::record_broken,
     room::queued_at,
@@ -76,16 +75,8 @@
         let starting = tokio::time::timeout(time_left, self.start(&job, admitted));
         let (run, attempts) = starting.await.unwrap_or(Err(Refusal::TimedOut))?;
         if !run.exchange.response.status().is_success() {
-            let (target, source) = (run.target, run.exchange.source);
-            let reading = run
-                .exchange
-                .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
-                    self.shortages.record();
-                });
+            let reading = self.collect_whole(&job, &run.target, run.exchange);
             let read = tokio::time::timeout(job.time_left(clock::now()), reading).await;
-            if let Ok(read) = &read {
-                self.record_body_end(&job, &target, source, BodyEnd::of(read));
-            }
             return match read {
                 Ok(Ok(res)) => Ok(caller_response(res)),
                 Ok(Err(_)) => Err(Refusal::Lost),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,9 +10,9 @@
 
 use super::{
     Gateway,
-    answer_end::BodyEnd,
+    answer_end::{BodyEnd, Witness},
     body::ResponseBody,
-    exchange::{Exchange, has_framed_body},
+    exchange::Exchange,
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -115,12 +115,8 @@
                     possible_runs += 1;
                     // An error may come from a target that has not begun to run the request.
                     if !res.status().is_server_error() {
-                        if has_framed_body(res.headers()) {
-                            job.record_begun();
-                            job.record_whole();
-                        } else {
-                            self.check_end(job, &placement.target, now);
-                        }
+                        job.record_begun();
+                        job.record_whole();
                         return Ok(caller_response(res));
                     }
                     self.loads.record_failure(target, clock::now());
@@ -206,20 +202,41 @@
         if let Some(outcome) = outcome {
             return outcome;
         }
-        let source = exchange.source;
-        let read = exchange
-            .collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
-                self.shortages.record();
-            })
-            .await;
-        self.record_body_end(job, target, source, BodyEnd::of(&read));
-        match read {
+        match self.collect_whole(job, target, exchange).await {
             Ok(res) => SendOutcome::Answered(res),
             Err(BodyError::Broken { reason }) => SendOutcome::CutOff(reason),
             Err(e) => SendOutcome::Unknown(e.to_string().into()),
         }
     }
 
+    /// Reads the body of a plain answer, and makes sure that it is whole.
+    pub(super) async fn collect_whole(
+        &self,
+        job: &Job,
+        target: &Target,
+        exchange: Exchange,
+    ) -> Result<Response<Bytes>, BodyError> {
+        let source = exchange.source;
+        let mut witness = Witness::new(self, job, target, source.framing);
+        let reading = exchange.collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
+            self.shortages.record();
+        });
+        let read = tokio::select! {
+            biased;
+            read = reading => read,
+            never = witness.keep() => match never {},
+        };
+        self.record_body_end(job, target, source, BodyEnd::of(&read));
+        let res = read?;
+        match witness.judge().await {
+            Ok(()) => Ok(res),
+            Err(doubt) => Err(BodyError::Broken {
+                reason: format!("the end of the connection does not show a whole answer: {doubt}")
+                    .into(),
+            }),
+        }
+    }
+
     /// Returns the outcome of a send if the response head decides it; `None` if
     /// the body is to be read. A response counts as the target's own only with
     /// its seal, and only if it does not carry the id of another request.
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway,
-    answer_end::BodyEnd,
+    answer_end::{BodyEnd, Witness},
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
@@ -313,6 +313,8 @@
         delivered.run_first_at = None;
         delivered.position.begin_run();
         delivered.gaps = GapMeter::default();
+        let target = run.target.clone();
+        let mut witness = Witness::new(self, job, &target, run.exchange.source.framing);
         loop {
             let changed = self.shared.changed();
             let fleet = self.shared.fleet();
@@ -332,6 +334,7 @@
             let frame = tokio::select! {
                 frame = run.exchange.response.body_mut().frame() => frame,
                 () = tx.chunks.closed() => return RunEnd::CallerLeft,
+                never = witness.keep() => match never {},
                 () = changed, if attempts < MAX_COPY_ATTEMPTS => continue,
                 prepared = wait_for_copy(&mut preparing) => {
                     preparing = None;
@@ -361,16 +364,11 @@
                 {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
-                // Without a length, the stream of an engine that crashed between two events
-                // looks whole.
-                None if run.exchange.source.framing == Framing::Close
-                    && !fleet.is_leaving(&run.target)
-                    && self.is_down(job, &run.target).await =>
-                {
-                    RunEnd::Disconnected("engine crashed at the end of the stream".into())
-                }
-                None if delivered.position.ends_short() => return RunEnd::Short,
-                None => return RunEnd::Whole,
+                None => match witness.judge().await {
+                    Ok(()) if delivered.position.ends_short() => return RunEnd::Short,
+                    Ok(()) => return RunEnd::Whole,
+                    Err(doubt) => RunEnd::Disconnected(doubt.to_string().into()),
+                },
                 Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
                 Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
                 Some(Ok(frame)) => {
--- a/src/gateway/target_connection.rs
+++ b/src/gateway/target_connection.rs
@@ -40,6 +40,13 @@
     pub fn way(&self) -> Way {
         self.way
     }
+
+    /// Waits until the other end closes the connection, or sends something, on a connection that
+    /// waits for nothing.
+    pub async fn closed(&self) {
+        // The connection has ended either way.
+        let _ = self.tcp.peek(&mut [0]).await;
+    }
 }
 
 impl AsyncRead for TargetConnection {
