Gateway: a target that turns a second connection away does not lose whole answers

Cause: a second connection that ended shortly before the answer counted as the end of the target's process, also if it had never been open for long, as at a target's limit on connections.

The target is then asked on new connections, up to three, until it answers; a refused one still means that it has ended.

--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -34,6 +34,9 @@
 /// and refuse new ones beyond some number.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Maximum number of connections on which a target that turns some away is asked.
+const MAX_CONNECTIONS: usize = 3;
+
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -81,9 +84,14 @@
     /// Nothing is opened: the answer marks its own end.
     Unneeded,
     Connecting(BoxFuture<'a, Option<TargetConnection>>),
-    Open(TargetConnection),
-    /// The connection ended at this time; another one is opened after a pause.
-    Ended(BootTime),
+    /// The connection has been open since this time.
+    Open(TargetConnection, BootTime),
+    /// The connection ended, or could not be opened; another one is opened after a pause.
+    Ended {
+        at: BootTime,
+        /// Whether it was open for too short a time to say anything of the process.
+        was_turned_away: bool,
+    },
 }
 
 impl<'a> Witness<'a> {
@@ -113,14 +121,25 @@
                 WitnessState::Unneeded => std::future::pending().await,
                 WitnessState::Connecting(connecting) => {
                     let connected = connecting.await;
-                    let ended = || WitnessState::Ended(clock::now());
-                    self.state = connected.map_or_else(ended, WitnessState::Open);
+                    let at = clock::now();
+                    self.state = match connected {
+                        Some(connection) => WitnessState::Open(connection, at),
+                        None => WitnessState::Ended {
+                            at,
+                            was_turned_away: true,
+                        },
+                    };
                 }
-                WitnessState::Open(connection) => {
+                WitnessState::Open(connection, since) => {
                     connection.closed().await;
-                    self.state = WitnessState::Ended(clock::now());
+                    let at = clock::now();
+                    let was_turned_away = at.saturating_sub(*since) < CLOSE_DELAY;
+                    self.state = WitnessState::Ended {
+                        at,
+                        was_turned_away,
+                    };
                 }
-                WitnessState::Ended(at) => {
+                WitnessState::Ended { at, .. } => {
                     let age = clock::now().saturating_sub(*at);
                     tokio::time::sleep(RECONNECT_PAUSE.saturating_sub(age)).await;
                     self.connect();
@@ -134,16 +153,17 @@
         let (gateway, id, target) = (self.gateway, self.id, self.target);
         let judged = match mem::replace(&mut self.state, WitnessState::Unneeded) {
             WitnessState::Unneeded => return Ok(()),
-            WitnessState::Open(connection) => gateway.ask_identity(target, connection).await,
-            WitnessState::Ended(at) if clock::now().saturating_sub(at) < CLOSE_DELAY => {
-                Err(Doubt::Ended)
-            }
-            WitnessState::Ended(_) => match gateway.connect_without_request(id, target).await {
-                Some(connection) => gateway.ask_identity(target, connection).await,
-                None => Err(Doubt::Ended),
-            },
+            WitnessState::Open(connection, _) => gateway.ask_identity(target, connection).await,
+            WitnessState::Ended {
+                at,
+                was_turned_away: false,
+            } if clock::now().saturating_sub(at) < CLOSE_DELAY => Err(Doubt::Ended),
+            WitnessState::Ended { .. } => gateway.ask_anew(id, target).await,
             WitnessState::Connecting(connecting) => match connecting.await {
-                Some(connection) => gateway.ask_identity(target, connection).await,
+                Some(connection) => match gateway.ask_identity(target, connection).await {
+                    Err(Doubt::Ended) => gateway.ask_anew(id, target).await,
+                    judged => judged,
+                },
                 None => Err(Doubt::Ended),
             },
         };
@@ -159,6 +179,19 @@
 }
 
 impl Gateway {
+    /// Asks a target on new connections, of which it may turn some away.
+    async fn ask_anew(&self, id: &str, target: &Target) -> Result<(), Doubt> {
+        for _ in 0..MAX_CONNECTIONS {
+            let connected = self.connect_without_request(id, target).await;
+            let connection = connected.ok_or(Doubt::Ended)?;
+            match self.ask_identity(target, connection).await {
+                Err(Doubt::Ended) => tokio::time::sleep(CLOSE_DELAY).await,
+                judged => return judged,
+            }
+        }
+        Err(Doubt::Ended)
+    }
+
     /// Asks whoever has the connection whether it is the target. Only an answer counts: a process
     /// that ends may have accepted the connection, and one that is another target may be slow.
     async fn ask_identity(
