Gateway: second connections to targets that are silent, close idle ones or start again

What callers would have seen: 502, or no end, for whole answers of a target that is silent for more than a second, or whose new connection lost its first packet; half a stream as a whole one if its caller read slowly while its engine was killed and started again under the same id.

Change: the question to the target may take 3 s. A connection that fails for another reason than a refusal is tried again, also through other daemons. If the second connection ends after it had been open, the target is asked at once, also while a slow caller holds the answer up; without its word the answer stays doubtful, whoever answers later. What has arrived of an answer is read before the second connection is looked at.

--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -3,8 +3,9 @@
 //! Load pattern: targets write answers with neither a length nor chunks, and are killed, leave or
 //! are replaced at their address meanwhile. Their operating system closes their connections in
 //! order, as after a whole answer. Only the process that wrote the answer tells the two apart: it
-//! goes on after a whole one. A second connection to it, opened while it writes, ends if it does, and
-//! on this connection it says at the end that it is the target that was meant.
+//! goes on after a whole one. A second connection to it, opened while it writes, ends with it, and
+//! on this connection it says at the end that it is the target that was meant. Targets also close
+//! idle connections, turn new ones away, and may be silent for a while.
 
 use std::{convert::Infallible, mem, time::Duration};
 
@@ -13,7 +14,7 @@
 
 use super::{
     Gateway,
-    exchange::{AnswerSource, Exchange},
+    exchange::{AnswerSource, Exchange, is_refused},
     framing::Framing,
     job::Job,
     model::Target,
@@ -25,17 +26,15 @@
     log::shown,
 };
 
-/// Longest wait for a target's word that it goes on. A target that has just started may be slow to
-/// say that it is another one.
-const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a target's word that it goes on. Sound targets may be silent for a second or so.
+const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time between the ends of two connections of a process that ends.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
-/// Pause after a second connection that ended before the answer. Targets close idle connections,
-/// and refuse new ones beyond some number.
+/// Pause after a second connection that was turned away: targets take only some number of them.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
 
 /// Maximum number of connections on which a target that turns some away is asked.
-const MAX_CONNECTIONS: usize = 3;
+const MAX_QUESTIONS: usize = 3;
 
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -64,132 +63,154 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Doubt {
-    /// The second connection to the target ended, or none could be opened.
+    /// No process listens at the target's address, or the second connection ended.
     Ended,
     /// Another target has its address.
     Replaced,
-    /// The target says nothing.
+    /// The target was not reached, or says nothing.
     Silent,
 }
 
 /// A second connection to a target that writes an answer without a length or chunks.
-pub(super) struct Witness<'a> {
+pub(super) struct SecondConnection<'a> {
     gateway: &'a Gateway,
     id: &'a str,
     target: &'a Target,
-    state: WitnessState<'a>,
+    state: State<'a>,
 }
 
-enum WitnessState<'a> {
+enum State<'a> {
     /// Nothing is opened: the answer marks its own end.
     Unneeded,
-    Connecting(BoxFuture<'a, Option<TargetConnection>>),
+    Connecting(BoxFuture<'a, Result<TargetConnection, Doubt>>),
     /// The connection has been open since this time.
     Open(TargetConnection, BootTime),
-    /// The connection ended, or could not be opened; another one is opened after a pause.
-    Ended {
-        at: BootTime,
-        /// Whether it was open for too short a time to say anything of the process.
-        was_turned_away: bool,
-    },
+    /// The connection had been open and ended at this time. The target is asked at once whether it
+    /// has only closed an idle connection.
+    Ended(BootTime, BoxFuture<'a, Result<(), Doubt>>),
+    /// The target turned the connection away at this time; another one is opened after a pause.
+    TurnedAway(BootTime),
+    /// The process that wrote the answer may have ended since.
+    Doubtful(Doubt),
 }
 
-impl<'a> Witness<'a> {
-    /// Begins to watch the target of an answer, if the answer's end does not show that it is whole.
-    pub fn new(gateway: &'a Gateway, job: &'a Job, target: &'a Target, framing: Framing) -> Self {
-        let mut witness = Self {
+impl<'a> SecondConnection<'a> {
+    /// Opens the connection, if the answer's end does not show by itself that it is whole.
+    pub fn open(gateway: &'a Gateway, job: &'a Job, target: &'a Target, framing: Framing) -> Self {
+        let id = &job.info.request_id;
+        let state = match framing {
+            Framing::Length | Framing::Chunks => State::Unneeded,
+            Framing::Close => State::connecting(gateway, id, target),
+        };
+        Self {
             gateway,
-            id: &job.info.request_id,
+            id,
             target,
-            state: WitnessState::Unneeded,
-        };
-        if framing == Framing::Close {
-            witness.connect();
+            state,
         }
-        witness
-    }
-
-    fn connect(&mut self) {
-        let connecting = self.gateway.connect_without_request(self.id, self.target);
-        self.state = WitnessState::Connecting(Box::pin(connecting));
     }
 
     /// Keeps the connection open while the answer is read. May be cancelled.
     pub async fn keep(&mut self) -> Infallible {
+        let (gateway, id, target) = (self.gateway, self.id, self.target);
         loop {
-            match &mut self.state {
-                WitnessState::Unneeded => std::future::pending().await,
-                WitnessState::Connecting(connecting) => {
-                    let connected = connecting.await;
-                    let at = clock::now();
-                    self.state = match connected {
-                        Some(connection) => WitnessState::Open(connection, at),
-                        None => WitnessState::Ended {
-                            at,
-                            was_turned_away: true,
-                        },
-                    };
-                }
-                WitnessState::Open(connection, since) => {
+            self.state = match &mut self.state {
+                State::Unneeded | State::Doubtful(_) => std::future::pending().await,
+                State::Connecting(connecting) => match connecting.await {
+                    Ok(connection) => State::Open(connection, clock::now()),
+                    Err(_) => State::TurnedAway(clock::now()),
+                },
+                State::Open(connection, since) => {
                     connection.closed().await;
-                    let at = clock::now();
-                    let was_turned_away = at.saturating_sub(*since) < CLOSE_DELAY;
-                    self.state = WitnessState::Ended {
-                        at,
-                        was_turned_away,
-                    };
+                    let now = clock::now();
+                    if now.saturating_sub(*since) < CLOSE_DELAY {
+                        State::TurnedAway(now)
+                    } else {
+                        State::Ended(now, Box::pin(gateway.ask_anew(id, target)))
+                    }
                 }
-                WitnessState::Ended { at, .. } => {
+                State::Ended(_, asking) => match asking.await {
+                    Ok(()) => State::connecting(gateway, id, target),
+                    Err(doubt) => State::Doubtful(doubt),
+                },
+                State::TurnedAway(at) => {
                     let age = clock::now().saturating_sub(*at);
                     tokio::time::sleep(RECONNECT_PAUSE.saturating_sub(age)).await;
-                    self.connect();
+                    State::connecting(gateway, id, target)
                 }
-            }
+            };
         }
     }
 
     /// Finds out, at the end of an answer, whether the target goes on: then the answer is whole.
-    pub async fn judge(&mut self) -> Result<(), Doubt> {
+    pub async fn check_end(&mut self) -> Result<(), Doubt> {
         let (gateway, id, target) = (self.gateway, self.id, self.target);
-        let judged = match mem::replace(&mut self.state, WitnessState::Unneeded) {
-            WitnessState::Unneeded => return Ok(()),
-            WitnessState::Open(connection, _) => gateway.ask_identity(target, connection).await,
-            WitnessState::Ended {
-                at,
-                was_turned_away: false,
-            } if clock::now().saturating_sub(at) < CLOSE_DELAY => Err(Doubt::Ended),
-            WitnessState::Ended { .. } => gateway.ask_anew(id, target).await,
-            WitnessState::Connecting(connecting) => match connecting.await {
-                Some(connection) => match gateway.ask_identity(target, connection).await {
-                    Err(Doubt::Ended) => gateway.ask_anew(id, target).await,
-                    judged => judged,
-                },
-                None => Err(Doubt::Ended),
-            },
+        let checked = match mem::replace(&mut self.state, State::Unneeded) {
+            State::Unneeded => return Ok(()),
+            State::Doubtful(doubt) => Err(doubt),
+            State::Open(connection, _) => gateway.ask_identity(target, connection).await,
+            // Both connections of a process that ends do so at about the same time.
+            State::Ended(at, _) if clock::now().saturating_sub(at) < CLOSE_DELAY => {
+                Err(Doubt::Ended)
+            }
+            State::Ended(_, asking) => asking.await,
+            State::TurnedAway(_) => gateway.ask_anew(id, target).await,
+            State::Connecting(connecting) => {
+                let checked = match connecting.await {
+                    Ok(connection) => gateway.ask_identity(target, connection).await,
+                    Err(doubt) => Err(doubt),
+                };
+                match checked {
+                    Ok(()) | Err(Doubt::Replaced) => checked,
+                    Err(_) => gateway.ask_anew(id, target).await,
+                }
+            }
         };
-        let doubt = judged.err().map_or("none", <&str>::from);
+        let doubt = checked.err().map_or("none", <&str>::from);
         metrics::counter!("bluebell_gateway_end_checks", "doubt" => doubt).increment(1);
         log::info!(
             "event=end_check request={} target={} doubt={doubt}",
             shown(&id),
             shown(&target.id)
         );
-        judged
+        checked
+    }
+}
+
+impl<'a> State<'a> {
+    fn connecting(gateway: &'a Gateway, id: &'a str, target: &'a Target) -> Self {
+        Self::Connecting(Box::pin(gateway.connect_or_doubt(id, target)))
     }
 }
 
 impl Gateway {
+    async fn connect_or_doubt(&self, id: &str, target: &Target) -> Result<TargetConnection, Doubt> {
+        let connected = self.connect_to_ask(id, target).await;
+        connected.map_err(|e| {
+            log::debug!("event=end_check_unsent error={:?}", e.to_string());
+            if is_refused(&e) {
+                Doubt::Ended
+            } else {
+                Doubt::Silent
+            }
+        })
+    }
+
     /// Asks a target on new connections, of which it may turn some away.
     async fn ask_anew(&self, id: &str, target: &Target) -> Result<(), Doubt> {
-        for _ in 0..MAX_CONNECTIONS {
-            let connected = self.connect_without_request(id, target).await;
-            let connection = connected.ok_or(Doubt::Ended)?;
+        for _ in 1..MAX_QUESTIONS {
+            let connection = match self.connect_or_doubt(id, target).await {
+                Ok(connection) => connection,
+                Err(Doubt::Silent) => continue,
+                Err(doubt) => return Err(doubt),
+            };
             match self.ask_identity(target, connection).await {
                 Err(Doubt::Ended) => tokio::time::sleep(CLOSE_DELAY).await,
-                judged => return judged,
+                checked => return checked,
             }
         }
-        Err(Doubt::Ended)
+        let connection = self.connect_or_doubt(id, target).await?;
+        self.ask_identity(target, connection).await
     }
 
     /// Asks whoever has the connection whether it is the target. Only an answer counts: a process
@@ -203,10 +224,12 @@
         let request = (self.engines.identity_request)(id, *address).ok_or(Doubt::Silent)?;
         let asking = Exchange::open_over(connection, *address, request);
         match tokio::time::timeout(IDENTITY_TIMEOUT, asking).await {
-            Ok(Ok(exchange)) if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST => {
-                Err(Doubt::Replaced)
-            }
-            Ok(Ok(_)) => Ok(()),
+            Ok(Ok(exchange)) => match exchange.response.status() {
+                StatusCode::MISDIRECTED_REQUEST => Err(Doubt::Replaced),
+                // Written before the question, by a server that closes an idle connection.
+                StatusCode::REQUEST_TIMEOUT => Err(Doubt::Ended),
+                _ => Ok(()),
+            },
             Ok(Err(_)) => Err(Doubt::Ended),
             Err(_) => Err(Doubt::Silent),
         }
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -51,23 +51,42 @@
         admitted: &Admitted,
         target: &Target,
     ) -> Result<TargetConnection, ExchangeError> {
-        let way = self.way_to(target);
         let is_allowed = |zone: &str| {
             let region = self.settings().region_of(zone).to_owned();
             let customer = admitted.customer.as_deref();
             admitted.route.allows_region(customer, &region)
         };
+        self.connect_through(id, target, &is_allowed).await
+    }
+
+    /// Connects to a target to ask it something; nothing of a caller's request is sent.
+    pub(super) async fn connect_to_ask(
+        &self,
+        id: &str,
+        target: &Target,
+    ) -> Result<TargetConnection, ExchangeError> {
+        self.connect_through(id, target, &|_: &str| true).await
+    }
+
+    /// Connects to a target, directly or through a daemon of an allowed zone.
+    async fn connect_through(
+        &self,
+        id: &str,
+        target: &Target,
+        is_allowed: &impl Fn(&str) -> bool,
+    ) -> Result<TargetConnection, ExchangeError> {
+        let way = self.way_to(target);
         let failed = |reason: &str, is_refused| ExchangeError::Connect {
             peer: target.address,
             reason: reason.into(),
             is_refused,
         };
         if way == Way::Direct {
-            let connecting = self.connect_both_ways(id, target, &is_allowed);
+            let connecting = self.connect_both_ways(id, target, is_allowed);
             let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
             return connected.unwrap_or_else(|_| Err(failed("timeout", false)));
         }
-        match self.open_detour(id, target, &is_allowed).await {
+        match self.open_detour(id, target, is_allowed).await {
             Ok(tcp) => Ok(tcp),
             Err(DetourError::Refused) => Err(failed("refused to another daemon", true)),
             // The links may be back.
@@ -132,19 +151,6 @@
         Some(matches!(detour, Err(DetourError::Refused)))
     }
 
-    /// Opens a connection on which no request of a caller is sent.
-    pub(super) async fn connect_without_request(
-        &self,
-        id: &str,
-        target: &Target,
-    ) -> Option<TargetConnection> {
-        if self.way_to(target) == Way::Direct && !self.is_cut_suspected(target) {
-            let connected = connect(&self.engines.dial, target.address).await;
-            return connected.ok().map(TargetConnection::direct);
-        }
-        self.open_detour(id, target, &|_: &str| true).await.ok()
-    }
-
     pub(super) fn way_to(&self, target: &Target) -> Way {
         let key = target_key(&target.id);
         self.reach.lock().way(&target.service, key, clock::now())
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Gateway,
-    answer_end::{BodyEnd, Witness},
+    answer_end::{BodyEnd, SecondConnection},
     body::ResponseBody,
     exchange::Exchange,
     headers::end_to_end,
@@ -217,18 +217,18 @@
         exchange: Exchange,
     ) -> Result<Response<Bytes>, BodyError> {
         let source = exchange.source;
-        let mut witness = Witness::new(self, job, target, source.framing);
+        let mut second = SecondConnection::open(self, job, target, source.framing);
         let reading = exchange.collect(MAX_RESPONSE_BYTES, &self.memory.answers, || {
             self.shortages.record();
         });
         let read = tokio::select! {
             biased;
             read = reading => read,
-            never = witness.keep() => match never {},
+            never = second.keep() => match never {},
         };
         self.record_body_end(job, target, source, BodyEnd::of(&read));
         let res = read?;
-        match witness.judge().await {
+        match second.check_end().await {
             Ok(()) => Ok(res),
             Err(doubt) => Err(BodyError::Broken {
                 reason: format!("the end of the connection does not show a whole answer: {doubt}")
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway,
-    answer_end::{BodyEnd, Witness},
+    answer_end::{BodyEnd, SecondConnection},
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
@@ -314,7 +314,7 @@
         delivered.position.begin_run();
         delivered.gaps = GapMeter::default();
         let target = run.target.clone();
-        let mut witness = Witness::new(self, job, &target, run.exchange.source.framing);
+        let mut second = SecondConnection::open(self, job, &target, run.exchange.source.framing);
         loop {
             let changed = self.shared.changed();
             let fleet = self.shared.fleet();
@@ -332,9 +332,9 @@
                 preparing = Some(self.prepare_copy(&fleet, job, run));
             }
             let frame = tokio::select! {
-                frame = run.exchange.response.body_mut().frame() => frame,
+                // What has arrived of the answer is read before the second connection is looked at.
+                biased;
                 () = tx.chunks.closed() => return RunEnd::CallerLeft,
-                never = witness.keep() => match never {},
                 () = changed, if attempts < MAX_COPY_ATTEMPTS => continue,
                 prepared = wait_for_copy(&mut preparing) => {
                     preparing = None;
@@ -344,6 +344,8 @@
                     }
                     continue;
                 }
+                frame = run.exchange.response.body_mut().frame() => frame,
+                never = second.keep() => match never {},
             };
             let body_end = match &frame {
                 None => Some(BodyEnd::Orderly),
@@ -364,7 +366,7 @@
                 {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
-                None => match witness.judge().await {
+                None => match second.check_end().await {
                     Ok(()) if delivered.position.ends_short() => return RunEnd::Short,
                     Ok(()) => return RunEnd::Whole,
                     Err(doubt) => RunEnd::Disconnected(doubt.to_string().into()),
@@ -376,7 +378,12 @@
                         events.splitter.push(&data);
                     }
                     let forwarding = self.forward_events(job, run, &mut events, delivered, tx);
-                    if forwarding.await.is_err() {
+                    // The caller may read slowly.
+                    let forwarded = tokio::select! {
+                        forwarded = forwarding => forwarded,
+                        never = second.keep() => match never {},
+                    };
+                    if forwarded.is_err() {
                         return RunEnd::CallerLeft;
                     }
                     let taken = tokio::select! {
