Gateway: the doubtful end of a stream counts as a crash only if its engine has closed its port

A silent engine, one that turned connections away, or a sibling that did would have counted as crashed by the stream, against its request and the parts of its prompt, so that sound requests might have been held. The check is the one that plain answers have had.

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway,
-    answer_end::{BodyEnd, SecondConnection},
+    answer_end::{BodyEnd, Doubt, SecondConnection},
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
@@ -369,7 +369,7 @@
                 None => match second.check_end().await {
                     Ok(()) if delivered.position.ends_short() => return RunEnd::Short,
                     Ok(()) => return RunEnd::Whole,
-                    Err(doubt) => RunEnd::Disconnected(doubt.to_string().into()),
+                    Err(doubt) => self.end_of_doubt(job, &run.target, doubt).await,
                 },
                 Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
                 Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
@@ -408,6 +408,17 @@
         }
     }
 
+    /// Returns the end of a run whose answer cannot be shown to be whole. Only a target that has
+    /// closed its port counts as crashed.
+    async fn end_of_doubt(&self, job: &Job, target: &Target, doubt: Doubt) -> RunEnd {
+        let reason = format!("end of the connection, doubt={doubt}").into();
+        if self.is_down(job, target).await {
+            RunEnd::Disconnected(reason)
+        } else {
+            RunEnd::Broken(reason)
+        }
+    }
+
     /// Forwards complete events that the caller does not have yet. Fails once the
     /// caller has disconnected.
     async fn forward_events(
