Gateway: the length that an engine states for a stream is not the caller's

What callers saw: a stream that ended early and was whole by its length (30 of 40 bytes), after its engine broke off and another one went on with events of other lengths; a stream of which a repeated event was left out broke off.

Cause: Content-Length of the first engine's answer was passed on with the head of the stream, and the HTTP server cut the events of the following runs at it.

Change: a stream has no Content-Length towards the caller, so that it is sent in chunks and ends with the last chunk, which is written only when the run has ended whole.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use hyper::Response;
+use hyper::{Response, header};
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{
@@ -86,6 +86,8 @@
         let mut head = Response::new(());
         *head.status_mut() = run.exchange.response.status();
         *head.headers_mut() = end_to_end(run.exchange.response.headers().clone());
+        // Another run may go on with events of other lengths.
+        head.headers_mut().remove(header::CONTENT_LENGTH);
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
         let gateway = self.clone();
         tokio::spawn(async move { gateway.forward_stream(job, run, attempts, tx).await });
