Gateway: an answer in a transfer coding other than chunks is not passed on without it

What callers saw: compressed bytes as the whole answer of a target with `Transfer-Encoding: gzip` or `gzip, chunked`, with a length and without the coding's name.

Cause: the header concerns one connection and is left out, but only chunks are undone.

Change: such an answer counts as one without a usable body, like one with Content-Encoding. `identity` is no coding.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -31,6 +31,18 @@
     }
 }
 
+/// Returns whether a body has a transfer coding that is not undone when it is read, such as
+/// `gzip`. Its caller does not get the coding's name.
+pub(super) fn is_transfer_encoded(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let mut codings = values.flat_map(|value| value.as_bytes().split(|b| *b == b','));
+    codings.any(|coding| {
+        let coding = coding.trim_ascii();
+        let known = [&b""[..], b"chunked", b"identity"];
+        !known.iter().any(|known| coding.eq_ignore_ascii_case(known))
+    })
+}
+
 /// Returns whether the last transfer coding is `chunked`; others do not mark an end.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -13,6 +13,7 @@
     answer_end::{BodyEnd, Witness},
     body::ResponseBody,
     exchange::Exchange,
+    framing::is_transfer_encoded,
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -263,7 +264,7 @@
                 format!("response has no seal, status={}", status.as_u16()).into(),
             ));
         }
-        if headers.contains_key(hyper::header::CONTENT_ENCODING) {
+        if headers.contains_key(hyper::header::CONTENT_ENCODING) || is_transfer_encoded(headers) {
             return Some(SendOutcome::Unknown("response body is encoded".into()));
         }
         None
