Gateway: a second answer behind one without a length is not a part of its body

What callers saw: two answers of a target on one connection as one body, and in a stream the head of the second one as an event, each whole.

Cause: an answer without a length or chunks lasts until the end of its connection, whatever follows.

Change: such an answer is broken if its body holds the head of an answer: a status line, and the seal by which targets' own answers are known. What cannot be told: bytes that follow without a head or without a seal, or a head that is cut off before its seal; those are passed on as before. An answer of a target that has such a head as its content is lost, but only without a length or chunks.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -13,7 +13,7 @@
     answer_end::{BodyEnd, Witness},
     body::ResponseBody,
     exchange::Exchange,
-    framing::is_transfer_encoded,
+    framing::{Framing, holds_answer_head, is_transfer_encoded},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -229,6 +229,11 @@
         };
         self.record_body_end(job, target, source, BodyEnd::of(&read));
         let res = read?;
+        if source.framing == Framing::Close && holds_answer_head(res.body(), &self.names.seal) {
+            return Err(BodyError::Broken {
+                reason: "another answer follows on the connection".into(),
+            });
+        }
         match witness.judge().await {
             Ok(()) => Ok(res),
             Err(doubt) => Err(BodyError::Broken {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -20,7 +20,7 @@
     event_queue::{EventBuffer, EventSender},
     events::EventId,
     exchange::connect,
-    framing::Framing,
+    framing::{Framing, holds_answer_head},
     generation::Run,
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
@@ -376,8 +376,8 @@
                         events.splitter.push(&data);
                     }
                     let forwarding = self.forward_events(job, run, &mut events, delivered, tx);
-                    if forwarding.await.is_err() {
-                        return RunEnd::CallerLeft;
+                    if let Err(run_end) = forwarding.await {
+                        return run_end;
                     }
                     let taken = tokio::select! {
                         taken = events.take_memory(&self.memory.answers) => taken,
@@ -402,7 +402,7 @@
     }
 
     /// Forwards complete events that the caller does not have yet. Fails once the
-    /// caller has disconnected.
+    /// caller has disconnected, or if another answer follows.
     async fn forward_events(
         &self,
         job: &Job,
@@ -410,8 +410,13 @@
         events: &mut EventBuffer,
         delivered: &mut Delivered,
         tx: &EventSender,
-    ) -> Result<(), ()> {
+    ) -> Result<(), RunEnd> {
+        let is_unframed = run.exchange.source.framing == Framing::Close;
         while let Some((event, memory)) = events.next_event() {
+            if is_unframed && holds_answer_head(&event.raw, &self.names.seal) {
+                let reason = "another answer follows on the connection";
+                return Err(RunEnd::Broken(reason.into()));
+            }
             delivered.events_of_run += 1;
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
@@ -441,7 +446,8 @@
                 continue;
             }
             delivered.record(now);
-            tx.send(event, memory).await?;
+            let sent = tx.send(event, memory).await;
+            sent.map_err(|()| RunEnd::CallerLeft)?;
             let sent_at = clock::now();
             if sent_at.saturating_sub(now) > MAX_SEND_TIME {
                 delivered.gaps.restart(sent_at);
