--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -13,6 +13,7 @@
     answer_end::{BodyEnd, SecondConnection},
     body::ResponseBody,
     exchange::Exchange,
+    framing::{Framing, holds_answer_head, is_transfer_encoded},
     headers::end_to_end,
     in_flight::Stage,
     job::{Admitted, Job, SendHeaders},
@@ -228,6 +229,11 @@
         };
         self.record_body_end(job, target, source, BodyEnd::of(&read));
         let res = read?;
+        if source.framing == Framing::Close && holds_answer_head(res.body(), &self.names.seal) {
+            return Err(BodyError::Broken {
+                reason: "another answer follows on the connection".into(),
+            });
+        }
         match second.check_end().await {
             Ok(()) => Ok(res),
             Err(doubt) => Err(BodyError::Broken {
@@ -263,7 +269,7 @@
                 format!("response has no seal, status={}", status.as_u16()).into(),
             ));
         }
-        if headers.contains_key(hyper::header::CONTENT_ENCODING) {
+        if headers.contains_key(hyper::header::CONTENT_ENCODING) || is_transfer_encoded(headers) {
             return Some(SendOutcome::Unknown("response body is encoded".into()));
         }
         None
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -20,7 +20,7 @@
     event_queue::{EventBuffer, EventSender},
     events::EventId,
     exchange::connect,
-    framing::Framing,
+    framing::{Framing, holds_answer_head},
     generation::Run,
     job::{Admitted, Job, SendHeaders},
     load::{Reservation, Work},
@@ -383,8 +383,8 @@
                         forwarded = forwarding => forwarded,
                         never = second.keep() => match never {},
                     };
-                    if forwarded.is_err() {
-                        return RunEnd::CallerLeft;
+                    if let Err(run_end) = forwarded {
+                        return run_end;
                     }
                     let taken = tokio::select! {
                         taken = events.take_memory(&self.memory.answers) => taken,
@@ -420,7 +420,7 @@
     }
 
     /// Forwards complete events that the caller does not have yet. Fails once the
-    /// caller has disconnected.
+    /// caller has disconnected, or if another answer follows.
     async fn forward_events(
         &self,
         job: &Job,
@@ -428,8 +428,13 @@
         events: &mut EventBuffer,
         delivered: &mut Delivered,
         tx: &EventSender,
-    ) -> Result<(), ()> {
+    ) -> Result<(), RunEnd> {
+        let is_unframed = run.exchange.source.framing == Framing::Close;
         while let Some((event, memory)) = events.next_event() {
+            if is_unframed && holds_answer_head(&event.raw, &self.names.seal) {
+                let reason = "another answer follows on the connection";
+                return Err(RunEnd::Broken(reason.into()));
+            }
             delivered.events_of_run += 1;
             let now = clock::now();
             delivered.run_first_at.get_or_insert(now);
@@ -459,7 +464,8 @@
                 continue;
             }
             delivered.record(now);
-            tx.send(event, memory).await?;
+            let sent = tx.send(event, memory).await;
+            sent.map_err(|()| RunEnd::CallerLeft)?;
             let sent_at = clock::now();
             if sent_at.saturating_sub(now) > MAX_SEND_TIME {
                 delivered.gaps.restart(sent_at);
