Gateway: an answer to a caller of HTTP/1.0 that ends early resets its connection

What callers saw: the beginning of a stream with an orderly end of the connection, which is the only end that a stream has towards HTTP/1.0 (189 to 442 of 902 bytes).

Cause: whatever ended the connection within such a stream closed it in order: a break that could not be resumed, the deadline, an event that is too large, a caller that closed its own direction, the exit of the process, or the kernel after a kill.

Change: from before its first byte, a response of HTTP/1.0 whose size is not known leaves its socket with a linger time of zero, so that each close of it is a reset. The option is cleared when hyper shuts the connection down. It does so after the last byte of a whole body has been handed to the kernel, and not after an error of the body; the kernel still delivers what it holds.

--- a/src/gateway/connection_set.rs
+++ b/src/gateway/connection_set.rs
@@ -40,6 +40,9 @@
     /// Cancelled when the connection gives way to another one.
     pub evicted: CancellationToken,
     pub receive_buffer: ReceiveBuffer,
+    /// Whether the end of the connection is the end of the response in progress. Nothing follows
+    /// such a response, so it stays set.
+    ends_response: Arc<AtomicBool>,
 }
 
 impl Monitor {
@@ -49,9 +52,15 @@
             in_flight: InFlightCounter::default(),
             evicted: CancellationToken::new(),
             receive_buffer: ReceiveBuffer::default(),
+            ends_response: Arc::default(),
         }
     }
 
+    /// Records that the end of the connection is the end of the response that follows.
+    pub fn record_close_delimited(&self) {
+        self.ends_response.store(true, Ordering::Relaxed);
+    }
+
     /// Records that a head is complete.
     pub fn record_request(&self) {
         self.state().record_request();
@@ -172,6 +181,10 @@
     monitor: Monitor,
     /// Whether the receive buffer was enlarged.
     has_large_buffer: bool,
+    /// Whether closing the connection resets it, also when the process is killed. Set from before
+    /// the first byte of a response that the end of the connection ends until its last byte has
+    /// been written, so that a part of it does not look whole.
+    resets_on_close: bool,
 }
 
 impl MonitoredTcp {
@@ -180,7 +193,17 @@
             tcp,
             monitor,
             has_large_buffer: false,
+            resets_on_close: false,
+        }
+    }
+
+    /// Lets a close reset the connection if its end is the end of the response in progress.
+    fn adapt_close(&mut self) -> io::Result<()> {
+        if !self.resets_on_close && self.monitor.ends_response.load(Ordering::Relaxed) {
+            self.tcp.set_zero_linger()?;
+            self.resets_on_close = true;
         }
+        Ok(())
     }
 
     /// Enlarges the receive buffer once that is wanted. Without, the connection is slower.
@@ -231,6 +254,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.adapt_close()?;
         let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
         self.record_write(&written);
         written
@@ -241,6 +265,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.adapt_close()?;
         let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
         self.record_write(&written);
         written
@@ -258,6 +283,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper shuts a connection down once it has flushed whole responses, and drops it when a
+        // body fails.
+        if self.resets_on_close {
+            SockRef::from(&self.tcp).set_linger(None)?;
+            self.resets_on_close = false;
+        }
         Pin::new(&mut self.tcp).poll_shutdown(cx)
     }
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,8 +3,8 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
-    Request, Response,
-    body::Incoming,
+    Request, Response, Version,
+    body::{Body, Incoming},
     header::{self, HeaderValue},
     server::conn::http1,
     service::service_fn,
@@ -156,9 +156,14 @@
     let id = gateway.names.request_id_of(req.headers()).unwrap_or("-");
     let running = gateway.in_progress.start(id.into(), &monitor.in_flight);
     monitor.record_request();
+    let version = req.version();
     let handling = gateway.handle_request(req, running.progress(), &monitor);
     let mut res = handling.await;
     running.progress().set(Stage::Responding);
+    // HTTP/1.0 has no chunks.
+    if version == Version::HTTP_10 && res.body().size_hint().exact().is_none() {
+        monitor.record_close_delimited();
+    }
     // Requests that follow on the connection without end would keep new connections out, and the
     // load balancer leads new ones to daemons that reach targets.
     let is_blocked = gateway.ports.callers.is_blocked();
