Streams: a run from a copy that ends before the event that the caller has is not whole

What callers saw: a stream that ends as complete although the run that went on from a copy ended before an event that the caller had already.

Cause: the check for that was made for resumable routes only. A run is behind its caller only if it is not the first one, so the condition said nothing more.

Change: the check holds for all routes. One assertion of a_run_that_ends_short_completes_a_stream stated the opposite for a route that is not resumable, without a reason; it is replaced by two: such a run is short until it reaches the caller's last event, and whole then.

--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -104,7 +104,7 @@
     /// the caller's events are of another answer, and its stream is not complete.
     #[must_use]
     pub fn ends_short(&self) -> bool {
-        self.is_resumable && self.run_last_id.is_some() && self.run_last_id < self.last_id
+        self.run_last_id.is_some() && self.run_last_id < self.last_id
     }
 }
 
--- a/tests/gateway_resumption.rs
+++ b/tests/gateway_resumption.rs
@@ -143,7 +143,8 @@
     once.begin_run();
     assert!(once.advance(Some(2)));
     once.begin_run();
-    assert!(!once.advance(Some(1)) && !once.ends_short());
+    assert!(!once.advance(Some(1)) && once.ends_short());
+    assert!(!once.advance(Some(2)) && !once.ends_short());
 }
 
 /// Daemons of an earlier version read a configuration without resumable routes wrongly.
