Gateway: an answer through another daemon ends only where its target has ended it

Cause: the operating system of a daemon that ends closes its tunnels in order, and the end of a tunnel was taken for that of the target's connection. The target goes on, so the check of it at the end of the answer agrees.

Change: behind the answer OpenInPieces, the bytes of the target come in pieces of up to 8 KiB with their lengths, and an empty piece says that the target has closed its connection in order. Without it a read fails, which is a broken answer. The request has one more field at its end, which earlier daemons do not decode; its absence means that the asking daemon gets the bytes alone, as before. The end of such bytes from an earlier daemon fails too; hyper takes answers with a length or chunks that have come whole before it.

Whole answers arrive through a daemon that stops.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -19,6 +19,7 @@
     reach::{Sibling, Way},
     target_connection::TargetConnection,
     tunnel::{TunnelAnswer, ask_for_tunnel},
+    tunnel_stream::TunnelStream,
 };
 use crate::{clock, log::shown};
 
@@ -74,7 +75,7 @@
             Err(DetourError::Failed) => {
                 let connected = connect(&self.engines.dial, target.address).await;
                 self.record_direct(target, connected.is_ok());
-                connected.map(TargetConnection::direct)
+                connected.map(TargetConnection::Direct)
             }
         }
     }
@@ -88,7 +89,7 @@
         is_allowed: &impl Fn(&str) -> bool,
     ) -> Result<TargetConnection, ExchangeError> {
         let direct = connect(&self.engines.dial, target.address);
-        let direct = direct.map_ok(TargetConnection::direct);
+        let direct = direct.map_ok(TargetConnection::Direct);
         let mut direct = std::pin::pin!(direct);
         let first = tokio::time::timeout(DETOUR_AFTER, direct.as_mut()).await;
         if let Ok(connected) = first {
@@ -140,7 +141,7 @@
     ) -> Option<TargetConnection> {
         if self.way_to(target) == Way::Direct && !self.is_cut_suspected(target) {
             let connected = connect(&self.engines.dial, target.address).await;
-            return connected.ok().map(TargetConnection::direct);
+            return connected.ok().map(TargetConnection::Direct);
         }
         self.open_detour(id, target, &|_: &str| true).await.ok()
     }
@@ -222,7 +223,7 @@
                     () = next => continue,
                 };
                 match answer {
-                    (sibling, Ok(tcp)) => return Some((sibling, tcp)),
+                    (sibling, Ok(tunnel)) => return Some((sibling, tunnel)),
                     (_, Err(Some(TunnelAnswer::Refused))) => error = DetourError::Refused,
                     (_, Err(_)) => {}
                 }
@@ -239,7 +240,7 @@
             target = shown(&target.id)
         );
         metrics::counter!("bluebell_gateway_detours", "outcome" => outcome).increment(1);
-        let opened = opened.map(|(_, tcp)| TargetConnection::through_sibling(tcp));
+        let opened = opened.map(|(_, tunnel)| TargetConnection::Sibling(tunnel));
         opened.ok_or(error)
     }
 
@@ -248,7 +249,10 @@
         &self,
         sibling: &'a Sibling,
         target: &Target,
-    ) -> (&'a Sibling, Result<TcpStream, Option<TunnelAnswer>>) {
+    ) -> (
+        &'a Sibling,
+        Result<TunnelStream<TcpStream>, Option<TunnelAnswer>>,
+    ) {
         let outcome = ask_for_tunnel(sibling.address, &target.id).await;
         // A target that refuses everybody says nothing of the daemon.
         if !matches!(outcome, Err(Some(TunnelAnswer::Refused))) {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -269,7 +269,7 @@
         let mut meter = self.meter(admitted, target, is_from_start, now);
         let id = &job.info.request_id;
         let connected = if let Some(tcp) = tcp {
-            Ok(TargetConnection::direct(tcp))
+            Ok(TargetConnection::Direct(tcp))
         } else {
             self.connect_target(id, admitted, target).await
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -91,6 +91,7 @@
 mod target_statements;
 mod target_versions;
 mod tunnel;
+mod tunnel_stream;
 mod version_outcomes;
 mod wait_queue;
 mod whole_body;
@@ -192,6 +193,7 @@
     target_limits::{LIMIT_WINDOW, SentToTarget, demand_name, drawn_targets, has_room},
     target_speed::{GapMeter, SpeedEstimate, StatedLoad, UnseenRequests},
     target_statements::{LimitChange, StatementTable, StatementTracker},
+    tunnel_stream::{MAX_PIECE_BYTES, TunnelStream, piece_head},
     version_outcomes::{OutcomeSums, OutcomeTable, Outcomes, ReportScope, RouteOutcomes, Side},
     wait_queue::{HeldNumber, RELEASE_WINDOW, WaitQueue},
 };
--- a/src/gateway/target_connection.rs
+++ b/src/gateway/target_connection.rs
@@ -11,41 +11,37 @@
     net::TcpStream,
 };
 
-use super::reach::Way;
+use super::{reach::Way, tunnel_stream::TunnelStream};
 
 /// Connection to a target.
 #[derive(Debug)]
-pub(crate) struct TargetConnection {
-    tcp: TcpStream,
-    way: Way,
+pub(crate) enum TargetConnection {
+    /// A connection of this daemon to the target.
+    Direct(TcpStream),
+    /// A connection to another daemon that passes the bytes on.
+    Sibling(TunnelStream<TcpStream>),
 }
 
 impl TargetConnection {
-    /// Returns a connection of this daemon to the target.
-    pub fn direct(tcp: TcpStream) -> Self {
-        let way = Way::Direct;
-        Self { tcp, way }
-    }
-
-    /// Returns a connection to another daemon that passes the bytes on.
-    pub fn through_sibling(tcp: TcpStream) -> Self {
-        let way = Way::Sibling;
-        Self { tcp, way }
-    }
-
     pub fn tcp(&self) -> &TcpStream {
-        &self.tcp
+        match self {
+            Self::Direct(tcp) => tcp,
+            Self::Sibling(tunnel) => tunnel.get_ref(),
+        }
     }
 
     pub fn way(&self) -> Way {
-        self.way
+        match self {
+            Self::Direct(_) => Way::Direct,
+            Self::Sibling(_) => Way::Sibling,
+        }
     }
 
     /// Waits until the other end closes the connection, or sends something, on a connection that
     /// waits for nothing.
     pub async fn closed(&self) {
         // The connection has ended either way.
-        let _ = self.tcp.peek(&mut [0]).await;
+        let _ = self.tcp().peek(&mut [0]).await;
     }
 }
 
@@ -55,7 +51,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(cx, buf)
+        match &mut *self {
+            Self::Direct(tcp) => Pin::new(tcp).poll_read(cx, buf),
+            Self::Sibling(tunnel) => Pin::new(tunnel).poll_read(cx, buf),
+        }
     }
 }
 
@@ -65,7 +64,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        match &mut *self {
+            Self::Direct(tcp) => Pin::new(tcp).poll_write(cx, buf),
+            Self::Sibling(tunnel) => Pin::new(tunnel).poll_write(cx, buf),
+        }
     }
 
     fn poll_write_vectored(
@@ -73,18 +75,27 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        match &mut *self {
+            Self::Direct(tcp) => Pin::new(tcp).poll_write_vectored(cx, bufs),
+            Self::Sibling(tunnel) => Pin::new(tunnel).poll_write_vectored(cx, bufs),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
+        self.tcp().is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        match &mut *self {
+            Self::Direct(tcp) => Pin::new(tcp).poll_flush(cx),
+            Self::Sibling(tunnel) => Pin::new(tunnel).poll_flush(cx),
+        }
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        match &mut *self {
+            Self::Direct(tcp) => Pin::new(tcp).poll_shutdown(cx),
+            Self::Sibling(tunnel) => Pin::new(tunnel).poll_shutdown(cx),
+        }
     }
 }
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -1,8 +1,9 @@
 //! Opens connections to targets for other daemons whose links are cut; see `detour`.
 //!
-//! Bytes are passed on as they are, and no request is kept. Such a connection is always a direct
-//! one, so that there is one hop at most. It goes to a target that this daemon knows and that takes
-//! work, and ends with either of its two connections.
+//! Bytes are passed on as they are, and no request is kept; the answer is in pieces for daemons that
+//! read them (see `tunnel_stream`). Such a connection is always a direct one, so that there is one hop
+//! at most. It goes to a target that this daemon knows and that takes work, and ends with either of its
+//! two connections.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -10,7 +11,7 @@
     Response, StatusCode,
     header::{HeaderName, HeaderValue},
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -24,6 +25,7 @@
     exchange::{connect, enable_dead_peer_detection, is_refused, log_socket_error},
     model::Target,
     reach::Way,
+    tunnel_stream::{MAX_PIECE_BYTES, PIECE_HEAD_BYTES, TunnelStream, piece_head},
 };
 use crate::{
     clock::{self, BootTime},
@@ -38,7 +40,7 @@
 /// Maximum number of connections that are open for other daemons.
 pub(crate) const MAX_TUNNELS: usize = 128;
 /// Size of the buffer for each direction of such a connection, in bytes.
-const BUFFER_BYTES: usize = 8 * 1024;
+const BUFFER_BYTES: usize = MAX_PIECE_BYTES;
 /// Size up to which the head of a response is looked at, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Delay after a failed accept, so that the loop does not spin while there is no free descriptor.
@@ -51,13 +53,21 @@
 struct TunnelRequest {
     /// Id of the target.
     target: Box<str>,
+    /// Whether the asking daemon reads answers in pieces. Daemons before this field neither send nor
+    /// read it.
+    #[serde(deserialize_with = "is_sent_and_true")]
+    reads_pieces: bool,
+}
+
+fn is_sent_and_true<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    bool::deserialize(deserializer).or(Ok(false))
 }
 
 /// Answer to a [`TunnelRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum TunnelAnswer {
-    /// The connection is open; what follows are its bytes.
+    /// The connection is open; what follows are its bytes alone.
     Open,
     /// The daemon does not know the target, or the target takes no work.
     Closed,
@@ -67,6 +77,8 @@
     Unreachable,
     /// The daemon has no room for another connection, or stops.
     Full,
+    /// The connection is open; what follows are its bytes in pieces. Only for daemons that read them.
+    OpenInPieces,
 }
 
 /// Asks another daemon for a connection to a target. Fails with its answer, `None` if there is
@@ -74,9 +86,10 @@
 pub(crate) async fn ask_for_tunnel(
     peer: SocketAddr,
     target: &str,
-) -> Result<TcpStream, Option<TunnelAnswer>> {
+) -> Result<TunnelStream<TcpStream>, Option<TunnelAnswer>> {
     let request = TunnelRequest {
         target: target.into(),
+        reads_pieces: true,
     };
     let exchange = async {
         let key = MessageKey::new(CHECKSUM_KEY);
@@ -90,7 +103,8 @@
         Ok::<_, PeerError>((tcp, answer))
     };
     match exchange.await {
-        Ok((tcp, TunnelAnswer::Open)) => Ok(tcp),
+        Ok((tcp, TunnelAnswer::OpenInPieces)) => Ok(TunnelStream::in_pieces(tcp)),
+        Ok((tcp, TunnelAnswer::Open)) => Ok(TunnelStream::without_end(tcp)),
         Ok((_, answer)) => Err(Some(answer)),
         Err(e) => {
             log::debug!("event=tunnel_failed error={:?}", e.to_string());
@@ -127,7 +141,11 @@
         Ok(_) if !gateway.shared.is_stopping() => gateway.open_for_other(&request.target).await,
         _ => Err(TunnelAnswer::Full),
     };
-    let answer = opened.as_ref().err().copied().unwrap_or(TunnelAnswer::Open);
+    let answer = match &opened {
+        Ok(_) if request.reads_pieces => TunnelAnswer::OpenInPieces,
+        Ok(_) => TunnelAnswer::Open,
+        Err(answer) => *answer,
+    };
     log::info!(
         "event=tunnel peer={peer} target={target} answer={answer}",
         target = shown(&request.target)
@@ -142,7 +160,7 @@
     // The process does not exit before the connection has ended.
     let _open = gateway.connections.start();
     let sent_at = clock::now();
-    pass_on(origin, tcp, |head| {
+    pass_on(origin, tcp, request.reads_pieces, |head| {
         gateway.record_passed_on(&target, head, sent_at);
     })
     .await;
@@ -189,11 +207,16 @@
 
 /// Passes bytes on between another daemon and a target until one of them ends its connection.
 /// Calls `on_head` with the head of the target's first response.
-async fn pass_on(mut origin: TcpStream, mut target: TcpStream, on_head: impl FnOnce(&[u8])) {
+async fn pass_on(
+    mut origin: TcpStream,
+    mut target: TcpStream,
+    in_pieces: bool,
+    on_head: impl FnOnce(&[u8]),
+) {
     let is_reset = {
         let (mut from_origin, mut to_origin) = origin.split();
         let (mut from_target, mut to_target) = target.split();
-        let answering = pass_answer(&mut from_target, &mut to_origin, on_head);
+        let answering = pass_answer(&mut from_target, &mut to_origin, in_pieces, on_head);
         tokio::select! {
             answered = answering => answered.is_err(),
             // The target is to notice at once if a caller leaves.
@@ -227,30 +250,35 @@
 async fn pass_answer(
     from: &mut ReadHalf<'_>,
     to: &mut WriteHalf<'_>,
+    in_pieces: bool,
     on_head: impl FnOnce(&[u8]),
 ) -> io::Result<()> {
-    let mut buf = vec![0; BUFFER_BYTES];
+    let mut buf = vec![0; PIECE_HEAD_BYTES + BUFFER_BYTES];
+    let start = if in_pieces { 0 } else { PIECE_HEAD_BYTES };
     let mut head = Vec::new();
     let mut on_head = Some(on_head);
     loop {
-        let len = from.read(&mut buf).await?;
+        let len = from.read(&mut buf[PIECE_HEAD_BYTES..]).await?;
+        let end = PIECE_HEAD_BYTES + len;
+        buf[..PIECE_HEAD_BYTES].copy_from_slice(&piece_head(len));
         if len == 0 {
+            to.write_all(&buf[start..end]).await?;
             return to.shutdown().await;
         }
         if on_head.is_some() {
-            head.extend_from_slice(&buf[..len]);
-            let end = head.windows(4).position(|w| w == b"\r\n\r\n");
-            if let Some(end) = end
+            head.extend_from_slice(&buf[PIECE_HEAD_BYTES..end]);
+            let head_end = head.windows(4).position(|w| w == b"\r\n\r\n");
+            if let Some(head_end) = head_end
                 && let Some(on_head) = on_head.take()
             {
-                on_head(&head[..end]);
+                on_head(&head[..head_end]);
             }
             if head.len() > MAX_HEAD_BYTES || on_head.is_none() {
                 on_head = None;
                 head = Vec::new();
             }
         }
-        to.write_all(&buf[..len]).await?;
+        to.write_all(&buf[start..end]).await?;
     }
 }
 
