Gateway: the end of another daemon does not count as a crash of its target

What would have happened: a daemon that passes answers on is killed, and the streams behind it count as crashes of an engine that lives, against their requests and the parts of their prompts. Seen as event=crash for an engine that goes on while the tunnel's tests were written, with an answer in chunks.

Cause: a connection that fails within a stream counted as the end of the engine, whoever ended it.

Change: through another daemon, it counts only if the engine has closed its port, as for plain answers.

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway,
-    answer_end::{BodyEnd, Doubt, SecondConnection},
+    answer_end::{BodyEnd, SecondConnection},
     body::{Chunk, StreamError},
     engines::{CopyHandle, CopyRequest, Dial},
     event_queue::{EventBuffer, EventSender},
@@ -27,6 +27,7 @@
     model::{Fleet, Target},
     new_start::Attempts,
     peer_wire::target_key,
+    reach::Way,
     resumption::StreamPosition,
     send_budget::RepeatReason,
     sent::SendOutcome,
@@ -369,10 +370,9 @@
                 None => match second.check_end().await {
                     Ok(()) if delivered.position.ends_short() => return RunEnd::Short,
                     Ok(()) => return RunEnd::Whole,
-                    Err(doubt) => self.end_of_doubt(job, &run.target, doubt).await,
+                    Err(doubt) => self.end_of_doubt(job, run, doubt.to_string().into()).await,
                 },
-                Some(Err(e)) if is_timeout(&e) => RunEnd::Silent(e.to_string().into()),
-                Some(Err(e)) => RunEnd::Disconnected(e.to_string().into()),
+                Some(Err(e)) => self.end_of_error(job, run, &e).await,
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         events.splitter.push(&data);
@@ -408,11 +408,23 @@
         }
     }
 
+    /// Returns the end of a run whose connection failed.
+    async fn end_of_error(&self, job: &Job, run: &Run, error: &hyper::Error) -> RunEnd {
+        let reason = error.to_string().into();
+        if is_timeout(error) {
+            return RunEnd::Silent(reason);
+        }
+        match run.exchange.source.way {
+            Way::Direct => RunEnd::Disconnected(reason),
+            // The other daemon may have ended, not the target.
+            Way::Sibling => self.end_of_doubt(job, run, reason).await,
+        }
+    }
+
     /// Returns the end of a run whose answer cannot be shown to be whole. Only a target that has
     /// closed its port counts as crashed.
-    async fn end_of_doubt(&self, job: &Job, target: &Target, doubt: Doubt) -> RunEnd {
-        let reason = format!("end of the connection, doubt={doubt}").into();
-        if self.is_down(job, target).await {
+    async fn end_of_doubt(&self, job: &Job, run: &Run, reason: Box<str>) -> RunEnd {
+        if self.is_down(job, &run.target).await {
             RunEnd::Disconnected(reason)
         } else {
             RunEnd::Broken(reason)
