--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -2,10 +2,10 @@
 //!
 //! Load pattern: targets write answers with neither a length nor chunks, and are killed, leave or
 //! are replaced at their address meanwhile. Their operating system closes their connections in
-//! order, as after a whole answer. Only the process that wrote the answer tells the two apart: it
-//! goes on after a whole one. A second connection to it, opened while it writes, ends with it, and
-//! on this connection it says at the end that it is the target that was meant. Targets also close
-//! idle connections, turn new ones away, and may be silent for a while.
+//! order, as after a whole answer. The difference is the process that wrote the answer, which goes
+//! on after a whole one. A second connection to it, opened while it writes, ends with it, and is
+//! used at the end to ask it whether it is the target that was meant. Targets also close idle
+//! connections, turn new ones away, and may be silent for a while.
 
 use std::{convert::Infallible, mem, time::Duration};
 
@@ -26,13 +26,12 @@
     log::shown,
 };
 
-/// Longest wait for a target's word that it goes on. Sound targets may be silent for a second or so.
+/// Longest wait for the answer to that question. Sound targets may be silent for a second or so.
 const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time between the ends of two connections of a process that ends.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Pause after a second connection that was turned away: targets take only some number of them.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
-
 /// Maximum number of connections on which a target that turns some away is asked.
 const MAX_QUESTIONS: usize = 3;
 
@@ -143,7 +142,7 @@
     }
 
     /// Finds out, at the end of an answer, whether the target goes on: then the answer is whole.
-    pub async fn check_end(&mut self) -> Result<(), Doubt> {
+    pub async fn confirm_end(&mut self) -> Result<(), Doubt> {
         let (gateway, id, target) = (self.gateway, self.id, self.target);
         let checked = match mem::replace(&mut self.state, State::Unneeded) {
             State::Unneeded => return Ok(()),
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -1,4 +1,4 @@
-//! Tells how an answer's body says where it ends.
+//! Framing of the bodies of answers: what marks their end.
 
 use hyper::{
     HeaderMap, Response,
@@ -15,7 +15,7 @@
     Length,
     /// The last chunk.
     Chunks,
-    /// The end of the connection, which does not tell a whole body from one that broke off.
+    /// The end of the connection, which is the same for a whole body and for a part of it.
     Close,
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -234,7 +234,7 @@
                 reason: "another answer follows on the connection".into(),
             });
         }
-        match second.check_end().await {
+        match second.confirm_end().await {
             Ok(()) => Ok(res),
             Err(doubt) => Err(BodyError::Broken {
                 reason: format!("the end of the connection does not show a whole answer: {doubt}")
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -367,7 +367,7 @@
                 {
                     RunEnd::Disconnected("stream ended before its first event".into())
                 }
-                None => match second.check_end().await {
+                None => match second.confirm_end().await {
                     Ok(()) if delivered.position.ends_short() => return RunEnd::Short,
                     Ok(()) => return RunEnd::Whole,
                     Err(doubt) => self.end_of_doubt(job, run, doubt.to_string().into()).await,
