--- a/review/lab3.rs
+++ b/review/lab3.rs
@@ -870,7 +870,9 @@
     running: usize,
     waiting: usize,
     rejections: Vec<Duration>,
-    open: Vec<TcpStream>,
+    /// Open connections by number.
+    open: HashMap<u64, TcpStream>,
+    accepted: u64,
 }
 
 pub struct Server {
@@ -959,13 +961,20 @@
                     Ok((tcp, _)) => {
                         let _ = tcp.set_nonblocking(false);
                         let _ = tcp.set_nodelay(true);
-                        if let Ok(other) = tcp.try_clone() {
+                        let number = {
                             let mut load = server.load.lock().unwrap();
-                            load.open.retain(|t| t.peer_addr().is_ok());
-                            load.open.push(other);
-                        }
+                            load.accepted += 1;
+                            let number = load.accepted;
+                            if let Ok(other) = tcp.try_clone() {
+                                load.open.insert(number, other);
+                            }
+                            number
+                        };
                         let server = server.clone();
-                        thread::spawn(move || server.serve(tcp, lifetime));
+                        thread::spawn(move || {
+                            server.serve(tcp, lifetime);
+                            server.load.lock().unwrap().open.remove(&number);
+                        });
                     }
                     Err(_) => thread::sleep(Duration::from_micros(300)),
                 }
@@ -983,7 +992,7 @@
         brittle.filter(|b| now >= b.from && now < b.until)
     }
 
-    fn serve(self: Arc<Self>, tcp: TcpStream, lifetime: u64) {
+    fn serve(self: &Arc<Self>, tcp: TcpStream, lifetime: u64) {
         let Ok(mut to) = tcp.try_clone() else { return };
         let mut from = BufReader::new(tcp);
         while let Ok(Some(req)) = read_message(&mut from) {
@@ -1140,7 +1149,7 @@
     pub fn exit(&self) {
         self.lifetime.fetch_add(1, Ordering::SeqCst);
         let mut load = self.load.lock().unwrap();
-        for tcp in load.open.drain(..) {
+        for (_, tcp) in load.open.drain() {
             let _ = tcp.shutdown(std::net::Shutdown::Both);
         }
         self.freed.notify_all();
@@ -1158,7 +1167,7 @@
             }
             self.lifetime.fetch_add(1, Ordering::SeqCst);
             (running, waiting) = (load.running, load.waiting);
-            for tcp in load.open.drain(..) {
+            for (_, tcp) in load.open.drain() {
                 let _ = tcp.shutdown(std::net::Shutdown::Both);
             }
             load.running = 0;
