--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in brittle3 leave3; do
+for name in brittle3 leave3 crowd3; do
   rustc --edition 2024 -O -o "target/review/$name" "review/$name.rs"
 done
