--- a/review/brittle3.rs
+++ b/review/brittle3.rs
@@ -18,23 +18,22 @@
     new_id,
 };
 
-/// `contact-ms` of the sheet.
-const CONTACT: Duration = Duration::from_secs(4);
-/// Servers of the service, their slots and their queue, as in the small site file of
-/// `dosanko-dental`; the work of a request as on the sheet of its grown deployment.
-const SERVERS: usize = 3;
+/// `contact-ms` of the sheet of the grown deployment of `dosanko-dental`, from which the servers of
+/// the service, their slots, the work of a request and the usual traffic are taken as well.
+const CONTACT: Duration = Duration::from_secs(5);
+const SERVERS: usize = 6;
 const SLOTS: usize = 6;
-const QUEUE: usize = 24;
 const WORK: Duration = Duration::from_millis(60);
-/// Requests that still wait at a brittle server.
-const BRITTLE_QUEUE: usize = 6;
+/// Requests that wait at a server, and those that still wait at a brittle one.
+const QUEUE: usize = 24;
+const BRITTLE_QUEUE: usize = 0;
 /// `Server-Brittle`: rejections in a second beyond which a server falls over.
-const MOST_REJECTIONS: usize = 20;
+const MOST_REJECTIONS: usize = 5;
 /// Time after which a server that fell over is back.
 const BACK_AFTER: Duration = Duration::from_secs(3);
-/// Orders and status checks a second on a usual day of the grown deployment, and how many times as many orders come
-/// at once (`burst` of one kind of request, `x = 2.5` for 10 s). With it, 299 requests a second
-/// come to servers that can do 300.
+/// Orders and status checks a second on a usual day of that sheet, and how many times as many orders
+/// come at once (`burst` of one kind of request, `x = 2.5` for 10 s). With it, 299 requests a second
+/// come to servers that can do 600.
 const ORDERS: f64 = 103.0;
 const CHECKS: f64 = 41.3;
 const BURST: f64 = 2.5;
--- a/review/crowd3.rs
+++ b/review/crowd3.rs
@@ -36,7 +36,8 @@
 const WORK: Duration = Duration::from_millis(600);
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
-/// One answer, or its loss, of a sound client: the id, the time, and whether it came whole.
+/// One answer, or its loss, of a sound client on a channel that has had an answer before: the id,
+/// the time, and whether it came whole.
 type Outcome = (String, Duration, bool);
 
 fn main() {
@@ -50,10 +51,10 @@
     exit(code);
 }
 
-/// Resident memory of a process, in KiB.
+/// Resident memory of a process without that of files, such as its program, in KiB.
 fn resident(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+    let line = status.lines().find(|l| l.starts_with("RssAnon:"));
     let number = line.and_then(|l| l.split_whitespace().nth(1));
     number.and_then(|n| n.parse().ok()).unwrap_or(0)
 }
@@ -177,11 +178,14 @@
 /// A sound client: one request at a time on a kept channel.
 fn client(address: SocketAddr, stop: &AtomicBool, outcomes: &Mutex<Vec<Outcome>>, record: &Record) {
     let mut channel: Option<BufReader<TcpStream>> = None;
+    // Whether the channel has been kept for this request.
+    let mut is_kept = false;
     while !stop.load(Ordering::SeqCst) {
         let Some(from) = channel.as_mut() else {
             if let Ok(tcp) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
                 let _ = tcp.set_read_timeout(Some(Duration::from_secs(6)));
                 channel = Some(BufReader::new(tcp));
+                is_kept = false;
             } else {
                 thread::sleep(Duration::from_millis(100));
             }
@@ -200,10 +204,11 @@
             .and_then(|m| m.as_ref().map(|m| m.status()));
         let text = status.map_or("closed without an answer".to_owned(), |s| s.to_string());
         record.line(format!("sound client {id}: {text}"));
-        outcomes
-            .lock()
-            .unwrap()
-            .push((id, record.now(), status.is_some()));
+        if is_kept || status.is_some() {
+            let outcome = (id, record.now(), status.is_some());
+            outcomes.lock().unwrap().push(outcome);
+        }
+        is_kept = true;
         let closes = matches!(&answer, Ok(Some(m)) if m.header("connection") == Some("close"));
         if status.is_none() || closes {
             channel = None;
--- a/review/lab3.rs
+++ b/review/lab3.rs
@@ -471,7 +471,6 @@
     pub fn restore(&self) {
         let mut state = self.state.0.lock().unwrap();
         state.now = state.copy.clone().expect("a copy");
-        state.now.history.clear();
         state.era += 1;
         state.is_down = false;
         self.state.1.notify_all();
